Start the package: kernel, settings, wire messages and checks

Cause: nothing existed. Ruled out: writing decision code before the linter, types and import contract run, since every later file must meet them. Conclusion: the shape to build on.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+PYTHON ?= python3.11
+BIN := .venv/bin
+export PYTHONPATH := src:.
+export PYTHONHASHSEED := 0
+
+.PHONY: demo check deep format env
+
+env: .venv/installed
+
+.venv/installed: requirements.lock
+	$(PYTHON) -m venv .venv
+	$(BIN)/pip install --quiet --disable-pip-version-check --require-hashes -r requirements.lock
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation --editable .
+	touch .venv/installed
+
+demo: env
+	$(BIN)/python -m standins.demo
+
+format: env
+	$(BIN)/ruff check --quiet --fix .
+	$(BIN)/ruff format --quiet .
+
+check: env
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check --quiet .
+	$(BIN)/flake8 src standins bench features
+	$(BIN)/mypy
+	$(BIN)/lint-imports
+	$(BIN)/pytest
+	$(BIN)/behave --no-capture -f progress features
+
+deep: env
+	LENTILSPOOL_DEEP_SEED=$(SEED) $(BIN)/pytest -m "" -k deep
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments on the decision code, with baselines in the same run."""
--- /dev/null
+++ b/src/lentilspool/admission/__init__.py
@@ -0,0 +1,1 @@
+"""At-most-once admission: tokens, ledger and quarantine."""
--- /dev/null
+++ b/src/lentilspool/config/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration: fold of published patches and its spread."""
--- /dev/null
+++ b/src/lentilspool/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""Daemons: the trio shells around the decision code."""
--- /dev/null
+++ b/src/lentilspool/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits: admission control, fairness, retries and spend."""
--- /dev/null
+++ b/src/lentilspool/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Membership: leases, incarnations, leaving and subsets."""
--- /dev/null
+++ b/src/lentilspool/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Orders to engines: fencing and queues."""
--- /dev/null
+++ b/src/lentilspool/pipeline/__init__.py
@@ -0,0 +1,1 @@
+"""Pipelines: stages, deadlines, attempts and answers."""
--- /dev/null
+++ b/src/lentilspool/programs/__init__.py
@@ -0,0 +1,1 @@
+"""Programs: thin command lines."""
--- /dev/null
+++ b/src/lentilspool/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Routing: choice of an endpoint for a stage."""
--- /dev/null
+++ b/src/lentilspool/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Telemetry: JSON logs, metrics and state dumps."""
--- /dev/null
+++ b/src/lentilspool/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Thrift messages between lentilspool's own processes."""
--- /dev/null
+++ b/src/lentilspool/wire/lentilspool.thrift
@@ -0,0 +1,164 @@
+// Messages between lentilspool's own processes. Regenerate with `make thrift`.
+namespace py lentilspool.wire.generated.messages
+
+const i32 PROTOCOL_VERSION = 1
+
+struct Hello {
+  1: required i32 version
+  2: required string process
+  3: required i64 incarnation
+  4: required string zone
+}
+
+struct StageCall {
+  1: required i64 call_id
+  2: required string request_id
+  3: required string pipeline
+  4: required string stage
+  5: required i32 attempt
+  6: required i64 config_version
+  7: required string digest
+  8: required binary body
+  9: required bool repeatable
+  10: required i32 deadline_ms
+  11: required string team
+  12: required bool stream
+  13: required i32 priority
+  14: optional string token
+  15: optional string traceparent
+  16: optional i64 incarnation
+}
+
+struct StageChunk {
+  1: required i64 call_id
+  2: required i32 sequence
+  3: required string text
+}
+
+// outcome: complete, not_run, unknown, failed
+struct StageAnswer {
+  1: required i64 call_id
+  2: required string request_id
+  3: required string stage
+  4: required i32 attempt
+  5: required string digest
+  6: required string outcome
+  7: required binary body
+  8: required double cost
+  9: required string reason
+  10: required i32 retry_after_ms
+  11: required i32 service_ms
+  12: required i32 queued
+}
+
+struct Cancel {
+  1: required i64 call_id
+}
+
+struct AdmitCall {
+  1: required i64 call_id
+  2: required string request_id
+  3: required string digest
+  4: required i64 config_version
+  5: optional string token
+  6: optional string idempotency_key
+}
+
+// state: issued, running, finished, never_seen, refused, unknown
+struct AdmitAnswer {
+  1: required i64 call_id
+  2: required string state
+  3: required string token
+  4: required string reason
+  5: required i32 retry_after_ms
+  6: optional binary body
+}
+
+struct ConfigDigest {
+  1: required i64 version
+  2: required string digest
+}
+
+// pull: the sender wants everything after `version`.
+struct ConfigPull {
+  1: required i64 version
+  2: required string digest
+}
+
+struct ConfigPush {
+  1: required i64 version
+  2: required string digest
+  3: required list<binary> entries
+}
+
+struct Heartbeat {
+  1: required string process
+  2: required i64 incarnation
+  3: required i64 sequence
+  4: required bool leaving
+  5: required ConfigDigest config
+  6: required i32 in_flight
+  7: required i32 queued
+  8: required i32 limit
+  9: required i32 lease_ms
+  10: required list<string> suspects
+  11: required string zone
+  12: required string pool
+  13: required string address
+  14: required i32 port
+}
+
+struct HeldRequest {
+  1: required string token
+  2: required string pipeline
+  3: required binary body
+  4: required string team
+  5: required i32 remaining_ms
+  6: required i32 lease_ms
+  7: required bool transfer
+}
+
+struct CollectCall {
+  1: required i64 call_id
+  2: required string token
+}
+
+struct CollectAnswer {
+  1: required i64 call_id
+  2: required string state
+  3: required binary body
+}
+
+struct DumpCall {
+  1: required i64 call_id
+}
+
+struct DumpAnswer {
+  1: required i64 call_id
+  2: required binary body
+}
+
+struct Refusal {
+  1: required i64 call_id
+  2: required string reason
+}
+
+struct Envelope {
+  1: optional Hello hello
+  2: optional StageCall stage_call
+  3: optional StageChunk stage_chunk
+  4: optional StageAnswer stage_answer
+  5: optional Cancel cancel
+  6: optional AdmitCall admit_call
+  7: optional AdmitAnswer admit_answer
+  8: optional ConfigDigest config_digest
+  9: optional ConfigPull config_pull
+  10: optional ConfigPush config_push
+  11: optional Heartbeat heartbeat
+  12: optional HeldRequest held_request
+  13: optional CollectCall collect_call
+  14: optional CollectAnswer collect_answer
+  15: optional DumpCall dump_call
+  16: optional DumpAnswer dump_answer
+  17: optional Refusal refusal
+}
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform, its endpoints and callers."""
