Add routing policies behind a Protocol, with baselines

Cause: no part of the system chose an endpoint. Ruled out: scoring every endpoint of the pool (grows with its size). Change: Candidate, RoutingRequest, RoutingPolicy, EndpointTable, the default policy (one score in seconds over a random sample and the endpoints with a cached prefix) and four baselines as plug-ins. Conclusion: the entry can hold an EndpointTable and call choose().

--- a/bench/_events.py
+++ b/bench/_events.py
@@ -2,6 +2,7 @@
 
 import heapq
 import itertools
+import math
 from collections.abc import Callable
 
 
@@ -40,8 +41,9 @@
 
         self.after(period_s, tick)
 
-    def run(self, until_s: float = float('inf')) -> None:
+    def run(self, until_s: float = math.inf) -> None:
         """Run callbacks until none is left or the time is reached."""
         while self._heap and self._heap[0][0] <= until_s:
-            self._now, _, callback = heapq.heappop(self._heap)
+            due, _, callback = heapq.heappop(self._heap)
+            self._now = due
             callback()
--- a/src/lentilspool/routing/__init__.py
+++ b/src/lentilspool/routing/__init__.py
@@ -1,1 +1,14 @@
-"""Routing: choice of an endpoint for a stage."""
+"""Routing: which endpoint runs an attempt of a stage."""
+
+from lentilspool.routing._baselines import LeastOutstanding as LeastOutstanding
+from lentilspool.routing._baselines import Random as Random
+from lentilspool.routing._baselines import RoundRobin as RoundRobin
+from lentilspool.routing._baselines import TwoChoices as TwoChoices
+from lentilspool.routing._default import Default as Default
+from lentilspool.routing._protocols import RoutingPolicy as RoutingPolicy
+from lentilspool.routing._table import EndpointTable as EndpointTable
+from lentilspool.routing._types import Candidate as Candidate
+from lentilspool.routing._types import Choice as Choice
+from lentilspool.routing._types import Decision as Decision
+from lentilspool.routing._types import NoEndpoint as NoEndpoint
+from lentilspool.routing._types import RoutingRequest as RoutingRequest
