--- /dev/null
+++ b/src/lentilspool/admission/tests/test_attempts.py
@@ -0,0 +1,102 @@
+"""Tests of attempt identity and of stream assembly."""
+
+import dataclasses
+import itertools
+from collections.abc import Callable
+
+import pytest
+
+from lentilspool import admission
+
+Act = Callable[[admission.StreamAssembler], object]
+FIRST = admission.Attempt('r1', 'rerank', 1, 'd1')
+SECOND = admission.Attempt('r1', 'rerank', 2, 'd1')
+
+
+class TestAttemptTable:
+    def test_first_valid_answer_wins(self) -> None:
+        table = admission.AttemptTable()
+        table.open(FIRST)
+        table.open(SECOND)
+        assert table.match(SECOND, 2) == admission.Accept((FIRST,))
+        assert table.match(SECOND, 2) == admission.Duplicate()
+        assert table.match(FIRST, 3) == admission.LateLoser()
+        assert table.spend('r1') == {'rerank': 5}
+        assert table.dropped == {'Duplicate': 1, 'LateLoser': 1}
+
+    @pytest.mark.parametrize(
+        'change',
+        [
+            {'request_id': 'r2'},
+            {'stage': 'generate'},
+            {'number': 3},
+            {'content_digest': 'd2'},
+        ],
+    )
+    def test_foreign_answer_is_dropped(self, change: dict[str, object]) -> None:
+        table = admission.AttemptTable()
+        table.open(FIRST)
+        other = dataclasses.replace(FIRST, **change)  # type: ignore[arg-type]
+        assert table.match(other, 1) == admission.Foreign()
+        assert table.foreign_spend == 1
+        assert table.match(FIRST) == admission.Accept(())
+
+    def test_failed_attempt_cannot_win_but_is_paid(self) -> None:
+        table = admission.AttemptTable()
+        table.open(FIRST)
+        table.open(SECOND)
+        assert table.fail(FIRST, 1)
+        assert not table.fail(FIRST, 1)
+        assert table.match(FIRST, 1) == admission.Duplicate()
+        assert table.match(SECOND, 1) == admission.Accept(())
+        assert table.spend('r1') == {'rerank': 2}
+
+    def test_close_forgets_and_tells_what_to_cancel(self) -> None:
+        table = admission.AttemptTable()
+        table.open(FIRST)
+        assert table.close('r1') == (FIRST,)
+        assert table.size == 0
+        assert table.match(FIRST) == admission.Foreign()
+
+
+class TestStreamAssembler:
+    @pytest.mark.parametrize('order', list(itertools.permutations(range(5))))
+    def test_every_order_gives_the_same_text(
+        self, order: tuple[int, ...]
+    ) -> None:
+        stream = admission.StreamAssembler()
+        released = ''
+        for step in order:
+            part = (
+                stream.end(4) if step == 4 else stream.add(step, 'abcd'[step])
+            )
+            assert isinstance(part, admission.Pieces)
+            released += part.text
+        assert released == 'abcd' == stream.text
+
+    @pytest.mark.parametrize('missing', range(4))
+    def test_truncated_stream_is_never_whole(self, missing: int) -> None:
+        stream = admission.StreamAssembler()
+        for step in range(3):
+            if step != missing:
+                stream.add(step, 'x')
+        if missing != 3:
+            stream.end(3)
+        assert not stream.whole
+        assert stream.text is None
+
+    def test_contradictions_break_the_stream(self) -> None:
+        cases: list[tuple[Act, str]] = [
+            (lambda held: held.add(0, 'b'), 'conflict'),
+            (lambda held: held.end(2) and held.end(3), 'conflict'),
+            (lambda held: held.end(0), 'beyond_end'),
+            (lambda held: held.end(1) and held.add(1, 'b'), 'beyond_end'),
+            (lambda held: held.add(9, 'x' * 9), 'too_far_ahead'),
+        ]
+        for act, problem in cases:
+            stream = admission.StreamAssembler(max_waiting_chars=4)
+            stream.add(0, 'a')
+            assert act(stream) == admission.Broken(
+                admission.StreamProblem(problem)
+            )
+            assert stream.text is None
