Add the fold of configuration entries and the holder

Cause: every process must reach the same numbered configuration and the same verdicts from the published log alone, and must never go back. Ruled out: version as the key between processes (refused entries would be told from forks by nothing); digest of the document alone (verdicts of two logs could differ unseen). Change: base and patches as canonical bytes, JSON Merge Patch, conflict by touched paths, chained digests, whole-document checks, Holder.

--- a/src/lentilspool/config/__init__.py
+++ b/src/lentilspool/config/__init__.py
@@ -1,5 +1,7 @@
 """Configuration: fold of published patches and its spread."""
 
+from lentilspool.config._check import check as check
+from lentilspool.config._check import typed as typed
 from lentilspool.config._document import Document as Document
 from lentilspool.config._document import FencingMode as FencingMode
 from lentilspool.config._document import PipelineDocument as PipelineDocument
@@ -9,3 +11,28 @@
 from lentilspool.config._document import ProviderDocument as ProviderDocument
 from lentilspool.config._document import StageDocument as StageDocument
 from lentilspool.config._document import TeamDocument as TeamDocument
+from lentilspool.config._entries import Base as Base
+from lentilspool.config._entries import EntryError as EntryError
+from lentilspool.config._entries import Malformed as Malformed
+from lentilspool.config._entries import Patch as Patch
+from lentilspool.config._entries import decode_entry as decode_entry
+from lentilspool.config._entries import encode_base as encode_base
+from lentilspool.config._entries import encode_entry as encode_entry
+from lentilspool.config._entries import encode_patch as encode_patch
+from lentilspool.config._fold import InvalidBaseError as InvalidBaseError
+from lentilspool.config._fold import State as State
+from lentilspool.config._history import GapError as GapError
+from lentilspool.config._history import History as History
+from lentilspool.config._history import begin as begin
+from lentilspool.config._holder import Holder as Holder
+from lentilspool.config._offers import Adopted as Adopted
+from lentilspool.config._offers import Fault as Fault
+from lentilspool.config._offers import Ignored as Ignored
+from lentilspool.config._offers import OfferOutcome as OfferOutcome
+from lentilspool.config._offers import Unchanged as Unchanged
+from lentilspool.config._problems import KnownNames as KnownNames
+from lentilspool.config._problems import Problem as Problem
+from lentilspool.config._verdicts import EntryAccepted as EntryAccepted
+from lentilspool.config._verdicts import EntryRefused as EntryRefused
+from lentilspool.config._verdicts import RefusalReason as RefusalReason
+from lentilspool.config._verdicts import Verdict as Verdict
--- /dev/null
+++ b/src/lentilspool/config/_problems.py
@@ -0,0 +1,34 @@
+"""Problems of a configuration document, and the names that it may use."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Problem:
+    """One reason for which a document is refused."""
+
+    path: str
+    """Path of the value in the document, such as ``$.pools.rerank``."""
+
+    detail: str
+    """What is wrong, for a person."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KnownNames:
+    """Names of registered policies that a document may use."""
+
+    routing: tuple[str, ...]
+    """Routing policies."""
+
+    limit: tuple[str, ...]
+    """Concurrency-limit policies."""
+
+    admission: tuple[str, ...]
+    """Admission policies of entries."""
+
+    queue: tuple[str, ...]
+    """Queue policies of sidecars."""
+
+    spend: tuple[str, ...]
+    """Spend policies."""
--- /dev/null
+++ b/src/lentilspool/config/_rules.py
@@ -0,0 +1,106 @@
+"""Rules of a configuration document, one function for a section."""
+
+from collections.abc import Iterator
+
+from lentilspool.config import _bounds, _document, _problems
+
+
+def pipelines(document: _document.Document) -> Iterator[_problems.Problem]:
+    for name, pipeline in document.pipelines.items():
+        path = f'$.pipelines.{name}'
+        if not pipeline.stages:
+            yield _problems.Problem(
+                f'{path}.stages', 'a pipeline needs a stage'
+            )
+        yield from _bounds.positive(path, 'deadline_s', pipeline.deadline_s)
+        yield from _bounds.positive(path, 'wait_limit_s', pipeline.wait_limit_s)
+        yield from _stages(document, path, pipeline)
+        for index, team in enumerate(pipeline.teams):
+            if team not in document.teams:
+                yield _problems.Problem(
+                    f'{path}.teams[{index}]', _missing('team', team)
+                )
+
+
+def _stages(
+    document: _document.Document,
+    path: str,
+    pipeline: _document.PipelineDocument,
+) -> Iterator[_problems.Problem]:
+    seen: set[str] = set()
+    for index, stage in enumerate(pipeline.stages):
+        place = f'{path}.stages[{index}]'
+        if stage.pool not in document.pools:
+            yield _problems.Problem(
+                f'{place}.pool', _missing('pool', stage.pool)
+            )
+        if stage.name in seen:
+            yield _problems.Problem(
+                f'{place}.name', f'"{stage.name}" is used twice'
+            )
+        yield from _bounds.positive(
+            place, 'max_output_tokens', stage.max_output_tokens
+        )
+        yield from _bounds.not_negative(
+            place, 'expected_cost', stage.expected_cost
+        )
+        seen.add(stage.name)
+
+
+def pools(document: _document.Document) -> Iterator[_problems.Problem]:
+    for name, pool in document.pools.items():
+        path = f'$.pools.{name}'
+        yield from _bounds.not_negative(path, 'price', pool.price)
+        yield from _bounds.positive(path, 'max_in_flight', pool.max_in_flight)
+        yield from _bounds.not_negative(path, 'max_queued', pool.max_queued)
+        yield from _bounds.share(
+            path, 'min_capacity_share', pool.min_capacity_share
+        )
+
+
+def teams(document: _document.Document) -> Iterator[_problems.Problem]:
+    for name, team in document.teams.items():
+        path = f'$.teams.{name}'
+        yield from _bounds.positive(path, 'share', team.share)
+        yield from _bounds.not_negative(path, 'max_waiting', team.max_waiting)
+    budget = document.policies.retry_budget_share
+    yield from _bounds.share('$.policies', 'retry_budget_share', budget)
+
+
+def providers(document: _document.Document) -> Iterator[_problems.Problem]:
+    for name, provider in document.providers.items():
+        path = f'$.providers.{name}'
+        yield from _bounds.not_negative(path, 'credits', provider.credits)
+        starts_at = _bounds.time(provider.starts_at)
+        expires_at = _bounds.time(provider.expires_at)
+        if starts_at is None:
+            yield _problems.Problem(
+                f'{path}.starts_at', _bad_date(provider.starts_at)
+            )
+        if expires_at is None:
+            yield _problems.Problem(
+                f'{path}.expires_at', _bad_date(provider.expires_at)
+            )
+        if starts_at and expires_at and expires_at <= starts_at:
+            yield _problems.Problem(
+                f'{path}.expires_at', 'is not after starts_at'
+            )
+
+
+def key_slots(document: _document.Document) -> Iterator[_problems.Problem]:
+    for pool, addresses in document.key_slots.items():
+        path = f'$.key_slots.{pool}'
+        if pool not in document.pools:
+            yield _problems.Problem(path, _missing('pool', pool))
+        if not addresses:
+            yield _problems.Problem(path, 'needs a sidecar address')
+        if len(set(addresses)) != len(addresses):
+            yield _problems.Problem(path, 'names an address twice')
+
+
+def _missing(kind: str, name: str) -> str:
+    return f'there is no {kind} "{name}"'
+
+
+def _bad_date(text: str) -> str:
+    return f'"{text}" is no ISO 8601 time with an offset from UTC'
--- /dev/null
+++ b/src/lentilspool/config/tests/test_fold.py
@@ -0,0 +1,124 @@
+"""Tests of the fold of published entries."""
+
+from typing import Any
+
+import pytest
+
+from lentilspool import config
+from lentilspool.config.tests import samples
+
+_EMPTY_STAGES: dict[str, Any] = {'pipelines': {'draft': {'stages': []}}}
+_BAD_DATE = {'providers': {'cloud': {'expires_at': 'soon'}}}
+_NAIVE_DATE = {'providers': {'cloud': {'expires_at': '2027-01-01T00:00:00'}}}
+_KNOWN = config.KnownNames(
+    routing=('default',),
+    limit=('default',),
+    admission=('default',),
+    queue=('default',),
+    spend=('default',),
+)
+
+
+def _refusal(
+    *entries: bytes, known: config.KnownNames | None = None
+) -> config.EntryRefused:
+    history = config.begin((samples.base(), *entries), known)
+    verdict = history.verdicts[-1]
+    assert isinstance(verdict, config.EntryRefused)
+    return verdict
+
+
+class TestAccepted:
+    def test_adds_one_to_the_version(self) -> None:
+        entries = (samples.base(7), samples.share(8, 7, 'desk', 2))
+        history = config.begin(entries)
+        assert (history.state.number, history.state.version) == (8, 8)
+        assert history.state.document.teams['desk'].share == 2
+
+    def test_patches_of_other_paths_do_not_conflict(self) -> None:
+        first = samples.share(2, 1, 'desk', 2)
+        other = samples.share(3, 1, 'roster', 3)
+        history = config.begin((samples.base(), first, other))
+        assert history.state.version == 3
+        assert set(history.state.document.teams) == {'desk', 'roster'}
+
+    def test_a_base_in_the_log_gives_the_same_digest_on_every_way(self) -> None:
+        log = (samples.base(), samples.share(2, 1, 'desk', 2), samples.base(3))
+        later = samples.share(4, 3, 'desk', 5)
+        read_all = config.begin((*log, later))
+        read_late = config.begin((log[-1], later))
+        assert read_all.state.digest == read_late.state.digest
+
+
+class TestRefused:
+    @pytest.mark.parametrize(
+        ('merge', 'path'),
+        [
+            ({'pools': {'models': None}}, '$.pipelines.draft.stages[1].pool'),
+            (_EMPTY_STAGES, '$.pipelines.draft.stages'),
+            (_BAD_DATE, '$.providers.cloud.expires_at'),
+            (_NAIVE_DATE, '$.providers.cloud.expires_at'),
+            ({'teams': {'desk': {'shore': 1}}}, '$.teams.desk.shore'),
+            ({'teams': {'desk': {'share': 'x'}}}, '$.teams.desk.share'),
+            ({'teams': {'desk': {'share': -1}}}, '$.teams.desk.share'),
+            ({'key_slots': {'none': ['a']}}, '$.key_slots.none'),
+            ({'pools': {'spare': {'routing': 'no'}}}, '$.pools.spare.routing'),
+            ({'teams': {'desk': {'share': 'x' * 1_000_000}}}, '$'),
+        ],
+    )
+    def test_invalid_with_its_path(
+        self, merge: dict[str, Any], path: str
+    ) -> None:
+        refused = _refusal(samples.patch(2, 1, merge), known=_KNOWN)
+        assert refused.reason is config.RefusalReason.invalid
+        assert refused.path == path
+        assert refused.version == 1
+
+    @pytest.mark.parametrize(
+        'merge',
+        [
+            {'teams': {'desk': {'share': 3}}},
+            {'teams': {'desk': None}},
+            {'teams': {'desk': {'share': None}}},
+        ],
+    )
+    def test_conflict_with_a_later_change(self, merge: dict[str, Any]) -> None:
+        first = samples.share(2, 1, 'desk', 2)
+        refused = _refusal(first, samples.patch(3, 1, merge))
+        assert refused.reason is config.RefusalReason.conflict
+        assert refused.path.startswith('$.teams.desk')
+
+    def test_made_against_a_version_before_the_base(self) -> None:
+        entries = (samples.base(9), samples.share(10, 8, 'desk', 2))
+        verdict = config.begin(entries).verdicts[-1]
+        assert isinstance(verdict, config.EntryRefused)
+        assert verdict.reason is config.RefusalReason.stale
+
+    def test_made_against_a_version_to_come(self) -> None:
+        refused = _refusal(samples.share(2, 5, 'desk', 2))
+        assert refused.reason is config.RefusalReason.invalid
+
+    @pytest.mark.parametrize(
+        'plain',
+        [
+            {'number': 2},
+            {'number': 2, 'against': 1, 'author': 'a', 'merge': [1]},
+            {'number': 2, 'against': 'x', 'author': 'a', 'merge': {}},
+        ],
+    )
+    def test_malformed_entry(self, plain: dict[str, Any]) -> None:
+        refused = _refusal(config.encode_entry(plain))
+        assert refused.reason is config.RefusalReason.invalid
+
+    def test_deep_nesting(self) -> None:
+        merge: dict[str, object] = {}
+        for _ in range(200):
+            merge = {'a': merge}
+        refused = _refusal(samples.patch(2, 1, merge))
+        assert 'nested' in refused.detail
+
+    def test_digest_covers_refused_entries(self) -> None:
+        one = config.begin((samples.base(), samples.share(2, 9, 'a', 1)))
+        other = config.begin((samples.base(), samples.share(2, 8, 'a', 1)))
+        assert one.state.version == other.state.version
+        assert one.state.digest != other.state.digest
--- /dev/null
+++ b/src/lentilspool/config/tests/test_holder.py
@@ -0,0 +1,100 @@
+"""Tests of what a process holds."""
+
+from lentilspool import config
+from lentilspool.config.tests import samples
+
+_LOG = (
+    samples.base(),
+    samples.share(2, 1, 'desk', 2),
+    samples.share(3, 2, 'desk', 3),
+)
+_OTHER = samples.share(3, 2, 'desk', 33)
+
+
+def _holder(*entries: bytes) -> config.Holder:
+    holder = config.Holder()
+    holder.offer_service(entries)
+    return holder
+
+
+def _fault(outcome: config.OfferOutcome) -> config.Fault | None:
+    return outcome.fault if isinstance(outcome, config.Ignored) else None
+
+
+class TestService:
+    def test_adopts_what_continues(self) -> None:
+        holder = _holder(*_LOG[:2])
+        outcome = holder.offer_service(_LOG[1:])
+        assert isinstance(outcome, config.Adopted)
+        assert [verdict.number for verdict in outcome.verdicts] == [3]
+        assert holder.version == 3
+
+    def test_ignores_a_stale_service(self) -> None:
+        holder = _holder(*_LOG)
+        for reply in ((), _LOG[:2]):
+            outcome = holder.offer_service(reply)
+            assert _fault(outcome) is config.Fault.stale
+        assert holder.version == 3
+        faults = holder.dump()['faults']
+        assert isinstance(faults, dict)
+        assert faults['service']['fault'] == 'stale'
+
+    def test_ignores_a_forked_service(self) -> None:
+        holder = _holder(*_LOG)
+        later = samples.share(4, 3, 'desk', 4)
+        outcome = holder.offer_service((_OTHER, later))
+        assert _fault(outcome) is config.Fault.forked
+        assert holder.number == 3
+
+    def test_recovers_when_the_service_does(self) -> None:
+        holder = _holder(*_LOG)
+        holder.offer_service(())
+        assert holder.offer_service(_LOG[2:]) == config.Unchanged()
+        assert not holder.dump()['faults']
+
+    def test_follows_a_newer_base_over_missing_entries(self) -> None:
+        holder = _holder(*_LOG)
+        holder.offer_service((samples.base(9),))
+        assert (holder.number, holder.version) == (9, 9)
+        assert holder.dump()['base'] == 9
+
+    def test_does_not_follow_an_invalid_base(self) -> None:
+        holder = _holder(*_LOG)
+        outcome = holder.offer_service((samples.base(9, pools={}),))
+        assert _fault(outcome) is config.Fault.invalid
+        assert holder.number == 3
+
+    def test_ignores_bytes_that_are_no_entry(self) -> None:
+        holder = _holder(*_LOG)
+        deep = b'[' * 100_000
+        for raw in (b'', b'{}', b'{"number": true}', deep):
+            assert isinstance(holder.offer((raw,), '', 'b'), config.Ignored)
+        assert holder.number == 3
+
+
+class TestPeer:
+    def test_adopts_entries_whose_digest_chains(self) -> None:
+        ahead, behind = _holder(*_LOG), _holder(*_LOG[:1])
+        entries = ahead.entries_after(behind.number)
+        outcome = behind.offer(entries, ahead.digest, 'a')
+        assert isinstance(outcome, config.Adopted)
+        assert behind.digest == ahead.digest
+
+    def test_ignores_a_digest_that_does_not_chain(self) -> None:
+        forked = _holder(*_LOG[:2], _OTHER, samples.share(4, 3, 'desk', 4))
+        holder = _holder(*_LOG)
+        outcome = holder.offer(forked.entries_after(3), forked.digest, 'a')
+        assert _fault(outcome) is config.Fault.forked
+        assert not holder.agrees(3, _holder(*_LOG[:2], _OTHER).digest)
+        assert holder.number == 3
+
+    def test_ignores_entries_after_a_gap(self) -> None:
+        holder = _holder(*_LOG[:1])
+        outcome = holder.offer(_LOG[2:], '', 'a')
+        assert _fault(outcome) is config.Fault.gap
+
+    def test_sends_everything_to_one_before_the_base(self) -> None:
+        holder = _holder(*_LOG)
+        assert holder.entries_after(0) == _LOG
+        assert holder.entries_after(2) == _LOG[2:]
+        assert not holder.entries_after(3)
