Add admission control, concurrency limits and the sidecar's queue

Ruled out: booking only the next stage (spends early stages on work that the last one drops); one queue length for all stages. Change: lentilspool.limits with AdmissionControl (work booked at every pool by due time), ConcurrencyLimit, StageQueue, ServiceTimes, each behind a Protocol with a baseline beside it. Conclusion: the interfaces stand for the daemons to wire.

--- /dev/null
+++ b/src/lentilspool/limits/_pool_state.py
@@ -0,0 +1,117 @@
+"""What the admission policy of one entry knows of one pool."""
+
+import dataclasses
+from collections.abc import Mapping
+from typing import Final
+
+from lentilspool.limits import _book, _offered, _types
+
+_REFRESH_S: Final = 0.25
+_LEAST_SLOTS: Final = 1e-3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tuning:
+    """Numeric parameters of the default admission policy."""
+
+    window_s: float = 2.0
+    """Window over which offered work is measured, in seconds."""
+
+    headroom: float = 1.0
+    """Share of a pool's slots that admitted work may fill."""
+
+    lend_s: float = 0.3
+    """Backlog up to which work beyond a share is admitted, in seconds."""
+
+    safety_s: float = 0.05
+    """Margin before the deadline, in seconds."""
+
+    overload: float = 0.95
+    """Offered work, as a share of the slots, from which sizes matter."""
+
+    @classmethod
+    def read(cls, parameters: Mapping[str, float]) -> 'Tuning':
+        """Read the names that begin with ``admission_``."""
+        known = {
+            field.name: parameters[f'admission_{field.name}']
+            for field in dataclasses.fields(cls)
+            if f'admission_{field.name}' in parameters
+        }
+        return cls(**known)
+
+
+class PoolState:
+    """Booked and offered work at one pool, seen from one entry.
+
+    An entry counts on its part of the pool's slots. The reported wait
+    counts where it is longer than the entry's own bookings explain.
+    """
+
+    def __init__(
+        self, shares: Mapping[str, float], tuning: Tuning, now: float
+    ) -> None:
+        self._shares = shares
+        self._tuning = tuning
+        self._book = _book.WorkBook()
+        self._offered = _offered.OfferedWork(tuning.window_s, now)
+        self._cutoffs = _offered.Cutoffs({})
+        self._refreshed = now
+        self._slots = 1.0
+        self._reported_s = 0.0
+
+    @property
+    def book(self) -> _book.WorkBook:
+        """Work that this entry has admitted."""
+        return self._book
+
+    @property
+    def slots(self) -> float:
+        """This entry's part of the pool's slots."""
+        return self._slots
+
+    @property
+    def backlog_s(self) -> float:
+        """Time in which the known work is done, in seconds."""
+        return max(self._book.total_s / self._slots, self._reported_s)
+
+    def report(self, load: _types.PoolLoad) -> None:
+        """Take the pool's latest load."""
+        part = load.slots * self._tuning.headroom / max(1, load.entries)
+        self._slots = max(part, _LEAST_SLOTS)
+        self._reported_s = max(0, load.wait_s - load.age_s)
+
+    def offer(self, team: str, work_s: float, now: float) -> None:
+        """Record offered work, whether or not it will be admitted."""
+        self._offered.add(team, work_s, now)
+        if now - self._refreshed >= _REFRESH_S:
+            self._refreshed = now
+            room = self._slots * self._tuning.overload
+            self._cutoffs = self._offered.cutoffs(room, self._shares, now)
+
+    def favours(self, team: str, work_s: float, lead_s: float) -> bool:
+        """Tell whether the work is inside a share or may borrow.
+
+        ``lead_s`` is the time until the work reaches the pool.
+        """
+        if self._cutoffs.favours(team, work_s):
+            return True
+        return self.backlog_s <= self._tuning.lend_s + lead_s
+
+    def wait_s(self, due: float, lead_s: float) -> float:
+        """Return the wait of work that arrives after ``lead_s``."""
+        booked_s = self._book.wait_s(due, self._slots)
+        return max(0, max(booked_s, self._reported_s) - lead_s)
+
+    def dump(self, now: float) -> dict[str, object]:
+        """Return the state as plain JSON types."""
+        return {
+            'slots': round(self._slots, 3),
+            'booked_s': round(self._book.total_s, 3),
+            'backlog_s': round(self.backlog_s, 3),
+            'reported_wait_s': round(self._reported_s, 3),
+            'offered_slots': {
+                team: round(rate, 3)
+                for team, rate in sorted(self._offered.rates(now).items())
+            },
+            'cutoff_s': self._cutoffs.dump(),
+        }
--- /dev/null
+++ b/src/lentilspool/limits/tests/test_admission.py
@@ -0,0 +1,197 @@
+"""Tests of admission control."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lentilspool import kernel, limits
+
+LOADS = {
+    'encode': limits.PoolLoad(slots=4),
+    'generate': limits.PoolLoad(slots=2),
+}
+
+
+def request(
+    name: str,
+    work_s: float = 1,
+    deadline: float = 4,
+    team: str = 'a',
+    may_wait: bool = False,
+) -> limits.AdmissionRequest:
+    needs = (
+        limits.StageNeed('encoding', 'encode', 0.1, 0.1),
+        limits.StageNeed('generation', 'generate', work_s, work_s),
+    )
+    return limits.AdmissionRequest(name, team, deadline, needs, may_wait)
+
+
+def admitted(
+    policy: limits.AdmissionPolicy, requests: list[limits.AdmissionRequest]
+) -> list[str]:
+    return [
+        offered.request_id
+        for offered in requests
+        if isinstance(policy.decide(offered, LOADS, 0), limits.Admit)
+    ]
+
+
+class TestAdmissionControl:
+    def test_books_the_last_stage_before_the_first_is_sent(self) -> None:
+        policy = limits.AdmissionControl()
+        names = admitted(policy, [request(str(num)) for num in range(20)])
+        assert 4 <= len(names) <= 8
+
+    def test_refusal_tells_when_to_come_back(self) -> None:
+        policy = limits.AdmissionControl()
+        admitted(policy, [request(str(num)) for num in range(20)])
+        refused = policy.decide(request('late'), LOADS, 0)
+        assert isinstance(refused, kernel.NotRun)
+        assert refused.retry_after_s and refused.retry_after_s > 1
+
+    def test_degrades_what_may_wait(self) -> None:
+        policy = limits.AdmissionControl()
+        admitted(policy, [request(str(num)) for num in range(20)])
+        waiting = policy.decide(request('w', may_wait=True), LOADS, 0)
+        assert isinstance(waiting, limits.AdmitWaiting)
+
+    def test_short_deadline_does_not_make_admitted_work_late(self) -> None:
+        policy = limits.AdmissionControl()
+        long = [request(f'l{num}', work_s=4, deadline=4.2) for num in range(2)]
+        assert len(admitted(policy, long)) == 2
+        assert not admitted(policy, [request('s', 0.5, deadline=2)])
+
+    def test_ended_work_makes_room(self) -> None:
+        policy = limits.AdmissionControl()
+        names = admitted(policy, [request(str(num)) for num in range(20)])
+        for name in names:
+            policy.stage_done(name, 'encoding', 0)
+            policy.stage_done(name, 'generation', 0)
+        again = admitted(policy, [request(f'b{num}') for num in range(20)])
+        assert len(again) == len(names)
+
+    def test_reported_wait_counts(self) -> None:
+        loads = {**LOADS, 'generate': limits.PoolLoad(2, wait_s=5)}
+        refused = limits.AdmissionControl().decide(request('x'), loads, 0)
+        assert isinstance(refused, kernel.NotRun)
+
+    def test_old_report_is_discounted(self) -> None:
+        load = limits.PoolLoad(2, wait_s=5, age_s=4.5)
+        loads = {**LOADS, 'generate': load}
+        taken = limits.AdmissionControl().decide(request('x'), loads, 0)
+        assert isinstance(taken, limits.Admit)
+
+    def test_gives_up_between_stages(self) -> None:
+        policy = limits.AdmissionControl()
+        policy.decide(request('x'), LOADS, 0)
+        policy.stage_done('x', 'encoding', 3.5)
+        given_up = policy.recheck('x', LOADS, 3.5)
+        assert isinstance(given_up, limits.GiveUp)
+        assert given_up.stage == 'generation'
+        assert given_up.retry_after_s > 0
+
+    def test_goes_on_while_there_is_time(self) -> None:
+        policy = limits.AdmissionControl()
+        policy.decide(request('x'), LOADS, 0)
+        policy.stage_done('x', 'encoding', 0.1)
+        going = policy.recheck('x', LOADS, 0.1)
+        assert isinstance(going, limits.Admit)
+        assert [due.stage for due in going.dues] == ['generation']
+
+    def test_flooding_team_leaves_room_for_others(self) -> None:
+        policy = limits.AdmissionControl({'a': 1, 'b': 1})
+        now = 0.0
+        small = 0
+        for tick in range(400):
+            now += 0.02
+            flood = request(f'f{tick}', 0.5, now + 4, 'a')
+            policy.decide(flood, LOADS, now)
+            if tick % 50 == 49:
+                offered = request(f's{tick}', 0.5, now + 4, 'b')
+                decision = policy.decide(offered, LOADS, now)
+                small += isinstance(decision, limits.Admit)
+            policy.forget(f'f{tick - 25}')
+            policy.forget(f's{tick - 25}')
+        assert small == 8
+
+
+ARRIVALS = st.lists(
+    st.tuples(
+        st.floats(0, 0.5),
+        st.floats(0.01, 3),
+        st.floats(0.05, 10),
+        st.sampled_from('ab'),
+        st.booleans(),
+    ),
+    max_size=60,
+)
+
+
+class TestAdmissionProperties:
+    @settings(derandomize=True, deadline=None, max_examples=50)
+    @given(arrivals=ARRIVALS)
+    def test_admitted_work_always_fits_and_is_released(
+        self, arrivals: list[tuple[float, float, float, str, bool]]
+    ) -> None:
+        policy = limits.AdmissionControl()
+        now = 0.0
+        for index, (gap, work_s, due_s, team, ends) in enumerate(arrivals):
+            now += gap
+            offered = request(str(index), work_s, now + due_s, team)
+            decision = policy.decide(offered, LOADS, now)
+            if isinstance(decision, limits.Admit):
+                assert now <= decision.finish <= offered.deadline
+            if ends:
+                policy.forget(str(index))
+        for name, _arrival in enumerate(arrivals):
+            policy.forget(str(name))
+        pools = policy.dump(now)['pools']
+        assert isinstance(pools, dict)
+        for pool in pools.values():
+            assert pool['booked_s'] == pytest.approx(0, abs=1e-6)
+
+    @settings(derandomize=True, deadline=None, max_examples=50)
+    @given(
+        waits=st.tuples(st.floats(0, 8), st.floats(0, 8)),
+        work_s=st.floats(0.01, 3),
+    )
+    def test_more_load_never_admits_more(
+        self, waits: tuple[float, float], work_s: float
+    ) -> None:
+        decisions = []
+        for wait_s in sorted(waits):
+            load = limits.PoolLoad(2, wait_s=wait_s)
+            loads = {**LOADS, 'generate': load}
+            decision = limits.AdmissionControl().decide(
+                request('x', work_s), loads, 0
+            )
+            decisions.append(isinstance(decision, limits.Admit))
+        assert decisions[0] >= decisions[1]
+
+    @settings(derandomize=True, deadline=None, max_examples=50)
+    @given(highs=st.lists(st.floats(0.01, 3), min_size=1, max_size=6))
+    def test_split_deadline_is_ordered_and_ends_at_the_deadline(
+        self, highs: list[float]
+    ) -> None:
+        needs = tuple(
+            limits.StageNeed(str(index), 'p', high, high)
+            for index, high in enumerate(highs)
+        )
+        dues = [split.due for split in limits.split_deadline(needs, 9, 1)]
+        assert dues == sorted(dues)
+        assert dues[-1] == 9
+        assert dues[0] >= 1
+
+
+class TestBaselines:
+    def test_none_admits_everything(self) -> None:
+        policy = limits.AdmitAll()
+        requests = [request(str(num)) for num in range(200)]
+        assert len(admitted(policy, requests)) == 200
+
+    def test_queue_length_counts_requests_in_hand(self) -> None:
+        policy = limits.QueueLengthLimit({}, {'admission_queue_limit': 5})
+        requests = [request(str(num)) for num in range(20)]
+        assert len(admitted(policy, requests)) == 5
+        policy.forget('0')
+        assert len(admitted(policy, [request('x')])) == 1
--- /dev/null
+++ b/src/lentilspool/limits/tests/test_stage_queue.py
@@ -0,0 +1,165 @@
+"""Tests of the sidecar's queue."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lentilspool import kernel, limits
+
+WAIT = limits.Urgency.may_wait
+
+
+def call(
+    call_id: int,
+    team: str = 'a',
+    cost: float = 1,
+    deadline: float = 1e9,
+    urgency: limits.Urgency = limits.Urgency.deadline,
+    least_s: float = 0,
+) -> limits.QueuedCall:
+    return limits.QueuedCall(call_id, team, cost, deadline, least_s, urgency)
+
+
+def drain(queue: limits.QueuePolicy, now: float = 0) -> list[int]:
+    order = []
+    while len(queue):
+        taken = queue.take(now)
+        if taken.call:
+            order.append(taken.call.call_id)
+    return order
+
+
+class TestStageQueue:
+    def test_earliest_deadline_first_within_a_team(self) -> None:
+        queue = limits.StageQueue(8)
+        for call_id, deadline in enumerate([9, 3, 6]):
+            queue.offer(call(call_id, deadline=deadline), 0)
+        assert drain(queue) == [1, 2, 0]
+
+    def test_cost_not_count_is_shared(self) -> None:
+        queue = limits.StageQueue(100, {'a': 1, 'b': 1})
+        for call_id in range(40):
+            queue.offer(call(call_id, 'a', cost=4), 0)
+        for call_id in range(40, 80):
+            queue.offer(call(call_id, 'b', cost=1), 0)
+        first = drain(queue)[:50]
+        assert sum(call_id >= 40 for call_id in first) == 40
+
+    @pytest.mark.parametrize(('share', 'expected'), [(1, 20), (3, 30)])
+    def test_shares_are_kept(self, share: float, expected: int) -> None:
+        queue = limits.StageQueue(200, {'a': share, 'b': 1})
+        for call_id in range(200):
+            queue.offer(call(call_id, 'ab'[call_id % 2]), 0)
+        first = drain(queue)[:40]
+        assert sum(call_id % 2 == 0 for call_id in first) == expected
+
+    def test_deadline_class_goes_first(self) -> None:
+        queue = limits.StageQueue(8)
+        queue.offer(call(0, urgency=WAIT), 0)
+        queue.offer(call(1), 0)
+        assert drain(queue) == [1, 0]
+
+    def test_aged_call_starts_within_the_bound(self) -> None:
+        parameters = {'queue_ageing_s': 2, 'queue_starts_per_aged': 4}
+        queue = limits.StageQueue(100, {}, parameters)
+        queue.offer(call(99, urgency=WAIT), 0)
+        for call_id in range(20):
+            queue.offer(call(call_id), 0)
+        started = [queue.take(now=float(tick)) for tick in range(6)]
+        ids = [taken.call.call_id for taken in started if taken.call]
+        assert ids == [0, 1, 2, 3, 99, 4]
+
+    def test_hopeless_call_is_dropped_before_it_starts(self) -> None:
+        queue = limits.StageQueue(8)
+        queue.offer(call(0, deadline=5, least_s=2), 0)
+        queue.offer(call(1, deadline=9, least_s=2), 0)
+        taken = queue.take(now=4)
+        assert taken.call and taken.call.call_id == 1
+        dropped = taken.dropped[0]
+        assert dropped.call.call_id == 0
+        assert dropped.outcome.reason is kernel.NotRunReason.deadline
+
+    def test_hopeless_call_is_refused_at_once(self) -> None:
+        queue = limits.StageQueue(8)
+        dropped = queue.offer(call(0, deadline=5, least_s=2), 4)[0]
+        assert dropped.call.call_id == 0
+        assert not len(queue)
+
+    def test_full_queue_drops_from_the_team_that_holds_most(self) -> None:
+        queue = limits.StageQueue(4)
+        for call_id in range(4):
+            queue.offer(call(call_id, 'flood'), 0)
+        dropped = queue.offer(call(9, 'small'), 0)[0]
+        assert dropped.call.team == 'flood'
+        assert dropped.outcome.reason is kernel.NotRunReason.overloaded
+
+    def test_full_queue_drops_calls_that_may_wait_first(self) -> None:
+        queue = limits.StageQueue(1)
+        queue.offer(call(0, urgency=WAIT), 0)
+        dropped = queue.offer(call(1), 0)[0]
+        assert dropped.call.call_id == 0
+
+    def test_waiting_call_does_not_push_out_a_deadline_call(self) -> None:
+        queue = limits.StageQueue(1)
+        queue.offer(call(0), 0)
+        dropped = queue.offer(call(1, urgency=WAIT), 0)[0]
+        assert dropped.call.call_id == 1
+
+    def test_idle_team_saves_no_share(self) -> None:
+        queue = limits.StageQueue(300)
+        for call_id in range(100):
+            queue.offer(call(call_id, 'busy'), 0)
+        for _ in range(50):
+            queue.take(0)
+        for call_id in range(100, 200):
+            queue.offer(call(call_id, 'idle'), 0)
+        first = drain(queue)[:20]
+        assert sum(call_id >= 100 for call_id in first) == 10
+
+    def test_removed_call_never_starts(self) -> None:
+        queue = limits.StageQueue(4)
+        queue.offer(call(0), 0)
+        queue.offer(call(1), 0)
+        assert queue.remove(0)
+        assert not queue.remove(0)
+        assert drain(queue) == [1]
+
+
+CALLS = st.lists(
+    st.tuples(
+        st.sampled_from('abc'),
+        st.floats(0.1, 10),
+        st.floats(0, 20),
+        st.sampled_from(list(limits.Urgency)),
+        st.booleans(),
+    ),
+    max_size=60,
+)
+
+
+class TestQueueProperties:
+    @settings(derandomize=True, deadline=None, max_examples=60)
+    @given(calls=CALLS, bound=st.integers(1, 12))
+    def test_every_call_leaves_exactly_once(
+        self,
+        calls: list[tuple[str, float, float, limits.Urgency, bool]],
+        bound: int,
+    ) -> None:
+        queue = limits.StageQueue(bound)
+        left: list[int] = []
+        now = 0.0
+        for call_id, (team, cost, due, urgency, take) in enumerate(calls):
+            offered = call(call_id, team, cost, due, urgency)
+            left += [gone.call.call_id for gone in queue.offer(offered, now)]
+            assert len(queue) <= bound
+            if take:
+                taken = queue.take(now)
+                left += [gone.call.call_id for gone in taken.dropped]
+                left += [taken.call.call_id] if taken.call else []
+            now += 0.3
+        while len(queue):
+            taken = queue.take(now)
+            left += [gone.call.call_id for gone in taken.dropped]
+            left += [taken.call.call_id] if taken.call else []
+        assert sorted(left) == list(range(len(calls)))
+        assert queue.cost == pytest.approx(0, abs=1e-6)
