Add retry budget, after_attempt, ejection and pool breaker

Cause: nothing decided what follows an attempt without an answer. Ruled out: a count of retries per request alone (multiplies the load of a pool that fails); a breaker with open and closed states (all work comes back at once). Change: package retries with RetryBudget, Backoff, after_attempt, Hedging, OutlierEjection, PoolBreaker.

--- /dev/null
+++ b/src/lentilspool/retries/__init__.py
@@ -0,0 +1,15 @@
+"""Retries: budget, backoff, ejection, breaker and silent connections."""
+
+from lentilspool.retries._backoff import Backoff as Backoff
+from lentilspool.retries._breaker import Admitted as Admitted
+from lentilspool.retries._breaker import PoolBreaker as PoolBreaker
+from lentilspool.retries._breaker import Refused as Refused
+from lentilspool.retries._budget import RetryBudget as RetryBudget
+from lentilspool.retries._decision import after_attempt as after_attempt
+from lentilspool.retries._ejection import OutlierEjection as OutlierEjection
+from lentilspool.retries._ejection import Verdict as Verdict
+from lentilspool.retries._hedging import Hedging as Hedging
+from lentilspool.retries._types import Attempt as Attempt
+from lentilspool.retries._types import GiveUp as GiveUp
+from lentilspool.retries._types import NextStep as NextStep
+from lentilspool.retries._types import Retry as Retry
--- /dev/null
+++ b/src/lentilspool/retries/_budget.py
@@ -0,0 +1,52 @@
+"""Retry budget: retries as a share of the recent successes."""
+
+import math
+from typing import Final
+
+_SHARE: Final = 0.1
+_WINDOW_S: Final = 10.0
+_RESERVE: Final = 1.0
+
+
+class RetryBudget:
+    """Bounds the retries and hedges of one pool at one entry.
+
+    Call ``succeeded`` for each attempt that succeeds, and ``try_spend``
+    before each retry or hedge. The balance moves towards a reserve of one
+    retry within the window, so that unused retries expire and a pool
+    that has failed altogether gets none beyond the reserve.
+    """
+
+    def __init__(
+        self, share: float = _SHARE, window_s: float = _WINDOW_S
+    ) -> None:
+        self._share = share
+        self._window_s = window_s
+        self._balance = _RESERVE
+        self._settled_at = -math.inf
+
+    @property
+    def balance(self) -> float:
+        """Retries that may be spent, as of the last call."""
+        return self._balance
+
+    def succeeded(self, now: float) -> None:
+        """Add the share of a retry that a success earns."""
+        self._settle(now)
+        self._balance += self._share
+
+    def try_spend(self, now: float) -> bool:
+        """Take one retry out of the budget; return whether there was one."""
+        self._settle(now)
+        if self._balance < 1:
+            return False
+        self._balance -= 1
+        return True
+
+    def _settle(self, now: float) -> None:
+        elapsed_s = now - self._settled_at
+        if elapsed_s <= 0:
+            return
+        kept = math.exp(-elapsed_s / self._window_s)
+        self._balance = _RESERVE + (self._balance - _RESERVE) * kept
+        self._settled_at = now
--- /dev/null
+++ b/src/lentilspool/retries/_types.py
@@ -0,0 +1,50 @@
+"""An attempt that ended, and what is to be done after it."""
+
+import dataclasses
+
+from lentilspool import kernel
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Attempt:
+    """An attempt of a stage that ended without an answer."""
+
+    outcome: kernel.Outcome
+    """How the attempt ended."""
+
+    stage: str
+    """Name of the stage."""
+
+    repeatable: bool
+    """Whether the stage is idempotent and may be run again."""
+
+    number: int
+    """Number of this attempt, from 1."""
+
+    remaining_s: float
+    """Seconds until the deadline of the stage."""
+
+    expected_s: float
+    """Seconds that another attempt is expected to take."""
+
+    other_endpoints: bool = True
+    """Whether there is an endpoint that the request has not tried."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Retry:
+    """Try again, on an endpoint that was not tried if there is one."""
+
+    delay_s: float
+    """Seconds to wait before the next attempt."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GiveUp:
+    """Make no further attempt; the caller gets the outcome at once."""
+
+    outcome: kernel.Outcome
+    """Final outcome of the stage, with the time to come back."""
+
+
+NextStep = Retry | GiveUp
