Add idempotency keys with homes that follow from published slots

Cause: a caller with only an Idempotency-Key must be served at most once over restart, partition and a change of the slots. Ruled out: homes from the live view (two sides of a partition differ); opaque keys at a restarted home (it cannot tell what ran); one slot table that is edited (a side that has not heard of the change serves the key too). Change: UUIDv7 keys, a gate with a floor and a quiet period, slot tables for intervals of creation time that are never edited, KeyHome before the ledger; a refused request may get a new token. Conclusion: within an incarnation no clock matters; over a restart two clocks must be wrong at once for a second run.

--- a/src/lentilspool/admission/__init__.py
+++ b/src/lentilspool/admission/__init__.py
@@ -7,6 +7,19 @@
 from lentilspool.admission._attempts import Foreign as Foreign
 from lentilspool.admission._attempts import LateLoser as LateLoser
 from lentilspool.admission._attempts import Verdict as Verdict
+from lentilspool.admission._key_home import KeyHome as KeyHome
+from lentilspool.admission._key_slots import KeySlots as KeySlots
+from lentilspool.admission._key_slots import SlotFault as SlotFault
+from lentilspool.admission._key_slots import SlotTable as SlotTable
+from lentilspool.admission._key_slots import (
+    check_slot_change as check_slot_change,
+)
+from lentilspool.admission._key_slots import parse_slots as parse_slots
+from lentilspool.admission._keys import IdempotencyKey as IdempotencyKey
+from lentilspool.admission._keys import KeyGate as KeyGate
+from lentilspool.admission._keys import KeyRules as KeyRules
+from lentilspool.admission._keys import check_age as check_age
+from lentilspool.admission._keys import parse_key as parse_key
 from lentilspool.admission._ledger import Ledger as Ledger
 from lentilspool.admission._ledger_types import Admitted as Admitted
 from lentilspool.admission._ledger_types import (
--- /dev/null
+++ b/src/lentilspool/admission/_key_home.py
@@ -0,0 +1,89 @@
+"""Home of idempotency keys: a ledger behind a gate."""
+
+import collections
+
+from lentilspool import kernel
+from lentilspool.admission import (
+    _key_slots,
+    _keys,
+    _ledger,
+    _ledger_types,
+    _tokens,
+)
+
+_Expiry = tuple[float, _keys.IdempotencyKey]
+
+
+class KeyHome:
+    """Issues tokens for idempotency keys at the sidecar that is their home.
+
+    The first send of a key gets a token, and every later one gets the same
+    token; from there on the request follows the ledger's life cycle.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        pool: str,
+        ledger: _ledger.Ledger,
+        gate: _keys.KeyGate,
+    ) -> None:
+        self._address = address
+        self._pool = pool
+        self._ledger = ledger
+        self._gate = gate
+        self._tokens: dict[_keys.IdempotencyKey, _tokens.AdmissionToken] = {}
+        self._expiries: collections.deque[_Expiry] = collections.deque()
+
+    @property
+    def ledger(self) -> _ledger.Ledger:
+        """Ledger in which the keys' requests are kept."""
+        return self._ledger
+
+    @property
+    def size(self) -> int:
+        """Number of keys remembered; each is in the ledger as well."""
+        return len(self._tokens)
+
+    def issue(
+        self,
+        key: _keys.IdempotencyKey,
+        content_digest: str,
+        slots: _key_slots.KeySlots,
+        now: float,
+    ) -> _ledger_types.IssueAnswer:
+        """Return the key's token, or why none is issued."""
+        if slots.home(self._pool, key) != self._address:
+            return _unknown(key, 'by the slots held here, not its home')
+        self._forget_expired(now)
+        if key not in self._tokens and not self._gate.is_new(key, now):
+            return _unknown(key, 'it may have run before this home started')
+        answer = self._ledger.issue(key.request_id, content_digest, now)
+        if isinstance(answer, _ledger_types.Issued):
+            self._remember(key, answer.token)
+        return answer
+
+    def on_pause(self, wall_s: float, now: float) -> None:
+        """Take no unknown key for a quiet period, as after a start."""
+        self._gate.on_pause(wall_s, now)
+
+    def _remember(
+        self, key: _keys.IdempotencyKey, token: _tokens.AdmissionToken
+    ) -> None:
+        if self._tokens.get(key) != token:
+            self._tokens[key] = token
+            self._expiries.append((token.expires_at, key))
+
+    def _forget_expired(self, now: float) -> None:
+        """Forget each key with the last token that was issued for it."""
+        while self._expiries and self._expiries[0][0] <= now:
+            expires_at, key = self._expiries.popleft()
+            if self._tokens[key].expires_at == expires_at:
+                self._tokens.pop(key)
+                self._gate.forgotten(key)
+
+
+def _unknown(key: _keys.IdempotencyKey, detail: str) -> _ledger_types.Refused:
+    return _ledger_types.Refused(
+        kernel.Unknown(key.text, kernel.UnknownReason.incarnation_lost, detail)
+    )
--- a/src/lentilspool/admission/_ledger_table.py
+++ b/src/lentilspool/admission/_ledger_table.py
@@ -88,6 +88,14 @@
         entry.outcome = outcome
         entry.state = types.EntryState.finished
 
+    def forget_refused(self, request_id: str, now: float) -> None:
+        """Drop an entry that never ran, if a new token would differ."""
+        entry = self._entries.get(request_id)
+        if entry is None or not isinstance(entry.outcome, kernel.NotRun):
+            return
+        if entry.token.issued_at < now:
+            self._entries.pop(request_id)
+
     def forget_expired(self, now: float) -> None:
         """Drop expired entries; a request that runs is kept until it ends.
 
--- /dev/null
+++ b/src/lentilspool/admission/tests/test_keys.py
@@ -0,0 +1,161 @@
+"""Tests of idempotency keys, their homes and the published slots."""
+
+import pytest
+
+from lentilspool import admission, kernel
+
+RULES = admission.KeyRules(lifetime_s=60, lead_s=2, clock_bound_s=5)
+DAY = 'deposits@2026-12-01T00:00:00Z/2026-12-02T00:00:00Z'
+NEXT = 'deposits@2026-12-02T00:00:00Z/2026-12-03T00:00:00Z'
+DAY_MS = 1_796_083_200_000
+
+
+def key(created_s: float, number: int = 0) -> admission.IdempotencyKey:
+    return admission.IdempotencyKey('t', f'k{number}', int(created_s * 1000))
+
+
+def slots(published: dict[str, tuple[str, ...]]) -> admission.KeySlots:
+    parsed = admission.parse_slots(published)
+    assert isinstance(parsed, admission.KeySlots), parsed
+    return parsed
+
+
+class TestParseKey:
+    def test_reads_the_creation_time(self) -> None:
+        found = admission.parse_key('t', '017F22E2-79B0-7CC3-98C4-DC0C0C07398F')
+        assert found is not None
+        assert found.created_ms == 1645557742000
+
+    @pytest.mark.parametrize(
+        'text',
+        ['', 'order-17', '00000000-0000-4000-8000-000000000000', 'f' * 32],
+    )
+    def test_other_keys_are_refused(self, text: str) -> None:
+        assert admission.parse_key('t', text) is None
+
+    @pytest.mark.parametrize(
+        ('age_s', 'served'), [(-3, False), (-2, True), (60, True), (61, False)]
+    )
+    def test_entry_serves_a_key_for_its_lifetime(
+        self, age_s: float, served: bool
+    ) -> None:
+        refused = admission.check_age(key(1000), RULES, 1000 + age_s)
+        assert (refused is None) is served
+
+
+class TestKeyGate:
+    @pytest.mark.parametrize(
+        ('now', 'created_s', 'new'),
+        [
+            (71, 1020, False),  # quiet period of 72 s
+            (72, 1012, False),  # margin of 12 s after the start
+            (72, 1012.001, True),
+            (72, 1074, True),
+            (72, 1074.001, False),  # ahead of its time
+        ],
+    )
+    def test_takes_keys_made_after_its_start(
+        self, now: float, created_s: float, new: bool
+    ) -> None:
+        gate = admission.KeyGate(RULES, 1000, 0)
+        assert gate.is_new(key(created_s), now) is new
+
+    def test_never_forgets_early(self) -> None:
+        gate = admission.KeyGate(RULES, 1000, 0)
+        gate.forgotten(key(1050))
+        assert not gate.is_new(key(1050), 80)
+        assert gate.is_new(key(1051), 80)
+
+    def test_pause_begins_the_quiet_period_again(self) -> None:
+        gate = admission.KeyGate(RULES, 1000, 0)
+        gate.on_pause(1100, 100)
+        assert not gate.is_new(key(1130), 130)
+        assert gate.is_new(key(1170), 172)
+
+
+class TestKeyHome:
+    def make(self) -> admission.KeyHome:
+        ledger = admission.Ledger(
+            'a:1', 1, str, admission.LedgerLimits(lifetime_s=100)
+        )
+        gate = admission.KeyGate(RULES, 1000, 0)
+        return admission.KeyHome('a:1', 'deposits', ledger, gate)
+
+    def test_same_key_same_token_until_it_is_too_old(self) -> None:
+        home = self.make()
+        table = slots({'deposits': ('a:1',)})
+        first = home.issue(key(1080), 'd', table, 80)
+        assert isinstance(first, admission.Issued)
+        assert home.issue(key(1080), 'd', table, 179) == first
+        later = home.issue(key(1080), 'd', table, 180)
+        assert isinstance(later, admission.Refused)
+        assert isinstance(later.outcome, kernel.Unknown)
+        assert home.size == 0
+
+    def test_renewed_token_is_remembered_to_its_own_end(self) -> None:
+        home = self.make()
+        table = slots({'deposits': ('a:1',)})
+        first = home.issue(key(1080), 'd', table, 80)
+        assert isinstance(first, admission.Issued)
+        home.ledger.withdraw(first.token, kernel.NotRunReason.overloaded, 81)
+        second = home.issue(key(1080), 'd', table, 82)
+        assert second != first
+        assert home.issue(key(1080), 'd', table, 181) == second
+        assert isinstance(
+            home.issue(key(1080), 'd', table, 182), admission.Refused
+        )
+
+    def test_other_home_is_refused(self) -> None:
+        answer = self.make().issue(
+            key(1080), 'd', slots({'deposits': ('b:1',)}), 80
+        )
+        assert isinstance(answer, admission.Refused)
+
+
+class TestKeySlots:
+    def test_home_follows_from_key_and_interval(self) -> None:
+        held = slots({DAY: ('a', 'b', 'c'), NEXT: ('d',)})
+        homes = {
+            held.home('deposits', key(DAY_MS / 1000, number))
+            for number in range(50)
+        }
+        assert homes == {'a', 'b', 'c'}
+        assert held.home('deposits', key(DAY_MS / 1000 + 86400)) == 'd'
+        assert held.home('deposits', key(DAY_MS / 1000 - 1)) is None
+        assert held.home('orders', key(DAY_MS / 1000)) is None
+
+    @pytest.mark.parametrize(
+        'published',
+        [
+            {DAY: ()},
+            {'p@2026-12-01T00:00:00Z': ('a',)},
+            {'p@2026-12-01T00:00:00/2026-12-02T00:00:00': ('a',)},
+            {'p@2026-12-02T00:00:00Z/2026-12-01T00:00:00Z': ('a',)},
+            {'deposits': ('a',), DAY: ('b',)},
+        ],
+    )
+    def test_wrong_tables_are_refused(
+        self, published: dict[str, tuple[str, ...]]
+    ) -> None:
+        assert isinstance(admission.parse_slots(published), admission.SlotFault)
+
+    @pytest.mark.parametrize(
+        ('held', 'proposed', 'allowed'),
+        [
+            ({DAY: ('a',)}, {DAY: ('a',), NEXT: ('b',)}, True),
+            ({DAY: ('a',), NEXT: ('b',)}, {NEXT: ('b',)}, True),
+            ({DAY: ('a',)}, {DAY: ('b',)}, False),
+            ({DAY: ('a',)}, {NEXT: ('b',)}, False),
+            ({NEXT: ('a',)}, {DAY: ('b',), NEXT: ('a',)}, False),
+            ({'deposits': ('a',)}, {'deposits': ('b',)}, False),
+            ({}, {'deposits': ('b',)}, True),
+        ],
+    )
+    def test_no_key_gets_a_second_home(
+        self,
+        held: dict[str, tuple[str, ...]],
+        proposed: dict[str, tuple[str, ...]],
+        allowed: bool,
+    ) -> None:
+        fault = admission.check_slot_change(slots(held), slots(proposed))
+        assert (fault is None) is allowed
--- a/src/lentilspool/admission/tests/test_ledger.py
+++ b/src/lentilspool/admission/tests/test_ledger.py
@@ -146,3 +146,15 @@
         assert reason(held.start(tokens[0], 2)) is expired
         assert not held.begin_call(tokens[1], 2)
         assert held.start(tokens[2], 2) == admission.AlreadyRunning(tokens[2])
+
+    def test_refused_request_gets_a_new_token(self) -> None:
+        held = ledger()
+        token = issued(held)
+        held.withdraw(token, kernel.NotRunReason.overloaded, 1)
+        assert issued(held, now=0) == token
+        renewed = issued(held, now=2)
+        assert renewed != token
+        assert held.start(renewed, 2) == admission.Admitted(renewed)
+        assert not held.begin_call(token, 2)
+        assert isinstance(held.start(token, 2), admission.Refused)
+        assert held.usage == admission.LedgerUsage(1, 1, 10)
