--- /dev/null
+++ b/bench/routing.py
@@ -0,0 +1,333 @@
+"""Routing to engines that cache prompt prefixes, against perfect knowledge.
+
+A few entries share engines with a batch limit and a small cache. Load
+reports and cache events come late, some cache events are lost. The bound
+is a chooser that sees every engine's queue, remaining times and cache at
+the moment of the choice. It is run with several weights of prefill
+against waiting, and its ``prefill_ratio`` bound is the least prefill of
+those runs whose p99 is not above that of our arm.
+"""
+
+import collections
+import dataclasses
+import functools
+import random
+import statistics
+from collections.abc import Callable, Iterator
+
+from bench import _events
+from lentilspool import kernel, routing
+
+_BLOCK_TOKENS = 64
+_PREFILL_S = 0.0002
+_DECODE_S = 0.2
+_BATCH = 8
+_CACHE_BLOCKS = 600
+_TICK_S = 0.25
+_WEIGHTS = (1.0, 2.0, 4.0, 8.0, 16.0)
+_BASELINES = ('random', 'round_robin', 'least_outstanding', 'two_choices')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Call:
+    at_s: float
+    entry: int
+    blocks: tuple[int, ...]
+    decode_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Shape:
+    seed: int
+    endpoints: int
+    entries: int
+    lag: float
+    gaps: float
+
+
+def _calls(
+    shape: _Shape, load: float, duration_s: float, prefixes: int
+) -> list[_Call]:
+    rng = random.Random(shape.seed)
+    lengths = [rng.randint(8, 32) for _ in range(max(prefixes, 1))]
+    shares = [1 / (rank + 1) for rank in range(max(prefixes, 1))]
+    own = 4 if prefixes else 20
+    typical_s = _DECODE_S + _PREFILL_S * _BLOCK_TOKENS * 12
+    rate = load * shape.endpoints * _BATCH / typical_s
+    calls = []
+    now = 0.0
+    while now < duration_s:
+        now += rng.expovariate(rate)
+        kind = rng.choices(range(len(shares)), shares)[0]
+        shared = lengths[kind] if prefixes else 0
+        head = [kind * 1000 + block for block in range(shared)]
+        tail = [rng.getrandbits(60) for _ in range(rng.randint(1, 2 * own))]
+        entry = rng.randrange(shape.entries)
+        decode_s = rng.expovariate(1 / _DECODE_S)
+        calls.append(_Call(now, entry, tuple(head + tail), decode_s))
+    return calls
+
+
+class _Engine:
+    """A batch limit, a queue in order of arrival and a cache of blocks."""
+
+    def __init__(self, name: str, queue: _events.EventQueue) -> None:
+        self.name = name
+        self.prefilled = 0
+        self.ends: list[float] = []
+        self.waiting: collections.deque[tuple[_Call, Callable[[], None]]]
+        self.waiting = collections.deque()
+        self.cache: collections.OrderedDict[int, None]
+        self.cache = collections.OrderedDict()
+        self.stored: list[int] = []
+        self.evicted: list[int] = []
+        self._queue = queue
+
+    def send(self, call: _Call, done: Callable[[], None]) -> None:
+        self.waiting.append((call, done))
+        self._fill()
+
+    def depth(self, blocks: tuple[int, ...]) -> int:
+        for depth, block in enumerate(blocks):
+            if block not in self.cache:
+                return depth
+        return len(blocks)
+
+    def _fill(self) -> None:
+        while self.waiting and len(self.ends) < _BATCH:
+            call, done = self.waiting.popleft()
+            uncached = len(call.blocks) - self.depth(call.blocks)
+            self.prefilled += uncached * _BLOCK_TOKENS
+            self._keep(call.blocks)
+            service_s = call.decode_s + uncached * _BLOCK_TOKENS * _PREFILL_S
+            self.ends.append(self._queue.now + service_s)
+            self._queue.after(service_s, functools.partial(self._end, done))
+
+    def _end(self, done: Callable[[], None]) -> None:
+        self.ends.remove(min(self.ends))
+        done()
+        self._fill()
+
+    def _keep(self, blocks: tuple[int, ...]) -> None:
+        for block in blocks:
+            if block not in self.cache:
+                self.stored.append(block)
+            self.cache[block] = None
+        for block in reversed(blocks):
+            self.cache.move_to_end(block)
+        while len(self.cache) > _CACHE_BLOCKS:
+            self.evicted.append(self.cache.popitem(last=False)[0])
+
+
+class _Entry:
+    """What one entry knows, and its policy."""
+
+    def __init__(self, name: str, shape: _Shape) -> None:
+        find = kernel.registry.find(kernel.PluginKind.routing_policy, name)
+        self.policy: routing.RoutingPolicy = find()
+        self.index = routing.PrefixIndex() if name == 'default' else None
+        self.table = routing.EndpointTable()
+        self.table.replace(
+            routing.Candidate(name=str(number), capacity=_BATCH)
+            for number in range(shape.endpoints)
+        )
+
+    def choose(self, call: _Call, now: float, rng: random.Random) -> int:
+        depths = self.index.depths(call.blocks, now) if self.index else {}
+        request = routing.RoutingRequest(
+            service_s=_DECODE_S,
+            prompt_tokens=len(call.blocks) * _BLOCK_TOKENS,
+            cached_tokens={
+                name: depth * _BLOCK_TOKENS for name, depth in depths.items()
+            },
+        )
+        choice = self.policy.choose(request, self.table.candidates, now, rng)
+        assert isinstance(choice, routing.Choice)
+        if self.index:
+            self.index.routed(choice.endpoint, call.blocks, now)
+        return int(choice.endpoint)
+
+
+class _Run:
+    """One arm: the calls of the plan, sent where the arm decides."""
+
+    def __init__(self, shape: _Shape, calls: list[_Call], arm: str) -> None:
+        self._shape = shape
+        self._calls = calls
+        self._queue = _events.EventQueue()
+        self._rng = random.Random(shape.seed + 1)
+        self._engines = [
+            _Engine(str(number), self._queue)
+            for number in range(shape.endpoints)
+        ]
+        self._lags = [self._rng.uniform(0, shape.lag) for _ in self._engines]
+        self._latencies: list[float] = []
+        self._weight = 0.0
+        self._entries: list[_Entry] = []
+        if arm.startswith('perfect'):
+            self._weight = float(arm.split('_')[1])
+        else:
+            self._entries = [_Entry(arm, shape) for _ in range(shape.entries)]
+            self._queue.every(_TICK_S, self._publish)
+        self._outstanding = [
+            [0 for _ in self._engines] for _ in range(shape.entries)
+        ]
+
+    def figures(self) -> dict[str, object]:
+        for call in self._calls:
+            self._queue.at(call.at_s, functools.partial(self._send, call))
+        self._queue.run(self._calls[-1].at_s + 30)
+        cut = statistics.quantiles(self._latencies, n=100)
+        return {
+            'requests': len(self._latencies),
+            'prefill_tokens': sum(seen.prefilled for seen in self._engines),
+            'mean_seconds': round(statistics.fmean(self._latencies), 4),
+            'p99_seconds': round(cut[98], 4),
+        }
+
+    def _send(self, call: _Call) -> None:
+        now = self._queue.now
+        if self._entries:
+            entry = self._entries[call.entry]
+            chosen = entry.choose(call, now, self._rng)
+            entry.table.started(str(chosen))
+        else:
+            chosen = self._best(call, now)
+        outstanding = self._outstanding[call.entry]
+        outstanding[chosen] += 1
+
+        def done() -> None:
+            outstanding[chosen] -= 1
+            self._latencies.append(self._queue.now - call.at_s)
+            if self._entries:
+                self._entries[call.entry].table.ended(str(chosen))
+
+        self._engines[chosen].send(call, done)
+
+    def _best(self, call: _Call, now: float) -> int:
+        def score(engine: _Engine) -> float:
+            ends = sorted(engine.ends)
+            wait_s = 0.0
+            if len(ends) == _BATCH:
+                ahead = sum(
+                    queued.decode_s
+                    + _PREFILL_S
+                    * _BLOCK_TOKENS
+                    * (len(queued.blocks) - engine.depth(queued.blocks))
+                    for queued, _ in engine.waiting
+                )
+                wait_s = ends[0] - now + ahead / _BATCH
+            uncached = len(call.blocks) - engine.depth(call.blocks)
+            prefill_s = uncached * _BLOCK_TOKENS * _PREFILL_S
+            busy = len(ends) / _BATCH * _PREFILL_S
+            return wait_s + prefill_s * self._weight + busy
+
+        return int(min(self._engines, key=score).name)
+
+    def _publish(self) -> None:
+        for number, engine in enumerate(self._engines):
+            lag_s = self._lags[number]
+            load = len(engine.ends) + len(engine.waiting)
+            for position, entry in enumerate(self._entries):
+                others = load - self._outstanding[position][number]
+                report = self._report(entry, engine.name, others)
+                self._queue.after(lag_s, report)
+            stored, evicted = tuple(engine.stored), tuple(engine.evicted)
+            engine.stored.clear()
+            engine.evicted.clear()
+            self._pass_on(number, lag_s, stored, evicted)
+
+    def _report(
+        self, entry: _Entry, name: str, others: float
+    ) -> Callable[[], None]:
+        measured_at = self._queue.now
+        return lambda: entry.table.reported(
+            name, others=others, measured_at=measured_at
+        )
+
+    def _pass_on(
+        self,
+        number: int,
+        lag_s: float,
+        stored: tuple[int, ...],
+        evicted: tuple[int, ...],
+    ) -> None:
+        sequence = round(self._queue.now / _TICK_S)
+        event = routing.CacheEvent(str(number), 'i', sequence, stored, evicted)
+        for entry in self._entries:
+            if entry.index and self._rng.random() >= self._shape.gaps:
+                self._queue.after(
+                    lag_s,
+                    lambda index=entry.index: self._apply(index, event, lag_s),
+                )
+
+    def _apply(
+        self,
+        index: routing.PrefixIndex,
+        event: routing.CacheEvent,
+        lag_s: float,
+    ) -> None:
+        verdict = index.applied(event, self._queue.now)
+        if isinstance(verdict, routing.ResyncNeeded):
+            engine = self._engines[int(event.endpoint)]
+            held = routing.CacheSnapshot(
+                event.endpoint,
+                'i',
+                int(self._queue.now / _TICK_S),
+                tuple(engine.cache),
+            )
+            self._queue.after(
+                lag_s,
+                lambda: index.resynchronized(held, self._queue.now),
+            )
+
+
+def run(
+    *,
+    seed: int = 1,
+    endpoints: int = 8,
+    entries: int = 3,
+    lag: float = 2.0,
+    gaps: float = 0.05,
+    load: float = 0.7,
+    duration: float = 60.0,
+    prefixes: int = 100,
+) -> Iterator[dict[str, object]]:
+    """Yield the figures of each arm; ``prefixes=0`` repeats none."""
+    shape = _Shape(seed, endpoints, entries, lag, gaps)
+    calls = _calls(shape, load, duration, prefixes)
+    ours = _Run(shape, calls, 'default').figures()
+    bounds = [
+        _Run(shape, calls, f'perfect_{weight}').figures() for weight in _WEIGHTS
+    ]
+    within = [
+        bound
+        for bound in bounds
+        if float(str(bound['p99_seconds'])) <= float(str(ours['p99_seconds']))
+    ]
+    bound = min(
+        within or bounds, key=lambda seen: int(str(seen['prefill_tokens']))
+    )
+    arms = {'lentilspool': ours, 'perfect_knowledge': bound}
+    for name in _BASELINES:
+        arms[name] = _Run(shape, calls, name).figures()
+    for arm, figures in arms.items():
+        yield {
+            'arm': arm,
+            'seed': seed,
+            **figures,
+            'prefill_ratio': _ratio(figures, bound, 'prefill_tokens'),
+            'p99_ratio': _ratio(figures, bound, 'p99_seconds'),
+            'p99_to_least_outstanding': _ratio(
+                figures, arms['least_outstanding'], 'p99_seconds'
+            ),
+            'mean_to_least_outstanding': _ratio(
+                figures, arms['least_outstanding'], 'mean_seconds'
+            ),
+        }
+
+
+def _ratio(
+    figures: dict[str, object], base: dict[str, object], name: str
+) -> float:
+    return round(float(str(figures[name])) / float(str(base[name])), 4)
--- a/src/lentilspool/routing/__init__.py
+++ b/src/lentilspool/routing/__init__.py
@@ -4,7 +4,13 @@
 from lentilspool.routing._baselines import Random as Random
 from lentilspool.routing._baselines import RoundRobin as RoundRobin
 from lentilspool.routing._baselines import TwoChoices as TwoChoices
+from lentilspool.routing._cache_events import Applied as Applied
+from lentilspool.routing._cache_events import CacheEvent as CacheEvent
+from lentilspool.routing._cache_events import CacheSnapshot as CacheSnapshot
+from lentilspool.routing._cache_events import CacheVerdict as CacheVerdict
+from lentilspool.routing._cache_events import ResyncNeeded as ResyncNeeded
 from lentilspool.routing._default import Default as Default
+from lentilspool.routing._prefix_index import PrefixIndex as PrefixIndex
 from lentilspool.routing._protocols import RoutingPolicy as RoutingPolicy
 from lentilspool.routing._table import EndpointTable as EndpointTable
 from lentilspool.routing._types import Candidate as Candidate
