--- /dev/null
+++ b/src/lentilspool/membership/_hosts.py
@@ -0,0 +1,70 @@
+"""The host list as a hint, joined with what leases tell."""
+
+from collections.abc import Iterable
+
+from lentilspool.membership import _lease_table, _member, _subset
+
+
+class HostView:
+    """Hosts by name, as last listed.
+
+    The list lags. A host that it calls leaving gets no new work; a host
+    that it lacks stays as long as its lease lives.
+    """
+
+    def __init__(self, own: _subset.Place) -> None:
+        self._own = own
+        self._hosts: dict[str, _member.HostHint] = {}
+
+    def __len__(self) -> int:
+        return len(self._hosts)
+
+    @property
+    def pools(self) -> tuple[str, ...]:
+        """Pools of the hosts listed."""
+        return tuple(
+            sorted({hint.pool for hint in self._hosts.values() if hint.pool})
+        )
+
+    def replace(self, hosts: Iterable[_member.HostHint]) -> bool:
+        """Take a new list; tell whether it differs from the last one."""
+        fresh = {hint.name: hint for hint in hosts}
+        changed = fresh != self._hosts
+        self._hosts = fresh
+        return changed
+
+    def hint(self, name: str) -> _member.HostHint | None:
+        """Return the line of a host, if it is listed."""
+        return self._hosts.get(name)
+
+    def takes_work(self, member: _member.Member) -> bool:
+        """Tell whether neither the member nor the list says that it leaves."""
+        hint = self._hosts.get(member.name)
+        return not member.leaving and (
+            hint is None or hint.state is _member.HostState.live
+        )
+
+    def entries(self) -> tuple[_subset.Place, ...]:
+        """Return the entries listed, this one always included."""
+        listed = {
+            hint.name: _subset.Place(hint.name, hint.zone)
+            for hint in self._hosts.values()
+            if hint.role is _member.Role.entry
+            and hint.state is _member.HostState.live
+        }
+        return tuple({**listed, self._own.name: self._own}.values())
+
+    def endpoints(
+        self, pool: str, leases: Iterable[_lease_table.Lease]
+    ) -> tuple[_subset.Place, ...]:
+        """Return who takes work in the pool: listed, or heard from."""
+        places = {
+            hint.name: _subset.Place(hint.name, hint.zone)
+            for hint in self._hosts.values()
+            if hint.pool == pool and hint.state is _member.HostState.live
+        }
+        for lease in leases:
+            member = lease.member
+            if member.pool == pool and self.takes_work(member):
+                places[member.name] = _subset.Place(member.name, member.zone)
+        return tuple(places.values())
--- /dev/null
+++ b/src/lentilspool/membership/tests/test_lease_table.py
@@ -0,0 +1,154 @@
+import dataclasses
+from typing import Any
+
+import hypothesis
+from hypothesis import strategies
+
+from lentilspool import membership
+
+_LIMITS = membership.LeaseLimits(max_lease_s=10, memory_s=5)
+_FULL = membership.Heartbeat(
+    process='a',
+    incarnation=2,
+    sequence=5,
+    lease_ms=3000,
+    zone='z1',
+    pool='p',
+    address='127.0.0.1',
+    port=1,
+)
+
+
+def _change(**fields: Any) -> membership.Heartbeat:
+    return dataclasses.replace(_FULL, **fields)
+
+
+def _compact(**fields: Any) -> membership.Heartbeat:
+    return _change(zone='', pool='', address='', port=0, **fields)
+
+
+def _table() -> membership.LeaseTable:
+    table = membership.LeaseTable(_LIMITS)
+    table.renew(_FULL, 0)
+    return table
+
+
+class TestRenew:
+    def test_refusals(self) -> None:
+        cases = (
+            (_change(incarnation=1, sequence=9), 'old_incarnation'),
+            (_change(sequence=5), 'old_sequence'),
+            (_change(sequence=4), 'old_sequence'),
+            (_compact(incarnation=3), 'incomplete'),
+            (_compact(process='b'), 'incomplete'),
+        )
+        for heartbeat, reason in cases:
+            answer = _table().renew(heartbeat, 1)
+            assert isinstance(answer, membership.Refused)
+            assert answer.reason.value == reason
+
+    def test_compact_keeps_what_never_changes(self) -> None:
+        answer = _table().renew(_compact(sequence=6, queued=4), 1)
+        assert isinstance(answer, membership.Renewed)
+        assert answer.member.address == '127.0.0.1'
+        assert answer.member.queued == 4
+        assert not answer.joined
+
+    def test_new_incarnation_joins_and_old_one_loses(self) -> None:
+        table = _table()
+        answer = table.renew(_change(incarnation=3, sequence=1), 1)
+        assert isinstance(answer, membership.Renewed)
+        assert answer.joined
+        late = table.renew(_change(sequence=99), 2)
+        assert isinstance(late, membership.Refused)
+
+    def test_old_incarnation_is_refused_after_lease_end(self) -> None:
+        late = _table().renew(_change(incarnation=1), 4)
+        assert isinstance(late, membership.Refused)
+
+    def test_leaving_is_never_taken_back_in_an_incarnation(self) -> None:
+        table = _table()
+        table.renew(_change(sequence=6, leaving=True), 1)
+        answer = table.renew(_change(sequence=7), 1)
+        assert isinstance(answer, membership.Renewed)
+        assert answer.member.leaving
+        fresh = table.renew(_change(incarnation=3, sequence=1), 1)
+        assert isinstance(fresh, membership.Renewed)
+        assert not fresh.member.leaving
+
+    def test_lease_length_is_bounded(self) -> None:
+        table = membership.LeaseTable(_LIMITS)
+        table.renew(_change(lease_ms=10**9), 0)
+        assert table.live('a', 9.9)
+        assert table.live('a', 10) is None
+
+
+class TestEnd:
+    def test_answers_extend_a_live_lease_only(self) -> None:
+        table = _table()
+        assert table.extend('a', 2, 2.5)
+        assert table.live('a', 5)
+        assert not table.extend('a', 1, 5)
+        assert not table.extend('a', 2, 6)
+        assert table.live('a', 6) is None
+
+    def test_same_incarnation_joins_again_after_the_end(self) -> None:
+        table = _table()
+        table.end('a', 1)
+        assert not table.live_in('p', 1)
+        answer = table.renew(_compact(sequence=6), 2)
+        assert isinstance(answer, membership.Renewed)
+        assert answer.joined
+        assert table.live_in('p', 2)
+
+    def test_sweep_forgets_after_the_memory(self) -> None:
+        table = _table()
+        assert not table.sweep(7.9)
+        assert table.sweep(8) == ('a',)
+        assert not len(table)
+
+
+class TestSelfStabilization:
+    @hypothesis.settings(derandomize=True, deadline=None)
+    @hypothesis.given(
+        ends_at=strategies.floats(-1e9, 1e12, allow_nan=False),
+        incarnation=strategies.integers(0, 2**62),
+        sequence=strategies.integers(0, 2**62),
+        name=strategies.sampled_from(('a', 'other')),
+        leaving=strategies.booleans(),
+        beat_s=strategies.floats(0.2, 2.5),
+    )
+    def test_garbage_is_gone_in_a_bounded_time(
+        self,
+        ends_at: float,
+        incarnation: int,
+        sequence: int,
+        name: str,
+        leaving: bool,
+        beat_s: float,
+    ) -> None:
+        table = _table()
+        row = next(iter(table))
+        garbage = dataclasses.replace(
+            row.member,
+            name=name,
+            incarnation=incarnation,
+            sequence=sequence,
+            leaving=leaving,
+            pool='foreign',
+            heard_at=ends_at,
+        )
+        table.overwrite({'a': membership.Lease(garbage, ends_at)})
+        now = 0.0
+        number = 5
+        bound_s = _LIMITS.max_lease_s + _LIMITS.memory_s + 2 * beat_s
+        while now <= bound_s:
+            now += beat_s
+            number += 1
+            table.sweep(now)
+            table.renew(_change(sequence=number), now)
+        row = next(iter(table))
+        assert row.member.name == 'a'
+        assert row.member.incarnation == 2
+        assert row.member.pool == 'p'
+        assert table.live_in('p', now)
--- /dev/null
+++ b/src/lentilspool/membership/tests/test_subset.py
@@ -0,0 +1,91 @@
+import collections
+import random
+
+import pytest
+
+from lentilspool import membership
+
+_LIMITS = membership.SubsetLimits()
+
+
+def _places(
+    prefix: str, count: int, zones: int = 5
+) -> tuple[membership.Place, ...]:
+    return tuple(
+        membership.Place(f'{prefix}{number}', f'z{number % zones}')
+        for number in range(count)
+    )
+
+
+def _pairs(subsets: membership.Subsets) -> set[tuple[str, str]]:
+    return {
+        (entry, endpoint)
+        for entry, endpoints in subsets.items()
+        for endpoint in endpoints
+    }
+
+
+class TestEvenSubsets:
+    @pytest.mark.parametrize(
+        ('entries', 'endpoints'),
+        [(100, 20), (100, 60), (40, 12), (200, 35)],
+    )
+    def test_coverage_is_even(self, entries: int, endpoints: int) -> None:
+        subsets = membership.even_subsets(
+            _places('e', entries), _places('s', endpoints), _LIMITS
+        )
+        counts = collections.Counter(name for _, name in _pairs(subsets))
+        mean = sum(counts.values()) / endpoints
+        assert len(counts) == endpoints
+        assert max(abs(count - mean) for count in counts.values()) <= max(
+            mean * 0.25, 1
+        )
+        sizes = {len(names) for names in subsets.values()}
+        assert min(sizes) >= 1
+
+    @pytest.mark.parametrize('removed', ['entry', 'endpoint'])
+    def test_removal_of_one_host_moves_little(self, removed: str) -> None:
+        entries = _places('e', 150)
+        endpoints = _places('s', 30)
+        before = _pairs(membership.even_subsets(entries, endpoints, _LIMITS))
+        total = 0.0
+        for index in range(10):
+            if removed == 'entry':
+                gone = entries[index].name
+                kept = entries[:index] + entries[index + 1 :], endpoints
+            else:
+                gone = endpoints[index].name
+                kept = entries, endpoints[:index] + endpoints[index + 1 :]
+            after = _pairs(membership.even_subsets(*kept, _LIMITS))
+            ideal = 2 * sum(gone in pair for pair in before)
+            total += len(before ^ after) / ideal
+        assert total / 10 <= 2
+
+    def test_order_of_the_view_does_not_matter(self) -> None:
+        entries = list(_places('e', 60))
+        endpoints = list(_places('s', 20))
+        expected = membership.even_subsets(entries, endpoints, _LIMITS)
+        random.Random(1).shuffle(entries)
+        random.Random(2).shuffle(endpoints)
+        shuffled = membership.even_subsets(entries, endpoints, _LIMITS)
+        assert shuffled == expected
+
+    def test_small_fleets_cover_everything(self) -> None:
+        subsets = membership.even_subsets(
+            _places('e', 3), _places('s', 5), _LIMITS
+        )
+        assert {len(names) for names in subsets.values()} == {5}
+
+    def test_own_zone_comes_first(self) -> None:
+        entries = _places('e', 100)
+        endpoints = _places('s', 50)
+        subsets = membership.even_subsets(entries, endpoints, _LIMITS)
+        zones = {place.name: place.zone for place in entries + endpoints}
+        local = sum(zones[one] == zones[two] for one, two in _pairs(subsets))
+        assert local / len(_pairs(subsets)) > 2 / 5
+
+    def test_empty_views(self) -> None:
+        assert not membership.even_subsets((), _places('s', 2), _LIMITS)
+        assert membership.even_subsets(_places('e', 1), (), _LIMITS) == {
+            'e0': ()
+        }
