--- a/src/lentilspool/membership/_beat.py
+++ b/src/lentilspool/membership/_beat.py
@@ -76,6 +76,15 @@
         """Peers that hold a lease on this process."""
         return tuple(self._sent)
 
+    @property
+    def lease_s(self) -> float:
+        """Longest lease granted to a peer, in seconds."""
+        longest = max(
+            (self.interval_s(peer) for peer in self._sent),
+            default=self._limits.min_interval_s,
+        )
+        return longest * self._limits.leases_per_interval
+
     def add(self, peer: str, wish_s: float = 0) -> None:
         """Add a peer, or change the interval that it asks for."""
         self._sent.setdefault(peer, 0)
--- a/src/lentilspool/membership/_lease_table.py
+++ b/src/lentilspool/membership/_lease_table.py
@@ -127,14 +127,14 @@
         for name in tuple(self._rows):
             self.end(name, now)
 
-    def sweep(self, now: float) -> tuple[str, ...]:
-        """Drop forgotten rows, bound the rest; return the dropped names."""
+    def sweep(self, now: float) -> tuple[_member.Member, ...]:
+        """Drop forgotten rows and bound the rest; return who was dropped."""
         latest = now + self._limits.max_lease_s
         dropped = []
         for name, lease in tuple(self._rows.items()):
             if lease.ends_at + self._limits.memory_s <= now:
                 self._rows.pop(name)
-                dropped.append(name)
+                dropped.append(lease.member)
             elif lease.ends_at > latest or lease.member.name != name:
                 self._rows[name] = _bounded(name, lease, now, latest)
                 self._generation += 1
--- a/src/lentilspool/membership/_leaving.py
+++ b/src/lentilspool/membership/_leaving.py
@@ -14,8 +14,8 @@
     repeat_s: float = _REPEAT_S
     """Time between two notices to the same holder."""
 
-    lease_s: float = 9.0
-    """Time after which a holder's lease has ended without a renewal."""
+    lease_s: float = 30.0
+    """Longest lease that a holder may have; see ``Beat.lease_s``."""
 
 
 class LeavingNotice:
--- a/src/lentilspool/membership/_membership.py
+++ b/src/lentilspool/membership/_membership.py
@@ -111,8 +111,9 @@
         if pause_s:
             _events.PAUSED.log(_log, seconds=pause_s)
             self._leases.end_all(now)
-        for name in self._leases.sweep(now):
-            _events.LEASE_ENDED.log(_log, name=name)
+        for member in self._leases.sweep(now):
+            if not member.leaving:
+                _events.LEASE_ENDED.log(_log, name=member.name)
         self._judge_reach(now)
         return pause_s
 
--- a/src/lentilspool/membership/tests/test_lease_table.py
+++ b/src/lentilspool/membership/tests/test_lease_table.py
@@ -104,7 +104,7 @@
     def test_sweep_forgets_after_the_memory(self) -> None:
         table = _table()
         assert not table.sweep(7.9)
-        assert table.sweep(8) == ('a',)
+        assert [member.name for member in table.sweep(8)] == ['a']
         assert not len(table)
 
 
--- /dev/null
+++ b/src/lentilspool/membership/tests/test_leaving.py
@@ -0,0 +1,76 @@
+import random
+
+import hypothesis
+from hypothesis import strategies
+
+from lentilspool import membership
+
+_LIMITS = membership.NoticeLimits(repeat_s=0.2, lease_s=3)
+
+
+class TestLeavingNotice:
+    def test_repeats_until_acknowledged(self) -> None:
+        notice = membership.LeavingNotice(('a', 'b'), 0, _LIMITS)
+        assert notice.due(0) == ('a', 'b')
+        assert not notice.due(0.1)
+        notice.acknowledge('a')
+        assert notice.due(0.2) == ('b',)
+        assert not notice.may_stop(0, 0.3)
+        notice.acknowledge('b')
+        assert notice.may_stop(0, 0.3)
+        assert not notice.may_stop(1, 0.3)
+
+    def test_ends_with_the_lease(self) -> None:
+        notice = membership.LeavingNotice(('a',), 0, _LIMITS)
+        assert not notice.done(2.9)
+        assert notice.done(3)
+        assert not notice.due(3)
+        assert notice.unacknowledged == ('a',)
+
+    def test_holder_that_appears_late_is_told(self) -> None:
+        notice = membership.LeavingNotice((), 0, _LIMITS)
+        notice.add('c', 1)
+        assert notice.due(1) == ('c',)
+
+    @hypothesis.settings(derandomize=True, deadline=None)
+    @hypothesis.given(
+        loss=strategies.floats(0, 0.5), seed=strategies.integers(0, 1000)
+    )
+    def test_nobody_believes_in_a_lease_after_done(
+        self, loss: float, seed: int
+    ) -> None:
+        rng = random.Random(seed)
+        template = membership.Heartbeat(
+            's', 1, 0, pool='p', address='127.0.0.1', port=1
+        )
+        beat = membership.Beat(template, membership.BeatLimits())
+        tables = {}
+        for name in ('a', 'b', 'c'):
+            beat.add(name)
+            tables[name] = membership.LeaseTable(membership.LeaseLimits())
+            first = beat.make(
+                name, 0, membership.Load(), membership.HeldVersion()
+            )
+            tables[name].renew(first, 0)
+        notice = membership.LeavingNotice(
+            beat.peers, 0, membership.NoticeLimits(lease_s=beat.lease_s)
+        )
+        now = 0.0
+        while not notice.done(now):
+            for name in notice.due(now):
+                goodbye = beat.make(
+                    name,
+                    now,
+                    membership.Load(),
+                    membership.HeldVersion(),
+                    leaving=True,
+                )
+                heard = rng.random() >= loss
+                if heard:
+                    tables[name].renew(goodbye, now)
+                if heard and rng.random() >= loss:
+                    notice.acknowledge(name)
+            now += 0.1
+        for table in tables.values():
+            member = table.live('s', now)
+            assert member is None or member.leaving
--- /dev/null
+++ b/src/lentilspool/membership/tests/test_membership.py
@@ -0,0 +1,154 @@
+from lentilspool import membership
+
+_OWN = membership.Place('e1', 'z1')
+
+
+def _hints(
+    *names: str, leaving: tuple[str, ...] = ()
+) -> list[membership.HostHint]:
+    return [
+        membership.HostHint(
+            name,
+            '127.0.0.1',
+            1,
+            'z1',
+            'p',
+            state=membership.HostState.leaving
+            if name in leaving
+            else membership.HostState.live,
+        )
+        for name in names
+    ]
+
+
+def _heartbeat(
+    name: str, sequence: int = 1, leaving: bool = False
+) -> membership.Heartbeat:
+    return membership.Heartbeat(
+        name,
+        1,
+        sequence,
+        leaving=leaving,
+        lease_ms=3000,
+        zone='z1',
+        pool='p',
+        address='127.0.0.1',
+        port=1,
+    )
+
+
+def _view(*names: str) -> membership.Membership:
+    view = membership.Membership(_OWN, 0, membership.MembershipLimits())
+    view.update_hosts(_hints(*names))
+    for name in names:
+        view.receive(_heartbeat(name), 0)
+    return view
+
+
+def _usable(view: membership.Membership, now: float) -> list[str]:
+    return [member.name for member in view.usable('p', now)]
+
+
+class TestHostList:
+    def test_listed_host_is_a_candidate_until_its_lease(self) -> None:
+        view = membership.Membership(_OWN, 0, membership.MembershipLimits())
+        view.update_hosts(_hints('a'))
+        assert [hint.name for hint in view.candidates('p', 0)] == ['a']
+        assert not _usable(view, 0)
+        view.receive(_heartbeat('a'), 0)
+        assert not view.candidates('p', 0)
+        assert _usable(view, 0) == ['a']
+
+    def test_host_that_a_lagging_list_lacks_stays(self) -> None:
+        view = _view('a', 'b')
+        view.update_hosts(_hints('a'))
+        assert _usable(view, 1) == ['a', 'b']
+        assert set(view.subset('p')) == {'a', 'b'}
+
+    def test_host_listed_as_leaving_gets_no_new_work(self) -> None:
+        view = _view('a', 'b')
+        view.update_hosts(_hints('a', 'b', leaving=('a',)))
+        assert _usable(view, 1) == ['b']
+        assert view.subset('p') == ('b',)
+
+    def test_spare_stands_in_for_a_silent_member(self) -> None:
+        names = [f's{number}' for number in range(40)]
+        limits = membership.MembershipLimits(
+            subsets=membership.SubsetLimits(coverage=1)
+        )
+        entries = [
+            membership.HostHint(
+                f'e{number}',
+                '127.0.0.1',
+                1,
+                'z1',
+                role=membership.Role.entry,
+            )
+            for number in range(20)
+        ]
+        view = membership.Membership(_OWN, 0, limits)
+        view.update_hosts([*_hints(*names), *entries])
+        subset = view.subset('p')
+        candidates = [hint.name for hint in view.candidates('p', 0)]
+        assert len(candidates) == 2 * len(subset)
+        assert candidates[: len(subset)] == list(subset)
+
+
+class TestLeaving:
+    def test_notice_and_refusal_end_new_work(self) -> None:
+        view = _view('a', 'b', 'c')
+        view.receive(_heartbeat('a', sequence=2, leaving=True), 0.1)
+        view.refused_draining('b', 1)
+        view.refused_draining('c', 0)
+        assert _usable(view, 0.1) == ['c']
+
+    def test_old_heartbeat_does_not_bring_it_back(self) -> None:
+        view = _view('a')
+        view.receive(_heartbeat('a', sequence=3, leaving=True), 0.1)
+        view.receive(_heartbeat('a', sequence=2), 0.2)
+        assert not _usable(view, 0.2)
+
+
+class TestPause:
+    def test_nothing_is_usable_until_heard_again(self) -> None:
+        view = _view('a')
+        assert view.beat(1) == 0
+        assert _usable(view, 1) == ['a']
+        assert view.beat(2.6) > 0
+        assert not _usable(view, 2.6)
+        view.receive(_heartbeat('a', sequence=2), 2.7)
+        assert _usable(view, 2.7) == ['a']
+        assert view.pauses == 1
+
+
+class TestPartition:
+    def test_both_sides_run_and_heal(self) -> None:
+        view = _view('a', 'b', 'c')
+        subset = view.subset('p')
+        now = 0.0
+        while now < 20:
+            now += 1
+            view.receive(_heartbeat('a', sequence=int(now) + 1), now)
+            view.beat(now)
+        assert _usable(view, now) == ['a']
+        assert view.cut_off
+        view.update_hosts(_hints('a', 'b', 'c'))
+        assert view.subset('p') == subset
+        for name in ('b', 'c'):
+            view.receive(_heartbeat(name, sequence=30), now)
+        view.beat(now + 1)
+        assert sorted(_usable(view, now + 1)) == ['a', 'b', 'c']
+        assert not view.cut_off
+
+    def test_dump_is_plain(self) -> None:
+        dump = _view('a').dump(1)
+        assert dump['hosts_listed'] == 1
+        assert dump['leases'] == {
+            'a': {
+                'pool': 'p',
+                'incarnation': 1,
+                'leaving': False,
+                'version': 0,
+                'left_s': 2,
+            }
+        }
