--- /dev/null
+++ b/src/lentilspool/daemons/_answers.py
@@ -0,0 +1,80 @@
+"""Answers of a sidecar to stage calls."""
+
+import dataclasses
+from typing import Final
+
+from lentilspool import dialects, kernel, wire
+
+_MS: Final = 1000
+
+
+def outcome_of(
+    call: wire.StageCall,
+    answer: dialects.EndpointAnswer | kernel.NotRun,
+    price: float,
+) -> kernel.Outcome:
+    """Return the outcome of the only run of an unrepeatable call."""
+    match answer:
+        case kernel.NotRun():
+            return answer
+        case dialects.Refused(reason=reason):
+            return kernel.NotRun(
+                kernel.NotRunReason.overloaded,
+                answer.retry_after_s,
+                detail=reason,
+            )
+        case dialects.Answered(body=body, units=units):
+            cost = kernel.StageCost(call.stage, '', units * price, 1)
+            return kernel.Complete(body, (cost,))
+        case dialects.EndpointFailed(reason=reason, final=True):
+            return kernel.Failed(call.stage, reason)
+        case dialects.EndpointFailed(reason=reason):
+            why = kernel.UnknownReason.endpoint_error
+            return kernel.Unknown(call.token or '', why, detail=reason)
+
+
+def answer_of(
+    call: wire.StageCall,
+    outcome: kernel.Outcome,
+    service_s: float,
+    queued: int,
+) -> wire.StageAnswer:
+    """Return the message that carries an outcome to the entry.
+
+    ``queued`` is the number of calls that wait at the sidecar.
+    """
+    blank = wire.StageAnswer(
+        call_id=call.call_id,
+        request_id=call.request_id,
+        stage=call.stage,
+        attempt=call.attempt,
+        digest=call.digest,
+        outcome='failed',
+        body=b'',
+        cost=0,
+        reason='',
+        retry_after_ms=0,
+        service_ms=int(service_s * _MS),
+        queued=queued,
+    )
+    match outcome:
+        case kernel.Complete(answer=body, cost_by_stage=costs):
+            cost = sum(part.cost for part in costs)
+            return dataclasses.replace(
+                blank, outcome='complete', body=body, cost=cost
+            )
+        case kernel.NotRun(reason=why, retry_after_s=retry_s, detail=detail):
+            return dataclasses.replace(
+                blank,
+                outcome='not_run',
+                reason=why.value or detail,
+                retry_after_ms=int((retry_s or 0) * _MS),
+            )
+        case kernel.Unknown(reason=unknown):
+            return dataclasses.replace(
+                blank, outcome='unknown', reason=unknown.value
+            )
+        case kernel.Failed(reason=reason):
+            return dataclasses.replace(blank, reason=reason)
+        case _:
+            return dataclasses.replace(blank, reason='unexpected outcome')
--- /dev/null
+++ b/src/lentilspool/daemons/_attempts.py
@@ -0,0 +1,156 @@
+"""Single attempts of stages, over connections to sidecars."""
+
+import dataclasses
+
+import trio
+
+from lentilspool import admission, kernel, limits, pipeline, telemetry, wire
+from lentilspool.daemons import (
+    _classify,
+    _directory,
+    _events,
+    _flight,
+    _link,
+)
+from lentilspool.daemons._log import LOG
+
+_MS = 1000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AttemptPlan:
+    """One attempt that is about to be sent."""
+
+    endpoint: str
+    """Name of the sidecar."""
+
+    number: int
+    """Number of the attempt within its stage, from one."""
+
+    later_s: float
+    """Least time of all later stages, in seconds."""
+
+
+class Attempts:
+    """Sends attempts and lets through only the answers that match them."""
+
+    def __init__(
+        self,
+        directory: _directory.Directory,
+        times: limits.ServiceTimes,
+        metrics: telemetry.Metrics,
+    ) -> None:
+        self._directory = directory
+        self._times = times
+        self._metrics = metrics
+        self._table = admission.AttemptTable()
+
+    @property
+    def table(self) -> admission.AttemptTable:
+        """Open attempts."""
+        return self._table
+
+    async def run(
+        self, flight: _flight.Flight, plan: AttemptPlan
+    ) -> kernel.Outcome:
+        """Send one attempt and return its outcome.
+
+        An answer is counted and handed on only if it repeats the identity
+        of the attempt; the spend of any other is counted all the same.
+        """
+        stage_input = flight.execution.stage_input()
+        call = flight.stage_call(stage_input, plan.number, plan.later_s)
+        identity = admission.Attempt(
+            call.request_id, call.stage, call.attempt, call.digest
+        )
+        self._table.open(identity)
+        router = self._directory.router(stage_input.stage.pool)
+        if router is None:
+            return kernel.NotRun(kernel.NotRunReason.no_endpoint)
+        router.started(plan.endpoint)
+        started = trio.current_time()
+        outcome: kernel.Outcome = kernel.Unknown(
+            flight.token, kernel.UnknownReason.timeout
+        )
+        try:
+            answer = await self._send(flight, plan.endpoint, call)
+            outcome = self._judge(flight, identity, answer)
+        finally:
+            now = trio.current_time()
+            refused = isinstance(outcome, kernel.NotRun)
+            end = pipeline.AttemptEnd(
+                plan.endpoint,
+                now - started,
+                isinstance(outcome, kernel.Complete),
+                refused,
+            )
+            router.ended(end, now)
+            flight.touched = flight.touched or not refused
+            self._report(flight, plan, outcome)
+        return outcome
+
+    async def _send(
+        self, flight: _flight.Flight, endpoint: str, call: wire.StageCall
+    ) -> _link.Answer | _link.LinkLost:
+        link = self._directory.link(endpoint)
+        if link is None:
+            return _link.LinkLost(sent=False)
+        assembler = admission.StreamAssembler()
+
+        async def on_chunk(chunk: wire.StageChunk) -> None:
+            pieces = assembler.add(chunk.sequence, chunk.text)
+            if flight.emit and isinstance(pieces, admission.Pieces):
+                flight.streamed = True
+                await flight.emit(pieces.text)
+
+        return await link.call(
+            lambda call_id: dataclasses.replace(call, call_id=call_id),
+            on_chunk,
+        )
+
+    def _judge(
+        self,
+        flight: _flight.Flight,
+        identity: admission.Attempt,
+        answer: _link.Answer | _link.LinkLost,
+    ) -> kernel.Outcome:
+        outcome = _classify.outcome_of(answer, identity.stage)
+        if not isinstance(answer, wire.StageAnswer):
+            self._table.fail(identity)
+            return outcome
+        answered = admission.Attempt(
+            answer.request_id, answer.stage, answer.attempt, answer.digest
+        )
+        if not isinstance(outcome, kernel.Complete):
+            self._table.fail(answered, answer.cost)
+            return outcome
+        verdict = self._table.match(answered, answer.cost)
+        if answered != identity or not isinstance(verdict, admission.Accept):
+            _events.ANSWER_DROPPED.log(LOG, answer=answered, open=identity)
+            return kernel.Failed(identity.stage, 'an answer did not match')
+        pool = flight.execution.stage.pool
+        self._times.observe(pool, answer.stage, answer.service_ms / _MS)
+        return dataclasses.replace(
+            outcome,
+            cost_by_stage=(
+                kernel.StageCost(answer.stage, pool, answer.cost, 1),
+            ),
+        )
+
+    def _report(
+        self,
+        flight: _flight.Flight,
+        plan: AttemptPlan,
+        outcome: kernel.Outcome,
+    ) -> None:
+        stage = flight.execution.stage
+        kind = type(outcome).__name__
+        self._metrics.attempt_ended(stage.pool, kind)
+        _events.ATTEMPT_ENDED.log(
+            LOG,
+            request_id=flight.request.request_id,
+            stage=stage.name,
+            attempt=plan.number,
+            endpoint=plan.endpoint,
+            outcome=kind,
+        )
--- a/src/lentilspool/daemons/_call_server.py
+++ b/src/lentilspool/daemons/_call_server.py
@@ -2,17 +2,19 @@
 
 import logging
 from collections.abc import Awaitable, Callable
-from functools import partial
-from typing import Any
+from typing import Any, Final
 
 import trio
 
-from lentilspool import settings, wire
-from lentilspool.daemons import _events
+from lentilspool import membership, settings, wire
+from lentilspool.daemons import _events, _identity
 
 _LOG = logging.getLogger(__name__)
 
-MakeHeartbeat = Callable[[], wire.Heartbeat]
+_LONGEST_NOTICE_S: Final = 3.0
+_NOTICE_POLL_S: Final = 0.02
+
+State = Callable[[], tuple[wire.ConfigDigest, membership.Load]]
 Serve = Callable[['Connection', wire.Message], Awaitable[None]]
 
 
@@ -20,17 +22,33 @@
     """One accepted connection; calls on it run concurrently."""
 
     def __init__(
-        self, stream: wire.MessageStream, nursery: trio.Nursery
+        self, name: str, stream: wire.MessageStream, nursery: trio.Nursery
     ) -> None:
+        self._name = name
         self._stream = stream
         self._nursery = nursery
         self._scopes: dict[int, trio.CancelScope] = {}
+        self._on_end: Callable[[], None] | None = None
         self.peer: wire.Hello | None = None
 
+    @property
+    def name(self) -> str:
+        """Name of the connection, unique in this process."""
+        return self._name
+
     async def send(self, message: wire.Message) -> bool:
         """Send a message; False if the connection is broken."""
         return await self._stream.send(message)
 
+    def when_ended(self, listener: Callable[[], None]) -> None:
+        """Call a function when the connection has ended."""
+        self._on_end = listener
+
+    def end(self) -> None:
+        """Tell the listener that the connection has ended."""
+        if self._on_end:
+            self._on_end()
+
     def start_call(
         self, call_id: int, task: Callable[[], Awaitable[None]]
     ) -> None:
@@ -55,42 +73,53 @@
 
 
 class CallServer:
-    """Accepts connections, sends heartbeats and hands messages on."""
+    """Accepts connections, sends heartbeats and hands messages on.
+
+    ``serve`` gets every message but greetings and cancellations; ``ended``
+    is called when a connection has closed. During a drain, peers learn at
+    once that the process is leaving.
+    """
 
     def __init__(
         self,
         listen: tuple[str, int],
-        hello: wire.Hello,
+        identity: _identity.Identity,
         link_settings: settings.LinkSettings,
-        make_heartbeat: MakeHeartbeat,
+        state: State,
         serve: Serve,
         nursery: trio.Nursery,
     ) -> None:
         self._listen = listen
-        self._hello = hello
+        self._identity = identity
         self._settings = link_settings
-        self._make_heartbeat = make_heartbeat
+        self._state = state
         self._serve = serve
         self._nursery = nursery
-        self._connections: set[Connection] = set()
-        self._port = 0
+        self._connections: dict[str, Connection] = {}
+        self._accepted = 0
         self._scope = trio.CancelScope()
-
-    @property
-    def port(self) -> int:
-        """Port at which the server listens, once it is started."""
-        return self._port
+        self._malformed = 0
+        self._notice: membership.LeavingNotice | None = None
 
     async def start(self) -> None:
         """Begin to accept connections."""
         address, port = self._listen
         listeners = await trio.open_tcp_listeners(port, host=address)
-        self._port = listeners[0].socket.getsockname()[1]
         self._nursery.start_soon(self._accept, listeners)
 
     async def drain(self) -> None:
-        """Tell every peer at once that the process is leaving."""
-        await self.beat()
+        """Tell every peer that the process leaves, until each has said so."""
+        self._identity.leave()
+        notice = membership.LeavingNotice(
+            tuple(self._connections),
+            trio.current_time(),
+            membership.NoticeLimits(lease_s=_LONGEST_NOTICE_S),
+        )
+        self._notice = notice
+        while not notice.done(trio.current_time()):
+            for name in notice.due(trio.current_time()):
+                await self._beat(name)
+            await trio.sleep(_NOTICE_POLL_S)
 
     async def stop(self) -> None:
         """Close every connection."""
@@ -98,39 +127,53 @@
 
     def dump(self) -> dict[str, object]:
         """Return the state as plain JSON types."""
-        peers = [connection.peer for connection in self._connections]
-        return {'peers': [peer.process for peer in peers if peer]}
-
-    async def beat(self) -> None:
-        """Send a heartbeat on every connection."""
-        heartbeat = self._make_heartbeat()
-        for connection in tuple(self._connections):
-            await connection.send(heartbeat)
+        peers = [held.peer for held in self._connections.values()]
+        return {
+            'malformed': self._malformed,
+            'peers': sorted(peer.process for peer in peers if peer),
+        }
 
     async def _accept(self, listeners: list[trio.SocketListener]) -> None:
         with self._scope:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(
-                    partial(trio.serve_listeners, self._handle, listeners)
-                )
+            await trio.serve_listeners(self._handle, listeners)
 
     async def _handle(self, raw: trio.SocketStream) -> None:
         stream = wire.MessageStream(raw, self._settings.max_frame_bytes)
+        self._accepted += 1
+        name = str(self._accepted)
         async with trio.open_nursery() as nursery:
-            connection = Connection(stream, nursery)
-            self._connections.add(connection)
+            connection = Connection(name, stream, nursery)
+            self._connections[name] = connection
             nursery.start_soon(self._send_heartbeats, connection)
             try:
                 await self._read(connection, stream)
             finally:
-                self._connections.discard(connection)
+                self._end(connection)
                 await stream.aclose()
             nursery.cancel_scope.cancel()
 
+    def _end(self, connection: Connection) -> None:
+        self._connections.pop(connection.name, None)
+        self._identity.forget(connection.name)
+        if self._notice:
+            self._notice.acknowledge(connection.name)
+        connection.end()
+
     async def _send_heartbeats(self, connection: Connection) -> None:
-        await connection.send(self._hello)
-        while await connection.send(self._make_heartbeat()):
-            await trio.sleep(self._settings.heartbeat_interval_s)
+        await connection.send(self._identity.hello())
+        while await self._beat(connection.name):
+            await trio.sleep(self._identity.interval_s(connection.name))
+
+    async def _beat(self, name: str) -> bool:
+        connection = self._connections.get(name)
+        if connection is None:
+            return False
+        held, load = self._state()
+        now = trio.current_time()
+        self._identity.interval_s(name)
+        return await connection.send(
+            self._identity.heartbeat(name, now, held, load)
+        )
 
     async def _read(
         self, connection: Connection, stream: wire.MessageStream
@@ -139,20 +182,39 @@
             message: Any = await stream.receive()
             if isinstance(message, wire.Closed):
                 return
-            await self._dispatch(connection, message)
+            if not await self._dispatch(connection, message):
+                return
 
     async def _dispatch(
         self, connection: Connection, message: wire.Message | wire.Malformed
-    ) -> None:
+    ) -> bool:
+        """Handle one message; False ends the connection."""
         if isinstance(message, wire.Malformed):
+            self._malformed += 1
             _events.MALFORMED.log(_LOG, reason=message.reason)
             await connection.send(wire.Refusal(0, message.reason))
         elif isinstance(message, wire.Hello):
-            connection.peer = message
-            if message.version != wire.PROTOCOL_VERSION:
-                text = f'protocol version {message.version} is not spoken'
-                await connection.send(wire.Refusal(0, text))
+            return await self._greet(connection, message)
         elif isinstance(message, wire.Cancel):
             connection.cancel(message.call_id)
+        elif isinstance(message, wire.Heartbeat):
+            self._acknowledged(connection, message)
         else:
             await self._serve(connection, message)
+        return True
+
+    def _acknowledged(
+        self, connection: Connection, echo: wire.Heartbeat
+    ) -> None:
+        """Take back a leaving heartbeat of our own."""
+        if self._notice and echo.process == self._identity.name:
+            self._notice.acknowledge(connection.name)
+
+    async def _greet(self, connection: Connection, hello: wire.Hello) -> bool:
+        connection.peer = hello
+        if hello.version == wire.PROTOCOL_VERSION:
+            await self._serve(connection, hello)
+            return True
+        text = f'protocol version {hello.version} is not spoken here'
+        await connection.send(wire.Refusal(0, text))
+        return False
--- a/src/lentilspool/daemons/_configuration.py
+++ b/src/lentilspool/daemons/_configuration.py
@@ -1,41 +1,97 @@
-"""Configuration in force in one process."""
+"""Configuration in force in one process, and its spread."""
 
-from typing import Any
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any, Final
 
 import trio
 
-from lentilspool import config, dialects, settings
+from lentilspool import config, dialects, kernel, settings, wire
+from lentilspool.daemons import _hosts
 
+_MAX_SLEEP_S: Final = 0.25
 
-class Configuration:
-    """Reads the published configuration and holds the version in force."""
+Send = Callable[[str, wire.Message], Awaitable[None]]
+Listener = Callable[[config.State], None]
+
+
+class Configuration(kernel.BaseComponent):
+    """Carries out what ``config.Spread`` decides.
+
+    ``send`` reaches another process by name; a message may be lost.
+    Listeners are called with each new state in force.
+    """
 
     def __init__(
-        self, platform: settings.PlatformSettings, nursery: trio.Nursery
+        self,
+        me: config.Member,
+        platform: settings.PlatformSettings,
+        send: Send,
+        nursery: trio.Nursery,
     ) -> None:
         self._platform = platform
+        self._send = send
         self._nursery = nursery
         self._client = dialects.HttpClient(platform.configuration_url, 2)
-        self._document: config.Document | None = None
-        self._version = 0
-        self._digest = ''
+        self._holder = config.Holder()
+        self._spread = config.Spread(
+            me,
+            self._holder,
+            random.Random(me.process),
+            trio.current_time(),
+        )
+        self._listeners: list[Listener] = []
+        self._told = ''
+
+    @property
+    def state(self) -> config.State | None:
+        """State in force, or None before the first is had."""
+        return self._holder.state
 
     @property
     def document(self) -> config.Document | None:
-        """Configuration in force, or None before the first is had."""
-        return self._document
+        """Document in force, or None before the first is had."""
+        state = self._holder.state
+        return state.document if state else None
 
     @property
     def version(self) -> int:
         """Number of the version in force."""
-        return self._version
+        return self._holder.version
+
+    @property
+    def held(self) -> wire.ConfigDigest:
+        """Position and digest for heartbeats."""
+        return wire.ConfigDigest(self._holder.number, self._holder.digest)
+
+    @property
+    def ready(self) -> bool:
+        """Whether the process may serve under the state in force."""
+        return self._spread.ready and self._holder.state is not None
+
+    def listen(self, listener: Listener) -> None:
+        """Call a function with each new state."""
+        self._listeners.append(listener)
+
+    def follow(self, hosts: tuple[_hosts.Host, ...]) -> None:
+        """Take a new host list."""
+        members = [config.Member(host.name, host.zone) for host in hosts]
+        view = config.View(members)
+        self._spread.follow(trio.current_time(), view)
+
+    async def on_message(
+        self,
+        peer: str,
+        message: wire.ConfigDigest | wire.ConfigPull | wire.ConfigPush,
+    ) -> None:
+        """Take a message of another process."""
+        now = trio.current_time()
+        actions = self._spread.on_message(now, peer, _from_wire(message))
+        await self._carry_out(actions)
 
     async def start(self) -> None:
         """Begin to follow the published configuration."""
-        self._nursery.start_soon(self._follow)
-
-    async def drain(self) -> None:
-        """Nothing is in flight."""
+        self._nursery.start_soon(self._tick)
 
     async def stop(self) -> None:
         """Close connections."""
@@ -43,22 +99,77 @@
 
     def dump(self) -> dict[str, object]:
         """Return the state as plain JSON types."""
-        return {'version': self._version, 'digest': self._digest}
+        return {**self._holder.dump(), **self._spread.dump()}
 
-    async def _follow(self) -> None:
+    async def _tick(self) -> None:
         while True:
-            reply = await self._client.get_json(
-                f'/v1/config?after={self._version}',
-                self._platform.read_timeout_s,
-            )
-            self._adopt(reply)
-            await trio.sleep(1 if self._document else 0.1)
-
-    def _adopt(self, reply: Any) -> None:
-        base = reply and reply.get('base')
-        if not base or base['number'] <= self._version:
+            now = trio.current_time()
+            await self._carry_out(self._spread.tick(now))
+            pause_s = self._spread.due - trio.current_time()
+            await trio.sleep(min(max(pause_s, 0), _MAX_SLEEP_S))
+
+    async def _carry_out(self, actions: list[config.Action]) -> None:
+        self._tell()
+        for action in actions:
+            if isinstance(action, config.Send):
+                await self._send(action.peer, _to_wire(action.message))
+            else:
+                self._nursery.start_soon(self._call_service, action)
+
+    async def _call_service(
+        self, action: config.ReadService | config.WatchService
+    ) -> None:
+        if isinstance(action, config.ReadService):
+            plain = await self._read(f'/v1/config?after={action.after}')
+        else:
+            query = f'after={action.after}&wait_s={action.wait_s}'
+            plain = await self._read(f'/v1/config/watch?{query}', action.wait_s)
+        now = trio.current_time()
+        if plain is None:
+            self._spread.on_service_failure(now)
+        elif isinstance(action, config.ReadService):
+            await self._carry_out(self._spread.on_read(now, _entries(plain)))
+        else:
+            has_news = bool(_entries(plain))
+            await self._carry_out(self._spread.on_watch(now, has_news))
+
+    async def _read(self, path: str, wait_s: float = 0) -> Any | None:
+        timeout_s = self._platform.read_timeout_s + wait_s
+        return await self._client.get_json(path, timeout_s)
+
+    def _tell(self) -> None:
+        state = self._holder.state
+        if state is None or state.digest == self._told:
             return
-        self._document = settings.convert(
-            base['document'], config.Document, 'configuration'
-        )
-        self._version = base['number']
+        self._told = state.digest
+        for listener in self._listeners:
+            listener(state)
+
+
+def _entries(plain: Any) -> tuple[bytes, ...]:
+    """Return the entries of a reply of the service, the base first."""
+    base = plain.get('base')
+    shown = [*([base] if base else ()), *plain.get('entries', ())]
+    return tuple(config.encode_entry(entry) for entry in shown)
+
+
+def _to_wire(message: config.Message) -> wire.Message:
+    match message:
+        case config.ConfigDigest(number=number, digest=digest):
+            return wire.ConfigDigest(number, digest)
+        case config.ConfigPull(number=number, digest=digest):
+            return wire.ConfigPull(number, digest)
+        case config.ConfigPush(number=number, digest=digest, entries=entries):
+            return wire.ConfigPush(number, digest, entries)
+
+
+def _from_wire(
+    message: wire.ConfigDigest | wire.ConfigPull | wire.ConfigPush,
+) -> config.Message:
+    match message:
+        case wire.ConfigDigest(number=number, digest=digest):
+            return config.ConfigDigest(number, digest)
+        case wire.ConfigPull(number=number, digest=digest):
+            return config.ConfigPull(number, digest)
+        case wire.ConfigPush(number=number, digest=digest, entries=entries):
+            return config.ConfigPush(number, digest, entries)
--- a/src/lentilspool/daemons/_directory.py
+++ b/src/lentilspool/daemons/_directory.py
@@ -1,111 +1,211 @@
-"""Endpoints known to an entry, and connections to their sidecars."""
+"""Endpoints known to an entry: connections to sidecars, and their health."""
 
-import dataclasses
-from typing import Any
+import random
+from collections.abc import Iterable
+from typing import Final
 
 import trio
 
-from lentilspool import config, dialects, settings, wire
-from lentilspool.daemons import _link, _targets
+from lentilspool import (
+    config,
+    kernel,
+    limits,
+    membership,
+    pipeline,
+    settings,
+    wire,
+)
+from lentilspool.daemons import _hosts, _identity, _link, _targets
 
+_PRIOR_S: Final = 0.1
+_BEAT_S: Final = 0.25
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Endpoint:
-    """One endpoint, as its sidecar last described it."""
 
-    name: str
-    """Name of the sidecar in the host list."""
+class Directory(kernel.BaseComponent):
+    """Keeps connections to sidecars and one ``PoolRouter`` for each pool.
 
-    zone: str
-    """Availability zone."""
-
-    pool: str
-    """Pool to which the endpoint belongs."""
-
-    target: tuple[str, int]
-    """Address and port of the sidecar."""
-
-
-class Directory:
-    """Reads the host list and keeps connections to sidecars."""
+    An endpoint may get work while its connection is usable, its sidecar has
+    sent a heartbeat on it, and has not said that it is leaving.
+    """
 
     def __init__(
         self,
-        platform: settings.PlatformSettings,
-        hello: wire.Hello,
-        links: settings.LinkSettings,
+        identity: _identity.Identity,
+        link_settings: settings.LinkSettings,
+        times: limits.ServiceTimes,
         nursery: trio.Nursery,
     ) -> None:
-        self._platform = platform
+        self._identity = identity
+        self._times = times
+        self._rng = random.Random(identity.incarnation)
+        self._targets = _targets.Targets(
+            identity.hello(),
+            link_settings,
+            self._heard,
+            nursery,
+            self._link_changed,
+        )
+        self._members = membership.Membership(
+            membership.Place(identity.name, identity.zone),
+            trio.current_time(),
+            membership.MembershipLimits(),
+        )
         self._nursery = nursery
-        self._client = dialects.HttpClient(platform.host_list_url, 2)
-        self._targets = _targets.Targets(hello, links, self._heard, nursery)
-        self._endpoints: dict[tuple[str, int], Endpoint] = {}
-        self._heartbeats: dict[tuple[str, int], wire.Heartbeat] = {}
+        self._hosts: dict[str, _hosts.Host] = {}
+        self._names: dict[_targets.Target, str] = {}
+        self._reached: set[str] = set()
+        self._entries = 1
+        self._generation = -1
+        self._document: config.Document | None = None
+        self._routers: dict[str, pipeline.PoolRouter] = {}
+
+    @property
+    def entries(self) -> int:
+        """Number of entries in the host list, this one included."""
+        return self._entries
+
+    @property
+    def ready(self) -> bool:
+        """Whether every pool has an endpoint that may get work."""
+        return bool(self._routers) and all(
+            router.candidates for router in self._routers.values()
+        )
+
+    def router(self, pool: str) -> pipeline.PoolRouter | None:
+        """Return the router of a pool; none for an unknown pool."""
+        return self._routers.get(pool)
+
+    def link(self, name: str) -> _link.Link | None:
+        """Return the usable connection to a sidecar, if there is one."""
+        host = self._hosts.get(name)
+        return self._targets.find(host.target) if host else None
+
+    def reach(self, name: str) -> bool:
+        """Open a connection to a sidecar; False if it is not listed."""
+        if name not in self._hosts:
+            return False
+        if name not in self._reached:
+            self._reached.add(name)
+            self._want()
+        return True
 
-    async def start(self) -> None:
-        """Begin to read the host list."""
-        self._nursery.start_soon(self._follow)
+    def loads(self, pools: Iterable[str]) -> dict[str, limits.PoolLoad]:
+        """Return the load of each known pool."""
+        return {
+            pool: self._routers[pool].load(self._entries)
+            for pool in pools
+            if pool in self._routers
+        }
 
-    async def drain(self) -> None:
-        """Nothing is in flight."""
+    def follow(self, hosts: tuple[_hosts.Host, ...]) -> None:
+        """Take a new host list."""
+        sidecars = [host for host in hosts if host.role == 'sidecar']
+        entries = [host for host in hosts if host.role == 'entry']
+        self._entries = max(1, len(entries))
+        self._members.update_hosts(_hint(host) for host in hosts)
+        self._hosts = {host.name: host for host in sidecars}
+        self._names = {host.target: host.name for host in sidecars}
+        self._reached.intersection_update(self._hosts)
+        self._want()
+
+    def adopt(self, state: config.State) -> None:
+        """Take a new configuration; unchanged pools keep their health."""
+        held = self._document
+        document = state.document
+        share = document.policies.retry_budget_share
+        for name, pool in document.pools.items():
+            if held is None or held.pools.get(name) != pool:
+                self._routers[name] = pipeline.PoolRouter(
+                    name, pool, share, self._rng
+                )
+        self._generation = -1
+        self._refresh()
+        for gone in set(self._routers).difference(document.pools):
+            self._routers.pop(gone)
+        self._document = document
+
+    async def start(self) -> None:
+        """Begin to watch leases."""
+        self._nursery.start_soon(self._beat)
 
     async def stop(self) -> None:
-        """Close connections."""
-        await self._client.aclose()
+        """Close every connection."""
+        self._targets.want(())
 
     def dump(self) -> dict[str, object]:
         """Return the state as plain JSON types."""
+        now = trio.current_time()
         return {
-            endpoint.name: {
-                'pool': endpoint.pool,
-                'usable': endpoint.target in self._targets.usable,
-            }
-            for endpoint in self._endpoints.values()
+            'entries': self._entries,
+            'members': self._members.dump(now),
+            'sidecars': len(self._hosts),
+            'pools': {
+                name: router.dump(now) for name, router in self._routers.items()
+            },
         }
 
-    def usable(self, pool: str) -> list[tuple[Endpoint, _link.Link]]:
-        """Return the endpoints of a pool that may get new work."""
-        live = self._targets.usable
-        return [
-            (endpoint, live[target])
-            for target, endpoint in self._endpoints.items()
-            if endpoint.pool == pool
-            and target in live
-            and not self._leaving(target)
-        ]
-
-    def ready(self, document: config.Document | None) -> bool:
-        """Tell whether every pool has an endpoint that may get work."""
-        if document is None:
-            return False
-        return all(self.usable(pool) for pool in document.pools)
-
-    def _leaving(self, target: tuple[str, int]) -> bool:
-        heartbeat = self._heartbeats.get(target)
-        return heartbeat is None or heartbeat.leaving
-
-    async def _follow(self) -> None:
+    async def _beat(self) -> None:
         while True:
-            reply = await self._client.get_json(
-                '/v1/hosts', self._platform.read_timeout_s
-            )
-            self._adopt(reply)
-            interval_s = self._platform.host_list_interval_s
-            await trio.sleep(interval_s if self._endpoints else 0.1)
-
-    def _adopt(self, reply: Any) -> None:
-        if not reply:
-            return
-        for host in reply['hosts']:
-            if host['role'] == 'sidecar':
-                target = (host['address'], host['port'])
-                self._endpoints[target] = Endpoint(
-                    host['name'], host['zone'], host['pool'], target
-                )
-        self._targets.want(self._endpoints)
+            self._members.beat(trio.current_time())
+            self._refresh()
+            self._want()
+            await trio.sleep(_BEAT_S)
 
     async def _heard(self, link: _link.Link, message: wire.Message) -> None:
-        if isinstance(message, wire.Heartbeat):
-            target = (message.address, message.port)
-            self._heartbeats[target] = message
+        if not isinstance(message, wire.Heartbeat):
+            return
+        now = trio.current_time()
+        answer = self._members.receive(_identity.from_wire(message), now)
+        if isinstance(answer, membership.Refused):
+            return
+        self._refresh()
+        if message.leaving:
+            await link.send(message)
+        member = answer.member
+        router = self._routers.get(member.pool)
+        if router is not None:
+            report = pipeline.LoadReport(
+                member.in_flight, member.queued, member.limit
+            )
+            router.reported(member.name, report, _PRIOR_S, now)
+
+    def _link_changed(self, target: _targets.Target) -> None:
+        name = self._names.get(target)
+        if name is not None:
+            self._members.leases.end(name, trio.current_time())
+            self._refresh()
+
+    def _want(self) -> None:
+        """Keep connections to the subsets, to spares and to extra sidecars."""
+        now = trio.current_time()
+        names = set(self._reached)
+        for pool in self._members.pools:
+            names.update(self._members.subset(pool))
+            spares = self._members.candidates(pool, now)
+            names.update(spare.name for spare in spares)
+        self._targets.want(
+            self._hosts[name].target for name in names if name in self._hosts
+        )
+
+    def _refresh(self) -> None:
+        """Give the routers the endpoints that may get work, if they changed."""
+        generation = self._members.leases.generation
+        if generation == self._generation:
+            return
+        self._generation = generation
+        now = trio.current_time()
+        for pool, router in self._routers.items():
+            usable = self._members.usable(pool, now)
+            router.replace((member.name, member.zone) for member in usable)
+
+
+def _hint(host: _hosts.Host) -> membership.HostHint:
+    return membership.HostHint(
+        name=host.name,
+        address=host.address,
+        port=host.port,
+        zone=host.zone,
+        pool=host.pool,
+        role=membership.Role(host.role),
+        state=membership.HostState(host.state),
+    )
--- a/src/lentilspool/daemons/_entry.py
+++ b/src/lentilspool/daemons/_entry.py
@@ -1,17 +1,43 @@
 """The entry daemon."""
 
-import time
+from functools import partial
+from typing import Final
 
 import trio
 
-from lentilspool import kernel, settings, telemetry, wire
+from lentilspool import (
+    config,
+    kernel,
+    limits,
+    membership,
+    settings,
+    telemetry,
+    wire,
+)
 from lentilspool.daemons import (
+    _attempts,
+    _call_server,
     _configuration,
     _daemon,
     _directory,
     _front,
+    _hosts,
     _http_server,
+    _identity,
+    _link,
+    _peers,
+    _pulse,
     _runner,
+    _sidecar,
+    _stages,
+    _status,
+    _unrepeatable,
+)
+
+_CONFIG_MESSAGES: Final = (
+    wire.ConfigDigest,
+    wire.ConfigPull,
+    wire.ConfigPush,
 )
 
 
@@ -19,43 +45,128 @@
     """Return an entry that runs when its ``run`` is awaited."""
     return _daemon.Daemon(
         entry_settings.name,
-        _Build(entry_settings).build,
+        partial(_build, entry_settings),
         entry_settings.drain_limit_s,
     )
 
 
-class _Build:
-    """Puts the parts of one entry together."""
+async def _build(
+    own: settings.EntrySettings, nursery: trio.Nursery
+) -> kernel.Application:
+    """Return the application with all components."""
+    identity = _identity.Identity(
+        own.name,
+        own.zone,
+        (own.address, own.peer_port),
+        beat_limits=membership.BeatLimits(
+            min_interval_s=own.links.heartbeat_interval_s
+        ),
+    )
+    return _Switch(own, identity, nursery).application()
 
-    def __init__(self, entry_settings: settings.EntrySettings) -> None:
-        self._settings = entry_settings
-        self._incarnation = time.time_ns()
 
-    async def build(self, nursery: trio.Nursery) -> kernel.Application:
-        """Return the application with all components."""
-        own = self._settings
-        hello = wire.Hello(
-            wire.PROTOCOL_VERSION, own.name, self._incarnation, own.zone
+class _Switch:
+    """Holds the parts of one entry and hands messages to them."""
+
+    def __init__(
+        self,
+        own: settings.EntrySettings,
+        identity: _identity.Identity,
+        nursery: trio.Nursery,
+    ) -> None:
+        self._own = own
+        self._nursery = nursery
+        self._identity = identity
+        self._metrics = telemetry.Metrics()
+        self._times = limits.ServiceTimes()
+        self._pulse = _pulse.Pulse(own.links.lease_s, nursery)
+        self._hosts = _hosts.HostList(own.platform, nursery)
+        self._peers = _peers.Peers(identity, own.links, self._heard, nursery)
+        self._configuration = _configuration.Configuration(
+            config.Member(own.name, own.zone),
+            own.platform,
+            self._peers.send,
+            nursery,
         )
-        configuration = _configuration.Configuration(own.platform, nursery)
-        directory = _directory.Directory(
-            own.platform, hello, own.links, nursery
+        self._directory = _directory.Directory(
+            identity, own.links, self._times, nursery
         )
+        self._runner = self._make_runner()
+
+    def application(self) -> kernel.Application:
+        """Return the application with all components."""
+        own = self._own
+        self._hosts.listen(self._peers.follow)
+        self._hosts.listen(self._configuration.follow)
+        self._hosts.listen(self._directory.follow)
+        self._configuration.listen(self._directory.adopt)
+        self._configuration.listen(self._runner.adopt)
         front = _front.Front(
-            configuration,
-            _runner.Runner(configuration, directory),
+            self._configuration,
+            self._runner,
             own.callers,
-            telemetry.Metrics(),
-            lambda: directory.ready(configuration.document),
-            lambda: application.dump(),
+            self._metrics,
+            _status.Status(
+                self._metrics, self._ready, lambda: application.dump()
+            ),
+        )
+        server = _call_server.CallServer(
+            (own.address, own.peer_port),
+            self._identity,
+            own.links,
+            lambda: (self._configuration.held, membership.Load()),
+            self._serve,
+            self._nursery,
         )
         application = kernel.Application(
             {
-                'configuration': configuration,
-                'directory': directory,
+                'identity': self._identity,
+                'pulse': self._pulse,
+                'hosts': self._hosts,
+                'configuration': self._configuration,
+                'directory': self._directory,
+                'requests': self._runner,
+                'server': server,
                 'http': _http_server.HttpServer(
-                    front, own.address, own.port, nursery
+                    front, own.address, own.port, self._nursery
                 ),
+                'front': front,
             }
         )
         return application
+
+    def _make_runner(self) -> _runner.Runner:
+        attempts = _attempts.Attempts(
+            self._directory, self._times, self._metrics
+        )
+        unrepeatable = _unrepeatable.Unrepeatable(
+            self._directory, attempts, _sidecar.signer_of(self._own.keys)
+        )
+        stages = _stages.Stages(
+            self._directory, attempts, self._times, unrepeatable, self._own.zone
+        )
+        return _runner.Runner(self._directory, attempts, stages, self._times)
+
+    def _ready(self) -> bool:
+        return (
+            self._configuration.ready
+            and self._directory.ready
+            and not self._identity.leaving
+        )
+
+    async def _serve(
+        self, connection: _call_server.Connection, message: wire.Message
+    ) -> None:
+        peer = connection.peer.process if connection.peer else ''
+        if isinstance(message, wire.Hello):
+            self._peers.accepted(peer, connection)
+            connection.when_ended(partial(self._peers.closed, peer, connection))
+        elif isinstance(message, _CONFIG_MESSAGES):
+            await self._configuration.on_message(peer, message)
+        else:
+            kind = type(message).__name__
+            await connection.send(wire.Refusal(0, f'{kind} is not served'))
+
+    async def _heard(self, link: _link.Link, message: wire.Message) -> None:
+        if isinstance(message, _CONFIG_MESSAGES) and link.peer:
+            await self._configuration.on_message(link.peer.process, message)
--- a/src/lentilspool/daemons/_link.py
+++ b/src/lentilspool/daemons/_link.py
@@ -3,7 +3,7 @@
 import dataclasses
 import logging
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import Any, Final
 
 import trio
 
@@ -12,6 +12,9 @@
 
 _LOG = logging.getLogger(__name__)
 
+_MS: Final = 1000
+_SILENT_SHARE: Final = 0.75
+
 OnChunk = Callable[[wire.StageChunk], Awaitable[None]]
 Listener = Callable[['Link', wire.Message], Awaitable[None]]
 MakeCall = Callable[[int], wire.Message]
@@ -38,8 +41,8 @@
 
     Run ``run`` in a nursery. ``call`` sends one call and waits for its
     answer; messages that answer no call go to the listener. A connection
-    on which nothing arrives for ``silence_s`` seconds is closed, and its
-    open calls end with ``LinkLost``.
+    on which nothing arrives for most of a lease is closed, and its open
+    calls end with ``LinkLost``.
     """
 
     def __init__(
@@ -57,6 +60,7 @@
         self._pending: dict[int, _Pending] = {}
         self._last_call_id = 0
         self._closed = False
+        self._silence_s = link_settings.lease_s
         self.peer: wire.Hello | None = None
 
     @property
@@ -124,7 +128,7 @@
         _events.LINK_OPENED.log(_LOG, target=self._target)
         while True:
             message: Any = wire.Closed('silent')
-            with trio.move_on_after(self._settings.lease_s / 2):
+            with trio.move_on_after(self._silence_s):
                 message = await stream.receive()
             if isinstance(message, wire.Closed):
                 _events.LINK_CLOSED.log(
@@ -143,6 +147,8 @@
         elif isinstance(message, wire.Hello):
             self.peer = message
         else:
+            if isinstance(message, wire.Heartbeat):
+                self._silence_s = message.lease_ms / _MS * _SILENT_SHARE
             await self._listener(self, message)
 
     async def _chunk(self, chunk: wire.StageChunk) -> None:
--- /dev/null
+++ b/src/lentilspool/daemons/_once.py
@@ -0,0 +1,167 @@
+"""At-most-once runs at a sidecar: its ledger in front of the endpoint."""
+
+import dataclasses
+import time
+
+import trio
+
+from lentilspool import admission, config, kernel, wire
+from lentilspool.daemons import _answers, _endpoint, _identity, _pulse
+
+_MS = 1000
+
+
+class Once:
+    """Issues admission tokens and runs each token's call at most once.
+
+    A call runs in a task of its own: neither a broken connection nor a
+    cancellation ends it, and later sends of the token wait for it.
+    """
+
+    def __init__(
+        self,
+        identity: _identity.Identity,
+        endpoint: _endpoint.Endpoint,
+        signer: admission.TokenSigner,
+        limits: admission.LedgerLimits,
+        pulse: _pulse.Pulse,
+        nursery: trio.Nursery,
+    ) -> None:
+        self._identity = identity
+        self._endpoint = endpoint
+        self._signer = signer
+        self._pulse = pulse
+        self._nursery = nursery
+        self._ledger = admission.Ledger(
+            identity.name, identity.incarnation, signer.sign, limits
+        )
+        self._gate = admission.KeyGate(
+            admission.KeyRules(), time.time(), trio.current_time()
+        )
+        self._slots = admission.KeySlots(())
+        self._home: admission.KeyHome | None = None
+        self._ends: dict[str, trio.Event] = {}
+        pulse.listen(self._on_pause)
+
+    @property
+    def running(self) -> int:
+        """Calls that are queued or run."""
+        return len(self._ends)
+
+    def adopt(self, state: config.State, address: str) -> None:
+        """Take the slots of idempotency keys from a new configuration."""
+        parsed = admission.parse_slots(state.document.key_slots)
+        if isinstance(parsed, admission.KeySlots):
+            self._slots = parsed
+        if self._home is None:
+            self._home = admission.KeyHome(
+                address, self._identity.pool, self._ledger, self._gate
+            )
+
+    def drain(self) -> None:
+        """Refuse every token that has not been started."""
+        self._ledger.drain()
+
+    def admit(self, call: wire.AdmitCall) -> wire.AdmitAnswer:
+        """Issue a token for a request or for a caller's key."""
+        self._pulse.check()
+        now = trio.current_time()
+        if call.idempotency_key:
+            answer = self._issue_for_key(call, call.idempotency_key, now)
+        else:
+            answer = self._ledger.issue(call.request_id, call.digest, now)
+        if isinstance(answer, admission.Issued):
+            token = self._signer.sign(answer.token)
+            return wire.AdmitAnswer(call.call_id, 'issued', token, '', 0)
+        outcome = answer.outcome
+        if isinstance(outcome, kernel.NotRun):
+            retry_ms = int((outcome.retry_after_s or 0) * _MS)
+            return wire.AdmitAnswer(
+                call.call_id, 'refused', '', outcome.reason.value, retry_ms
+            )
+        return wire.AdmitAnswer(
+            call.call_id, 'unknown', outcome.token, outcome.reason.value, 0
+        )
+
+    async def run(self, call: wire.StageCall) -> kernel.Outcome:
+        """Run a call that carries a token, or wait for its only run."""
+        token = self._signer.verify(call.token or '')
+        if isinstance(token, admission.TokenRefused):
+            return token.outcome
+        while True:
+            self._pulse.check()
+            answer = self._ledger.start(token, trio.current_time())
+            match answer:
+                case admission.Admitted():
+                    ended = trio.Event()
+                    self._ends[token.request_id] = ended
+                    self._nursery.start_soon(self._run, call, token, ended)
+                    await ended.wait()
+                case admission.AlreadyRunning():
+                    await self._ends[token.request_id].wait()
+                case admission.Finished() | admission.Refused():
+                    return answer.outcome
+
+    def dump(self) -> dict[str, object]:
+        """Return the state as plain JSON types."""
+        usage = self._ledger.usage
+        return {
+            'entries': usage.entries,
+            'open_requests': usage.open_requests,
+            'held_bytes': usage.held_bytes,
+            'keys': self._home.size if self._home else 0,
+            'keys_open_in_s': max(
+                0, round(self._gate.opens_at - trio.current_time(), 1)
+            ),
+        }
+
+    async def _run(
+        self,
+        call: wire.StageCall,
+        token: admission.AdmissionToken,
+        ended: trio.Event,
+    ) -> None:
+        now = trio.current_time()
+        ran = await self._endpoint.run(
+            _with_id(call, token.request_id),
+            max(token.expires_at - now, 0),
+            _ignore,
+            lambda: self._begin(token),
+        )
+        answer = ran.answer
+        now = trio.current_time()
+        outcome = _answers.outcome_of(call, answer, self._endpoint.price)
+        if isinstance(answer, kernel.NotRun):
+            self._ledger.withdraw(token, answer.reason, now)
+        else:
+            self._ledger.finish(token, outcome)
+        self._ends.pop(token.request_id, None)
+        ended.set()
+
+    def _begin(self, token: admission.AdmissionToken) -> bool:
+        self._pulse.check()
+        return self._ledger.begin_call(token, trio.current_time())
+
+    def _issue_for_key(
+        self, call: wire.AdmitCall, text: str, now: float
+    ) -> admission.IssueAnswer:
+        key = admission.parse_key(call.team, text)
+        if key is None or self._home is None:
+            detail = 'the key is no UUID of version 7'
+            reason = kernel.NotRunReason.invalid
+            return admission.Refused(kernel.NotRun(reason, None, detail))
+        return self._home.issue(key, call.digest, self._slots, now)
+
+    def _on_pause(self) -> None:
+        self._ledger.on_pause()
+        if self._home is not None:
+            self._home.on_pause(time.time(), trio.current_time())
+
+
+def _with_id(call: wire.StageCall, request_id: str) -> wire.StageCall:
+    """Return the call under the name that all its sends share."""
+    return dataclasses.replace(call, request_id=request_id)
+
+
+async def _ignore(_text: str) -> None:
+    """Drop streamed text: an unrepeatable call is answered whole."""
--- a/src/lentilspool/daemons/_runner.py
+++ b/src/lentilspool/daemons/_runner.py
@@ -1,101 +1,168 @@
-"""Runs the stages of one request on endpoints."""
+"""Requests from admission to their final outcome."""
 
-import logging
+import dataclasses
+from typing import Any, Final
 
 import trio
 
-from lentilspool import config, dialects, kernel, pipeline, wire
-from lentilspool.daemons import _configuration, _directory, _link
+from lentilspool import config, dialects, kernel, limits, pipeline
+from lentilspool.daemons import _attempts, _directory, _flight, _stages
 
-_LOG = logging.getLogger(__name__)
+_POLL_S: Final = 0.02
 
 
-class Runner:
-    """Runs requests stage by stage, with retries of repeatable stages."""
+@dataclasses.dataclass(frozen=True, slots=True)
+class Admission:
+    """What a caller brings besides its request."""
+
+    token: str = ''
+    """Admission token, if the caller has one."""
+
+    emit: dialects.Emit | None = None
+    """Takes text as it is generated, if the caller wants it."""
+
+    restart: dialects.Emit | None = None
+    """Tells the caller that streamed text begins anew."""
+
+
+class Runner(kernel.BaseComponent):
+    """Admits requests and runs their stages within the deadline."""
 
     def __init__(
         self,
-        configuration: _configuration.Configuration,
         directory: _directory.Directory,
+        attempts: _attempts.Attempts,
+        stages: _stages.Stages,
+        times: limits.ServiceTimes,
     ) -> None:
-        self._configuration = configuration
         self._directory = directory
+        self._attempts = attempts
+        self._stages = stages
+        self._times = times
+        self._control: limits.AdmissionPolicy = limits.AdmitAll()
+        self._policies: object = None
+        self._open = 0
+
+    @property
+    def open_requests(self) -> int:
+        """Requests in hand."""
+        return self._open
+
+    def adopt(self, state: config.State) -> None:
+        """Take a new configuration; open requests keep their policy."""
+        policies = state.document.policies
+        shares = {
+            name: team.share for name, team in state.document.teams.items()
+        }
+        if (policies, shares) == self._policies:
+            return
+        self._policies = (policies, shares)
+        make: Any = kernel.registry.find(
+            kernel.PluginKind.admission_policy, policies.admission
+        )
+        self._control = make(shares, policies.parameters)
 
     async def run(
-        self, request: pipeline.PipelineRequest, emit: dialects.Emit | None
+        self, request: pipeline.PipelineRequest, brought: Admission
     ) -> kernel.Outcome:
         """Run a request to its final outcome."""
-        execution = pipeline.Execution(request)
-        outcome: kernel.Outcome | None = None
-        with trio.move_on_at(request.deadline):
-            while not execution.finished and outcome is None:
-                outcome = await self._run_stage(request, execution, emit)
-            return outcome or execution.complete()
-        return kernel.Late(execution.stage.name, execution.cost_by_stage)
-
-    async def _run_stage(
-        self,
-        request: pipeline.PipelineRequest,
-        execution: pipeline.Execution,
-        emit: dialects.Emit | None,
-    ) -> kernel.Outcome | None:
-        stage = execution.stage
-        excluded: set[str] = set()
-        for attempt in range(1, 4):
-            choices = [
-                (endpoint, link)
-                for endpoint, link in self._directory.usable(stage.pool)
-                if endpoint.name not in excluded
-            ]
-            if not choices:
-                break
-            endpoint, link = min(choices, key=lambda pair: pair[1].open_calls)
-            answer = await self._attempt(
-                request, execution, (attempt, link), emit
-            )
-            if isinstance(answer, wire.StageAnswer):
-                if answer.outcome == 'complete':
-                    execution.spend(endpoint.pool, answer.cost)
-                    execution.advance(answer.body)
-                    return None
-            excluded.add(endpoint.name)
-            if not stage.repeatable:
-                return kernel.Unknown('', kernel.UnknownReason.connection_lost)
-        return kernel.Failed(
-            stage.name, 'no endpoint answered', execution.cost_by_stage
+        flight = _flight.Flight(
+            request,
+            pipeline.Execution(request),
+            self._control,
+            emit=brought.emit,
+            restart=brought.restart,
+            token=brought.token,
         )
+        refusal = self._admit(flight)
+        if refusal is not None:
+            return refusal
+        self._open += 1
+        try:
+            return await self._run(flight)
+        finally:
+            self._open -= 1
+            flight.control.forget(request.request_id)
+            self._attempts.table.close(request.request_id)
 
-    async def _attempt(
-        self,
-        request: pipeline.PipelineRequest,
-        execution: pipeline.Execution,
-        chosen: tuple[int, _link.Link],
-        emit: dialects.Emit | None,
-    ) -> _link.Answer | _link.LinkLost:
-        attempt, link = chosen
-        stage_input = execution.stage_input()
-        stage: config.StageDocument = stage_input.stage
-        remaining_s = request.deadline - trio.current_time()
-
-        def make(call_id: int) -> wire.StageCall:
-            return wire.StageCall(
-                call_id=call_id,
-                request_id=request.request_id,
-                pipeline=request.pipeline,
-                stage=stage.name,
-                attempt=attempt,
-                config_version=request.config_version,
-                digest=stage_input.digest,
-                body=stage_input.body,
-                repeatable=stage.repeatable,
-                deadline_ms=int(remaining_s * 1000),
-                team=request.team,
-                stream=emit is not None,
-                priority=0,
-            )
+    async def drain(self) -> None:
+        """Wait until every request in hand has its outcome."""
+        while self._open:
+            await trio.sleep(_POLL_S)
+
+    def dump(self) -> dict[str, object]:
+        """Return the state as plain JSON types."""
+        return {
+            'open_requests': self._open,
+            'open_attempts': self._attempts.table.size,
+            'dropped_answers': self._attempts.table.dropped,
+            'admission': self._control.dump(trio.current_time()),
+            'service_times': self._times.dump(),
+        }
+
+    def _admit(self, flight: _flight.Flight) -> kernel.NotRun | None:
+        request = flight.request
+        needs = tuple(
+            self._times.need(stage.pool, stage.name, _stages.PRIOR_S)
+            for stage in request.stages
+        )
+        loads = self._directory.loads(need.pool for need in needs)
+        for need in needs:
+            if need.pool not in loads or not loads[need.pool].slots:
+                return kernel.NotRun(
+                    kernel.NotRunReason.no_endpoint,
+                    1,
+                    f'pool {need.pool} has no endpoint',
+                )
+        decision = flight.control.decide(
+            limits.AdmissionRequest(
+                request.request_id, request.team, request.deadline, needs
+            ),
+            loads,
+            trio.current_time(),
+        )
+        return decision if isinstance(decision, kernel.NotRun) else None
 
-        async def on_chunk(chunk: wire.StageChunk) -> None:
-            if emit is not None:
-                await emit(chunk.text)
+    async def _run(self, flight: _flight.Flight) -> kernel.Outcome:
+        execution = flight.execution
+        with trio.move_on_at(flight.request.deadline):
+            while not execution.finished:
+                outcome = self._recheck(flight) or await self._stages.run(
+                    flight
+                )
+                if outcome is not None:
+                    return outcome
+            return execution.complete()
+        return self._late(flight)
 
-        return await link.call(make, on_chunk)
+    def _recheck(self, flight: _flight.Flight) -> kernel.Outcome | None:
+        """Give up before a later stage that cannot end on time."""
+        request = flight.request
+        execution = flight.execution
+        done = len(request.stages) - len(execution.remaining_stages)
+        if not done:
+            return None
+        now = trio.current_time()
+        flight.control.stage_done(
+            request.request_id, request.stages[done - 1].name, now
+        )
+        pools = {stage.pool for stage in execution.remaining_stages}
+        step = flight.control.recheck(
+            request.request_id, self._directory.loads(pools), now
+        )
+        if isinstance(step, limits.GiveUp):
+            return kernel.Late(
+                step.stage, execution.cost_by_stage, step.retry_after_s
+            )
+        return None
+
+    def _late(self, flight: _flight.Flight) -> kernel.Outcome:
+        execution = flight.execution
+        if flight.token and not execution.stage.repeatable:
+            reason = kernel.UnknownReason.timeout
+            return kernel.Unknown(flight.token, reason)
+        if not flight.touched:
+            return kernel.NotRun(kernel.NotRunReason.deadline, 1)
+        return kernel.Late(
+            execution.stage.name, execution.cost_by_stage, retry_after_s=1
+        )
--- a/src/lentilspool/daemons/_sidecar.py
+++ b/src/lentilspool/daemons/_sidecar.py
@@ -1,90 +1,177 @@
 """The sidecar daemon."""
 
-import time
 from functools import partial
+from typing import Final
 
 import trio
 
-from lentilspool import kernel, settings, wire
+from lentilspool import (
+    admission,
+    config,
+    kernel,
+    membership,
+    settings,
+    telemetry,
+    wire,
+)
 from lentilspool.daemons import (
     _call_server,
     _configuration,
     _daemon,
+    _endpoint,
     _executor,
+    _hosts,
+    _http_server,
+    _identity,
+    _link,
+    _once,
+    _peers,
+    _pulse,
+    _status,
 )
 
-_MS = 1000
+_CONFIG_MESSAGES: Final = (
+    wire.ConfigDigest,
+    wire.ConfigPull,
+    wire.ConfigPush,
+)
 
 
 def sidecar(sidecar_settings: settings.SidecarSettings) -> _daemon.Daemon:
     """Return a sidecar that runs when its ``run`` is awaited."""
     return _daemon.Daemon(
         sidecar_settings.name,
-        _Build(sidecar_settings).build,
+        partial(_build, sidecar_settings),
         sidecar_settings.drain_limit_s,
     )
 
 
-class _Build:
-    """Puts the parts of one sidecar together."""
+async def _build(
+    own: settings.SidecarSettings, nursery: trio.Nursery
+) -> kernel.Application:
+    """Return the application with all components."""
+    identity = _identity.Identity(
+        own.name,
+        own.zone,
+        (own.address, own.port),
+        own.pool,
+        membership.BeatLimits(min_interval_s=own.links.heartbeat_interval_s),
+    )
+    return _Switch(own, identity, nursery).application()
+
 
-    def __init__(self, sidecar_settings: settings.SidecarSettings) -> None:
-        self._settings = sidecar_settings
-        self._incarnation = time.time_ns()
-        self._sequence = 0
+class _Switch:
+    """Holds the parts of one sidecar and hands messages to them."""
 
-    async def build(self, nursery: trio.Nursery) -> kernel.Application:
-        """Return the application with all components."""
-        own = self._settings
+    def __init__(
+        self,
+        own: settings.SidecarSettings,
+        identity: _identity.Identity,
+        nursery: trio.Nursery,
+    ) -> None:
+        self._own = own
+        self._nursery = nursery
+        self._identity = identity
+        self._pulse = _pulse.Pulse(own.links.lease_s, nursery)
+        self._hosts = _hosts.HostList(own.platform, nursery)
+        self._peers = _peers.Peers(identity, own.links, self._heard, nursery)
         self._configuration = _configuration.Configuration(
-            own.platform, nursery
+            config.Member(own.name, own.zone),
+            own.platform,
+            self._peers.send,
+            nursery,
         )
-        self._executor = _executor.Executor(
+        self._endpoint = _endpoint.Endpoint(
             own.pool, own.endpoint_url, self._configuration
         )
+        self._once = _once.Once(
+            identity,
+            self._endpoint,
+            signer_of(own.keys),
+            admission.LedgerLimits(
+                max_entries=own.ledger_entries,
+                lifetime_s=own.token_lifetime_s,
+            ),
+            self._pulse,
+            nursery,
+        )
+        self._executor = _executor.Executor(
+            identity, self._endpoint, self._once
+        )
+
+    def application(self) -> kernel.Application:
+        """Return the application with all components."""
+        own = self._own
+        self._hosts.listen(self._peers.follow)
+        self._hosts.listen(self._configuration.follow)
+        self._configuration.listen(self._endpoint.adopt)
+        self._configuration.listen(self._adopt_slots)
         server = _call_server.CallServer(
             (own.address, own.port),
-            wire.Hello(
-                wire.PROTOCOL_VERSION, own.name, self._incarnation, own.zone
-            ),
+            self._identity,
             own.links,
-            self._heartbeat,
+            self._state,
             self._serve,
-            nursery,
+            self._nursery,
+        )
+        status = _status.Status(
+            telemetry.Metrics(),
+            lambda: self._configuration.ready and not self._identity.leaving,
+            lambda: application.dump(),
         )
-        return kernel.Application(
+        application = kernel.Application(
             {
+                'identity': self._identity,
+                'pulse': self._pulse,
+                'hosts': self._hosts,
                 'configuration': self._configuration,
+                'http': _http_server.HttpServer(
+                    status, own.address, own.http_port, self._nursery
+                ),
                 'executor': self._executor,
                 'server': server,
             }
         )
+        return application
 
-    def _heartbeat(self) -> wire.Heartbeat:
-        own = self._settings
-        self._sequence += 1
-        return wire.Heartbeat(
-            process=own.name,
-            incarnation=self._incarnation,
-            sequence=self._sequence,
-            leaving=self._executor.leaving,
-            config=wire.ConfigDigest(self._configuration.version, ''),
-            in_flight=self._executor.in_flight,
-            queued=0,
-            limit=0,
-            lease_ms=int(own.links.lease_s * _MS),
-            suspects=(),
-            zone=own.zone,
-            pool=own.pool,
-            address=own.address,
-            port=own.port,
-        )
+    def _adopt_slots(self, state: config.State) -> None:
+        own = self._own
+        self._once.adopt(state, f'{own.address}:{own.port}')
+
+    def _state(self) -> tuple[wire.ConfigDigest, membership.Load]:
+        slots = self._endpoint.slots
+        load = membership.Load(slots.running, slots.queued, slots.limit)
+        return self._configuration.held, load
 
     async def _serve(
         self, connection: _call_server.Connection, message: wire.Message
     ) -> None:
-        if isinstance(message, wire.StageCall):
-            connection.start_call(
-                message.call_id,
-                partial(self._executor.run, message, connection.send),
-            )
+        peer = connection.peer.process if connection.peer else ''
+        match message:
+            case wire.StageCall():
+                connection.start_call(
+                    message.call_id,
+                    partial(self._executor.run, message, connection.send),
+                )
+            case wire.AdmitCall():
+                await connection.send(self._once.admit(message))
+            case wire.Hello():
+                self._peers.accepted(peer, connection)
+                connection.when_ended(
+                    partial(self._peers.closed, peer, connection)
+                )
+            case _ if isinstance(message, _CONFIG_MESSAGES):
+                await self._configuration.on_message(peer, message)
+            case _:
+                kind = type(message).__name__
+                await connection.send(wire.Refusal(0, f'{kind} is not served'))
+
+    async def _heard(self, link: _link.Link, message: wire.Message) -> None:
+        if isinstance(message, _CONFIG_MESSAGES) and link.peer:
+            await self._configuration.on_message(link.peer.process, message)
+
+
+def signer_of(keys: settings.KeySettings) -> admission.TokenSigner:
+    """Return the signer of admission tokens for the keys of the settings."""
+    previous = keys.previous.encode() if keys.previous else None
+    return admission.TokenSigner(keys.current.encode(), previous)
--- /dev/null
+++ b/src/lentilspool/daemons/_stages.py
@@ -0,0 +1,163 @@
+"""Stages of a request: choice of endpoints, retries, at-most-once runs."""
+
+import random
+from typing import Final
+
+import trio
+
+from lentilspool import kernel, limits, pipeline, retries, routing
+from lentilspool.daemons import (
+    _attempts,
+    _directory,
+    _flight,
+    _unrepeatable,
+)
+
+PRIOR_S: Final = 0.1
+_NO_POOL_RETRY_S: Final = 1.0
+
+
+class Stages:
+    """Runs the current stage of a request to an answer or a final outcome."""
+
+    def __init__(
+        self,
+        directory: _directory.Directory,
+        attempts: _attempts.Attempts,
+        times: limits.ServiceTimes,
+        unrepeatable: _unrepeatable.Unrepeatable,
+        zone: str,
+    ) -> None:
+        self._directory = directory
+        self._attempts = attempts
+        self._times = times
+        self._unrepeatable = unrepeatable
+        self._zone = zone
+        self._rng = random.Random()
+
+    async def run(self, flight: _flight.Flight) -> kernel.Outcome | None:
+        """Run the current stage; return None once its answer is taken."""
+        execution = flight.execution
+        router = self._directory.router(execution.stage.pool)
+        if router is None:
+            return flight.refused(self._no_pool())
+        if execution.stage.repeatable:
+            outcome = await self._repeatable(flight, router)
+        else:
+            outcome = await self._unrepeatable.run(flight, router)
+        if not isinstance(outcome, kernel.Complete):
+            return self._final(flight, outcome)
+        for cost in outcome.cost_by_stage:
+            execution.spend(cost.provider, cost.cost)
+        stage = execution.stage.name
+        if not execution.advance(outcome.answer):
+            reason = 'the answer is no JSON object'
+            return kernel.Failed(stage, reason, execution.cost_by_stage)
+        return None
+
+    async def _repeatable(
+        self, flight: _flight.Flight, router: pipeline.PoolRouter
+    ) -> kernel.Outcome:
+        tried: set[str] = set()
+        number = 0
+        admitted = router.admit(trio.current_time())
+        if isinstance(admitted, retries.Refused):
+            return kernel.NotRun(
+                kernel.NotRunReason.overloaded, admitted.retry_after_s
+            )
+        while True:
+            number += 1
+            outcome = await self._attempt(flight, router, number, tried)
+            if isinstance(outcome, kernel.Complete):
+                return outcome
+            step = self._after(flight, router, number, outcome, tried)
+            if isinstance(step, retries.GiveUp):
+                return step.outcome
+            await trio.sleep(step.delay_s)
+            if flight.streamed and flight.restart:
+                await flight.restart('')
+                flight.streamed = False
+
+    async def _attempt(
+        self,
+        flight: _flight.Flight,
+        router: pipeline.PoolRouter,
+        number: int,
+        tried: set[str],
+    ) -> kernel.Outcome:
+        wanted = self._wanted(flight, frozenset(tried))
+        decision = router.choose(wanted, trio.current_time())
+        if isinstance(decision, routing.NoEndpoint):
+            return kernel.NotRun(
+                kernel.NotRunReason.no_endpoint,
+                decision.retry_after_s,
+                decision.reason,
+            )
+        tried.add(decision.endpoint)
+        plan = _attempts.AttemptPlan(
+            decision.endpoint, number, self._later_s(flight)
+        )
+        return await self._attempts.run(flight, plan)
+
+    def _after(
+        self,
+        flight: _flight.Flight,
+        router: pipeline.PoolRouter,
+        number: int,
+        outcome: kernel.Outcome,
+        tried: set[str],
+    ) -> retries.NextStep:
+        stage = flight.execution.stage
+        names = {candidate.name for candidate in router.candidates}
+        expected = self._times.estimate(stage.pool, stage.name, PRIOR_S)
+        return router.after(
+            retries.Attempt(
+                outcome=outcome,
+                stage=stage.name,
+                repeatable=stage.repeatable,
+                number=number,
+                remaining_s=flight.remaining_s,
+                expected_s=expected.low_s,
+                other_endpoints=bool(names - tried),
+            ),
+            trio.current_time(),
+        )
+
+    def _wanted(
+        self, flight: _flight.Flight, excluded: frozenset[str]
+    ) -> routing.RoutingRequest:
+        stage = flight.execution.stage
+        expected = self._times.estimate(stage.pool, stage.name, PRIOR_S)
+        return routing.RoutingRequest(
+            pool=stage.pool,
+            zone=self._zone,
+            service_s=expected.mean_s,
+            slack_s=flight.remaining_s - expected.mean_s,
+            excluded=excluded,
+        )
+
+    def _later_s(self, flight: _flight.Flight) -> float:
+        return sum(
+            self._times.estimate(stage.pool, stage.name, 0).low_s
+            for stage in flight.execution.remaining_stages[1:]
+        )
+
+    def _final(
+        self, flight: _flight.Flight, outcome: kernel.Outcome
+    ) -> kernel.Outcome:
+        match outcome:
+            case kernel.NotRun():
+                return flight.refused(outcome)
+            case kernel.Failed(stage=stage, reason=reason):
+                return kernel.Failed(
+                    stage,
+                    reason,
+                    flight.execution.cost_by_stage,
+                    outcome.retry_after_s,
+                )
+            case _:
+                return outcome
+
+    def _no_pool(self) -> kernel.NotRun:
+        reason = kernel.NotRunReason.no_endpoint
+        return kernel.NotRun(reason, _NO_POOL_RETRY_S, 'the pool is unknown')
--- a/src/lentilspool/daemons/_targets.py
+++ b/src/lentilspool/daemons/_targets.py
@@ -1,7 +1,7 @@
 """Connections kept open to a set of other processes."""
 
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 import trio
@@ -10,6 +10,7 @@
 from lentilspool.daemons import _link
 
 Target = tuple[str, int]
+Changed = Callable[[Target], None]
 
 _MIN_PAUSE_S: Final = 0.05
 _MAX_PAUSE_S: Final = 1.0
@@ -29,11 +30,13 @@
         link_settings: settings.LinkSettings,
         listener: _link.Listener,
         nursery: trio.Nursery,
+        changed: Changed | None = None,
     ) -> None:
         self._hello = hello
         self._settings = link_settings
         self._listener = listener
         self._nursery = nursery
+        self._changed = changed
         self._links: dict[Target, _link.Link] = {}
         self._wanted: set[Target] = set()
         self._kept: set[Target] = set()
@@ -77,6 +80,8 @@
                 nursery.start_soon(self._close_unwanted, target, link, nursery)
                 await link.run()
                 nursery.cancel_scope.cancel()
+            if self._changed:
+                self._changed(target)
             if trio.current_time() - opened > _MAX_PAUSE_S:
                 pause_s = _MIN_PAUSE_S
             await trio.sleep(pause_s * self._rng.uniform(0.5, 1))
--- a/src/lentilspool/kernel/__init__.py
+++ b/src/lentilspool/kernel/__init__.py
@@ -1,6 +1,7 @@
 """Kernel: outcomes, plug-in registry, life cycle, clock and events."""
 
 from lentilspool.kernel._application import Application as Application
+from lentilspool.kernel._application import BaseComponent as BaseComponent
 from lentilspool.kernel._application import Component as Component
 from lentilspool.kernel._clock import Clock as Clock
 from lentilspool.kernel._clock import MonotonicClock as MonotonicClock
--- a/src/lentilspool/kernel/_application.py
+++ b/src/lentilspool/kernel/_application.py
@@ -24,6 +24,23 @@
         ...
 
 
+class BaseComponent:
+    """Hooks that do nothing, for components that need only some of them."""
+
+    async def start(self) -> None:
+        """Begin work."""
+
+    async def drain(self) -> None:
+        """Take no new work."""
+
+    async def stop(self) -> None:
+        """Release everything at once."""
+
+    def dump(self) -> dict[str, object]:
+        """Return the component's state as plain JSON types."""
+        return {}
+
+
 class Application:
     """Starts components in order; drains and stops them in reverse order.
 
--- a/src/lentilspool/pipeline/__init__.py
+++ b/src/lentilspool/pipeline/__init__.py
@@ -3,6 +3,11 @@
 from lentilspool.pipeline._execution import Execution as Execution
 from lentilspool.pipeline._execution import StageInput as StageInput
 from lentilspool.pipeline._execution import digest_of as digest_of
+from lentilspool.pipeline._pool_router import AttemptEnd as AttemptEnd
+from lentilspool.pipeline._pool_router import LoadReport as LoadReport
+from lentilspool.pipeline._pool_router import PoolRouter as PoolRouter
+from lentilspool.pipeline._prefix import CHARS_PER_TOKEN as CHARS_PER_TOKEN
+from lentilspool.pipeline._prefix import block_hashes as block_hashes
 from lentilspool.pipeline._request import Invalid as Invalid
 from lentilspool.pipeline._request import PipelineRequest as PipelineRequest
 from lentilspool.pipeline._request import check_request as check_request
--- a/src/lentilspool/wire/_calls.py
+++ b/src/lentilspool/wire/_calls.py
@@ -63,6 +63,15 @@
     priority: int
     """Class of the queue: 0 has a deadline, 1 may wait."""
 
+    operation: str
+    """What the endpoint is asked to do."""
+
+    max_output_tokens: int
+    """Upper bound of generated tokens."""
+
+    later_ms: int
+    """Milliseconds that all later stages are expected to take at least."""
+
     token: str | None = None
     """Admission token, for a stage that is not repeatable."""
 
@@ -152,6 +161,9 @@
     config_version: int
     """Configuration version of the request."""
 
+    team: str
+    """Team of the request."""
+
     token: str | None = None
     """Token to ask about; none to get a new one."""
 
--- a/src/lentilspool/wire/_control.py
+++ b/src/lentilspool/wire/_control.py
@@ -7,33 +7,33 @@
 class ConfigDigest:
     """Configuration that the sender has in force."""
 
-    version: int
-    """Number of the version."""
+    number: int
+    """Position in the published log."""
 
     digest: str
-    """Chained digest of the version, in hexadecimal."""
+    """Chained digest at the position, in hexadecimal."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConfigPull:
-    """Asks for every configuration entry after a version."""
+    """Asks for every configuration entry after a position."""
 
-    version: int
-    """Version that the sender holds."""
+    number: int
+    """Position that the sender holds."""
 
     digest: str
-    """Chained digest of that version."""
+    """Chained digest at that position."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConfigPush:
-    """Configuration entries that follow a version."""
+    """Configuration entries in the order of the log."""
 
-    version: int
-    """Version that the entries follow."""
+    number: int
+    """Position after the last of the entries."""
 
     digest: str
-    """Chained digest of that version."""
+    """Chained digest at that position."""
 
     entries: tuple[bytes, ...]
     """Published entries in order, byte for byte."""
--- a/src/lentilspool/wire/lentilspool.thrift
+++ b/src/lentilspool/wire/lentilspool.thrift
@@ -27,6 +27,9 @@
   14: optional string token
   15: optional string traceparent
   16: optional i64 incarnation
+  17: required string operation
+  18: required i32 max_output_tokens
+  19: required i32 later_ms
 }
 
 struct StageChunk {
@@ -62,6 +65,7 @@
   4: required i64 config_version
   5: optional string token
   6: optional string idempotency_key
+  7: required string team
 }
 
 // state: issued, running, finished, never_seen, refused, unknown
@@ -75,18 +79,18 @@
 }
 
 struct ConfigDigest {
-  1: required i64 version
+  1: required i64 number
   2: required string digest
 }
 
-// pull: the sender wants everything after `version`.
+// The sender wants everything after `number`.
 struct ConfigPull {
-  1: required i64 version
+  1: required i64 number
   2: required string digest
 }
 
 struct ConfigPush {
-  1: required i64 version
+  1: required i64 number
   2: required string digest
   3: required list<binary> entries
 }
