--- a/src/lentilspool/admission/__init__.py
+++ b/src/lentilspool/admission/__init__.py
@@ -40,3 +40,7 @@
 from lentilspool.admission._tokens import TokenProblem as TokenProblem
 from lentilspool.admission._tokens import TokenRefused as TokenRefused
 from lentilspool.admission._tokens import TokenSigner as TokenSigner
+from lentilspool.admission._unrepeatable import SendPhase as SendPhase
+from lentilspool.admission._unrepeatable import (
+    UnrepeatableSend as UnrepeatableSend,
+)
--- a/src/lentilspool/admission/_key_home.py
+++ b/src/lentilspool/admission/_key_home.py
@@ -58,7 +58,9 @@
         self._forget_expired(now)
         if key not in self._tokens and not self._gate.is_new(key, now):
             return _unknown(key, 'it may have run before this home started')
-        answer = self._ledger.issue(key.request_id, content_digest, now)
+        answer = self._ledger.issue(
+            key.request_id, content_digest, now, renew=True
+        )
         if isinstance(answer, _ledger_types.Issued):
             self._remember(key, answer.token)
         return answer
--- a/src/lentilspool/admission/_ledger.py
+++ b/src/lentilspool/admission/_ledger.py
@@ -42,15 +42,21 @@
         return self._table.usage
 
     def issue(
-        self, request_id: str, content_digest: str, now: float
+        self,
+        request_id: str,
+        content_digest: str,
+        now: float,
+        *,
+        renew: bool = False,
     ) -> types.IssueAnswer:
         """Return the request's token; it is made at the first call.
 
-        A request that was refused as not run gets a new token, and the old
-        one stays refused.
+        With ``renew``, a request that was refused as not run gets a new
+        token, while the old one never runs.
         """
         self._table.forget_expired(now)
-        self._table.forget_refused(request_id, now)
+        if renew:
+            self._table.forget_refused(request_id, now)
         entry = self._table.get(request_id)
         if entry is None:
             return self._issue_new(request_id, content_digest, now)
--- /dev/null
+++ b/src/lentilspool/admission/tests/test_sidecar_model.py
@@ -0,0 +1,107 @@
+"""Sidecars of the model, with the endpoints that they call, and their test."""
+
+import copy
+import dataclasses
+from collections.abc import Hashable
+from typing import Final, TypeVar
+
+from lentilspool import admission
+
+RULES: Final = admission.KeyRules(lifetime_s=20.0, lead_s=1, clock_bound_s=1)
+LIMITS: Final = admission.LedgerLimits(max_entries=1, lifetime_s=30.0)
+POOL: Final = 'p'
+
+_Copied = TypeVar('_Copied')
+
+
+@dataclasses.dataclass(frozen=True)
+class Decisions:
+    """Classes under test; a test puts one without a guard in their place."""
+
+    ledger: type[admission.Ledger] = admission.Ledger
+    """Class of the ledger."""
+
+    gate: type[admission.KeyGate] = admission.KeyGate
+    """Class of the gate of keys."""
+
+
+class Sidecar:
+    """One incarnation of a sidecar."""
+
+    def __init__(
+        self, number: int, incarnation: int, now: float, made_of: Decisions
+    ) -> None:
+        name = f's{number}'
+        self.incarnation = incarnation
+        self.ledger = made_of.ledger(
+            name, incarnation, lambda token: token.request_id, LIMITS
+        )
+        self.home = admission.KeyHome(
+            name, POOL, self.ledger, made_of.gate(RULES, now, now)
+        )
+        self.queued: dict[str, tuple[admission.AdmissionToken, int]] = {}
+        self.running: dict[str, admission.AdmissionToken] = {}
+        self.waiting: dict[str, tuple[int, ...]] = {}
+        self._key: Hashable = None
+
+    def copy(self) -> 'Sidecar':
+        """Return an independent copy of everything that can change."""
+        other = _clone(self)
+        other._key = None
+        other.ledger = _clone(self.ledger)
+        table = _clone(self.ledger._table)
+        table._entries = {
+            name: copy.copy(entry) for name, entry in table._entries.items()
+        }
+        other.ledger._table = table
+        other.home = _clone(self.home)
+        other.home._ledger = other.ledger
+        other.home._gate = _clone(self.home._gate)
+        other.home._tokens = self.home._tokens.copy()
+        other.home._expiries = self.home._expiries.copy()
+        other.queued = self.queued.copy()
+        other.running = self.running.copy()
+        other.waiting = self.waiting.copy()
+        return other
+
+    def key(self) -> Hashable:
+        """Return what tells this state from others."""
+        if self._key is None:
+            gate = self.home._gate
+            self._key = (
+                self.incarnation,
+                tuple(
+                    (entry.state.value, entry.token, entry.outcome)
+                    for entry in self.ledger._table
+                ),
+                tuple(self.home._expiries),
+                (gate._floor_ms, gate._opens_at),
+                (*self.queued.items(), *self.running, *self.waiting.items()),
+            )
+        return self._key
+
+
+def _clone(original: _Copied) -> _Copied:
+    """Return a shallow copy, faster than ``copy.copy``."""
+    twin = original.__class__.__new__(original.__class__)
+    twin.__dict__.update(original.__dict__)
+    return twin
+
+
+class TestSidecar:
+    def test_copy_is_independent(self) -> None:
+        first = Sidecar(0, 1, 0, Decisions())
+        slots = admission.KeySlots(
+            (admission.SlotTable(POOL, 0, 1e9, ('s0',)),)
+        )
+        key = admission.IdempotencyKey('t', 'k', 1_000_000)
+        first.home.issue(key, 'd', slots, 1000)
+        before = first.key()
+        second = first.copy()
+        assert second.key() == before
+        token = first.home._tokens[key]
+        second.ledger.start(token, 1000)
+        second.home.on_pause(1000, 1000)
+        second.home.issue(key, 'd', slots, 1030)
+        assert first.copy().key() == before
+        assert second.copy().key() != before
