--- a/src/lentilspool/membership/_beat.py
+++ b/src/lentilspool/membership/_beat.py
@@ -18,7 +18,7 @@
     max_interval_s: float = 10.0
     """Longest time between two heartbeats on a connection."""
 
-    bytes_each: int = 100
+    bytes_each: int = 150
     """Size of a compact heartbeat with the headers of its packet."""
 
     budget_bytes_per_s: int = 2500
--- a/src/lentilspool/membership/_hosts.py
+++ b/src/lentilspool/membership/_hosts.py
@@ -1,6 +1,6 @@
 """The host list as a hint, joined with what leases tell."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 from lentilspool.membership import _lease_table, _member, _subset
 
@@ -26,12 +26,16 @@
             sorted({hint.pool for hint in self._hosts.values() if hint.pool})
         )
 
-    def replace(self, hosts: Iterable[_member.HostHint]) -> bool:
-        """Take a new list; tell whether it differs from the last one."""
+    def replace(self, hosts: Iterable[_member.HostHint]) -> frozenset[str]:
+        """Take a new list; return the pools whose subsets it may change."""
         fresh = {hint.name: hint for hint in hosts}
-        changed = fresh != self._hosts
+        changed = {
+            hint.pool for hint in self._differences(fresh) if hint is not None
+        }
         self._hosts = fresh
-        return changed
+        if '' in changed:
+            return frozenset((*changed, *self.pools))
+        return frozenset(changed)
 
     def hint(self, name: str) -> _member.HostHint | None:
         """Return the line of a host, if it is listed."""
@@ -68,3 +72,12 @@
             if member.pool == pool and self.takes_work(member):
                 places[member.name] = _subset.Place(member.name, member.zone)
         return tuple(places.values())
+
+    def _differences(
+        self, fresh: dict[str, _member.HostHint]
+    ) -> Iterator[_member.HostHint | None]:
+        """Yield the old and the new line of each host that differs."""
+        for name in self._hosts.keys() | fresh.keys():
+            if self._hosts.get(name) != fresh.get(name):
+                yield self._hosts.get(name)
+                yield fresh.get(name)
--- a/src/lentilspool/membership/_membership.py
+++ b/src/lentilspool/membership/_membership.py
@@ -53,6 +53,7 @@
         self._pauses = kernel.PauseDetector(limits.pause_limit_s, now)
         self._hosts = _hosts.HostView(own)
         self._subsets: dict[str, tuple[str, ...]] = {}
+        self._stale: dict[str, None] = {}
         self._cut_off = False
 
     @property
@@ -81,8 +82,7 @@
 
     def update_hosts(self, hosts: Iterable[_member.HostHint]) -> None:
         """Take a new host list, which may be old; ends no lease."""
-        if self._hosts.replace(hosts):
-            self._subsets.clear()
+        self._stale.update(dict.fromkeys(sorted(self._hosts.replace(hosts))))
 
     def receive(
         self, heartbeat: _member.Heartbeat, now: float
@@ -114,21 +114,20 @@
         for member in self._leases.sweep(now):
             if not member.leaving:
                 _events.LEASE_ENDED.log(_log, name=member.name)
+        if self._stale:
+            self._refresh(next(iter(self._stale)))
         self._judge_reach(now)
         return pause_s
 
     def subset(self, pool: str) -> tuple[str, ...]:
-        """Return the endpoints of the pool with which to keep leases."""
-        held = self._subsets.get(pool)
-        if held is None:
-            subsets = _subset.even_subsets(
-                self._hosts.entries(),
-                self._hosts.endpoints(pool, self._leases),
-                self._limits.subsets,
-            )
-            held = subsets[self._own.name]
-            self._subsets[pool] = held
-        return held
+        """Return the endpoints of the pool with which to keep leases.
+
+        After a change of the host list, ``beat`` computes the subset of
+        one pool at a time; until then the former subset stands.
+        """
+        if pool not in self._subsets:
+            self._refresh(pool)
+        return self._subsets[pool]
 
     def usable(self, pool: str, now: float) -> tuple[_member.Member, ...]:
         """Return the members of the pool that may get new work."""
@@ -180,6 +179,16 @@
             },
         }
 
+    def _refresh(self, pool: str) -> None:
+        """Compute the subset of a pool from the view as it is now."""
+        self._stale.pop(pool, None)
+        subsets = _subset.even_subsets(
+            self._hosts.entries(),
+            self._hosts.endpoints(pool, self._leases),
+            self._limits.subsets,
+        )
+        self._subsets[pool] = subsets[self._own.name]
+
     def _judge_reach(self, now: float) -> None:
         names = [name for held in self._subsets.values() for name in held]
         live = sum(self._leases.live(name, now) is not None for name in names)
--- a/src/lentilspool/membership/_subset.py
+++ b/src/lentilspool/membership/_subset.py
@@ -10,14 +10,14 @@
 
 import dataclasses
 import math
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Iterator, Sequence
 from typing import Final
 
 import xxhash
 
 _HASH_BITS: Final = 64
 _HASH_RANGE: Final = float(1 << _HASH_BITS)
-_FIRST_BAND: Final = 6
+_FIRST_BAND: Final = 4
 
 Subsets = dict[str, tuple[str, ...]]
 _Pair = tuple[float, str, str]
@@ -42,7 +42,7 @@
     """Entries that keep a lease with each endpoint, if there are as many."""
 
     min_size: int = 2
-    """Mean size of a subset below which small pools are covered by more."""
+    """Size that every subset has, and mean size in the smallest pools."""
 
     fewer: int = 1
     """Endpoints by which a subset may be smaller than the mean."""
@@ -90,46 +90,45 @@
     limits: SubsetLimits,
 ) -> Subsets:
     size = math.ceil(coverage * len(endpoints) / len(entries))
-    pairs = _scores(entries, endpoints, limits.remote_penalty)
-    bands = _bands(pairs, limits.remote_penalty * coverage / len(entries))
+    penalty = limits.remote_penalty
+    good = min(_FIRST_BAND * coverage / len(entries), 1.0) * penalty
+    first = sorted(_scores(entries, endpoints, penalty, good))
     matching = _Matching(entries, endpoints, coverage)
-    for room in (size - limits.fewer, size + limits.more, len(endpoints)):
-        for band in bands:
-            matching.take(band, room)
+    matching.take(first, size - limits.fewer)
+    matching.take(first, size + limits.more)
+    if matching.missing:
+        everything = sorted(_scores(entries, endpoints, penalty))
+        matching.take(everything, size + limits.more)
+        matching.take(everything, len(endpoints))
+    matching.top_up(first, limits.min_size)
+    short = tuple(
+        place for place in entries if matching.short(place, limits.min_size)
+    )
+    matching.top_up(sorted(_scores(short, endpoints, penalty)), limits.min_size)
     return matching.subsets()
 
 
 def _scores(
-    entries: Sequence[Place], endpoints: Sequence[Place], penalty: float
+    entries: Sequence[Place],
+    endpoints: Sequence[Place],
+    penalty: float,
+    below: float = math.inf,
 ) -> Iterator[_Pair]:
-    """Yield score, entry and endpoint of every pair; low scores are best."""
+    """Yield score, entry and endpoint of the pairs with low scores.
+
+    Scores lie between zero and the penalty; low ones are best.
+    """
+    digest = xxhash.xxh3_64_intdigest
     encoded = [(place.name.encode(), place) for place in endpoints]
     for entry in entries:
-        seed = xxhash.xxh3_64_intdigest(entry.name.encode())
+        seed = digest(entry.name.encode())
+        zone = entry.zone
         for key, endpoint in encoded:
-            score = float(xxhash.xxh3_64_intdigest(key, seed))
-            if endpoint.zone != entry.zone:
+            score = digest(key, seed) / _HASH_RANGE
+            if endpoint.zone != zone:
                 score *= penalty
-            yield score, entry.name, endpoint.name
-
-
-def _bands(
-    pairs: Iterable[_Pair], share: float
-) -> tuple[list[_Pair], list[_Pair]]:
-    """Return the pairs in order, in two lists: few good ones, and the rest.
-
-    The second list is rarely needed, so it is sorted only when it is.
-    """
-    limit = min(_FIRST_BAND * share, 1.0) * _HASH_RANGE
-    first = []
-    rest = []
-    for pair in pairs:
-        if pair[0] < limit:
-            first.append(pair)
-        else:
-            rest.append(pair)
-    first.sort()
-    return first, rest
+            if score < below:
+                yield score, entry.name, endpoint.name
 
 
 class _Matching:
@@ -149,11 +148,13 @@
             entry.name: [] for entry in entries
         }
 
+    @property
+    def missing(self) -> int:
+        """Pairs that endpoints still want."""
+        return self._missing
+
     def take(self, pairs: list[_Pair], room: int) -> None:
         """Take each pair in order while its two ends want more."""
-        if not self._missing:
-            return
-        pairs.sort()
         wanted = self._wanted
         for _, entry, endpoint in pairs:
             held = self._taken[entry]
@@ -162,6 +163,17 @@
                 wanted[endpoint] -= 1
                 self._missing -= 1
 
+    def top_up(self, pairs: list[_Pair], size: int) -> None:
+        """Give entries with small subsets more than endpoints wanted."""
+        for _, entry, endpoint in pairs:
+            held = self._taken[entry]
+            if len(held) < size and endpoint not in held:
+                held.append(endpoint)
+
+    def short(self, entry: Place, size: int) -> bool:
+        """Tell whether the entry's subset is smaller than the size."""
+        return len(self._taken[entry.name]) < size
+
     def subsets(self) -> Subsets:
         """Return the subsets as they stand."""
         return {entry: tuple(held) for entry, held in self._taken.items()}
--- a/src/lentilspool/membership/tests/test_membership.py
+++ b/src/lentilspool/membership/tests/test_membership.py
@@ -62,6 +62,7 @@
     def test_host_that_a_lagging_list_lacks_stays(self) -> None:
         view = _view('a', 'b')
         view.update_hosts(_hints('a'))
+        view.beat(1)
         assert _usable(view, 1) == ['a', 'b']
         assert set(view.subset('p')) == {'a', 'b'}
 
@@ -69,6 +70,7 @@
         view = _view('a', 'b')
         view.update_hosts(_hints('a', 'b', leaving=('a',)))
         assert _usable(view, 1) == ['b']
+        view.beat(1)
         assert view.subset('p') == ('b',)
 
     def test_spare_stands_in_for_a_silent_member(self) -> None:
@@ -133,6 +135,7 @@
         assert _usable(view, now) == ['a']
         assert view.cut_off
         view.update_hosts(_hints('a', 'b', 'c'))
+        view.beat(now)
         assert view.subset('p') == subset
         for name in ('b', 'c'):
             view.receive(_heartbeat(name, sequence=30), now)
