--- a/src/lentilspool/admission/__init__.py
+++ b/src/lentilspool/admission/__init__.py
@@ -30,6 +30,7 @@
 from lentilspool.admission._ledger_types import Issued as Issued
 from lentilspool.admission._ledger_types import LedgerLimits as LedgerLimits
 from lentilspool.admission._ledger_types import LedgerUsage as LedgerUsage
+from lentilspool.admission._ledger_types import LookAnswer as LookAnswer
 from lentilspool.admission._ledger_types import Refused as Refused
 from lentilspool.admission._ledger_types import StartAnswer as StartAnswer
 from lentilspool.admission._streams import Broken as Broken
--- a/src/lentilspool/admission/_ledger.py
+++ b/src/lentilspool/admission/_ledger.py
@@ -84,6 +84,20 @@
         entry.state = _State.queued
         return types.Admitted(token)
 
+    def look(
+        self, token: _tokens.AdmissionToken, now: float
+    ) -> types.LookAnswer:
+        """Tell how far a token's request has come; starts nothing."""
+        self._table.forget_expired(now)
+        if self._is_foreign(token):
+            return self._unknown(token, kernel.UnknownReason.incarnation_lost)
+        entry = self._table.find(token)
+        if entry is None:
+            return self._unknown(token, kernel.UnknownReason.token_expired)
+        if entry.state is _State.issued:
+            return types.Issued(entry.token)
+        return _answer_of(entry)
+
     def begin_call(self, token: _tokens.AdmissionToken, now: float) -> bool:
         """Mark that the call of the endpoint begins now.
 
--- a/src/lentilspool/daemons/_attempts.py
+++ b/src/lentilspool/daemons/_attempts.py
@@ -11,6 +11,7 @@
     _events,
     _flight,
     _link,
+    _published,
 )
 from lentilspool.daemons._log import LOG
 
@@ -37,10 +38,12 @@
     def __init__(
         self,
         directory: _directory.Directory,
+        published: _published.Published,
         times: limits.ServiceTimes,
         metrics: telemetry.Metrics,
     ) -> None:
         self._directory = directory
+        self._published = published
         self._times = times
         self._metrics = metrics
         self._table = admission.AttemptTable()
@@ -133,7 +136,12 @@
         return dataclasses.replace(
             outcome,
             cost_by_stage=(
-                kernel.StageCost(answer.stage, pool, answer.cost, 1),
+                kernel.StageCost(
+                    answer.stage,
+                    self._published.provider(pool),
+                    answer.cost,
+                    1,
+                ),
             ),
         )
 
--- a/src/lentilspool/daemons/_directory.py
+++ b/src/lentilspool/daemons/_directory.py
@@ -25,18 +25,19 @@
     """Keeps connections to sidecars and one ``PoolRouter`` for each pool.
 
     An endpoint may get work while its connection is usable, its sidecar has
-    sent a heartbeat on it, and has not said that it is leaving.
+    sent a heartbeat on it, and has not said that it is leaving. Messages
+    other than heartbeats go to the listener.
     """
 
     def __init__(
         self,
         identity: _identity.Identity,
         link_settings: settings.LinkSettings,
-        times: limits.ServiceTimes,
+        listener: _link.Listener,
         nursery: trio.Nursery,
     ) -> None:
         self._identity = identity
-        self._times = times
+        self._listener = listener
         self._rng = random.Random(identity.incarnation)
         self._targets = _targets.Targets(
             identity.hello(),
@@ -59,11 +60,6 @@
         self._document: config.Document | None = None
         self._routers: dict[str, pipeline.PoolRouter] = {}
 
-    @property
-    def entries(self) -> int:
-        """Number of entries in the host list, this one included."""
-        return self._entries
-
     @property
     def ready(self) -> bool:
         """Whether every pool has an endpoint that may get work."""
@@ -89,6 +85,10 @@
             self._want()
         return True
 
+    def name_at(self, target: _targets.Target) -> str | None:
+        """Return the sidecar that listens at an address and port."""
+        return self._names.get(target)
+
     def loads(self, pools: Iterable[str]) -> dict[str, limits.PoolLoad]:
         """Return the load of each known pool."""
         return {
@@ -153,14 +153,13 @@
 
     async def _heard(self, link: _link.Link, message: wire.Message) -> None:
         if not isinstance(message, wire.Heartbeat):
+            await self._listener(link, message)
             return
         now = trio.current_time()
         answer = self._members.receive(_identity.from_wire(message), now)
         if isinstance(answer, membership.Refused):
             return
         self._refresh()
-        if message.leaving:
-            await link.send(message)
         member = answer.member
         router = self._routers.get(member.pool)
         if router is not None:
--- a/src/lentilspool/daemons/_entry.py
+++ b/src/lentilspool/daemons/_entry.py
@@ -17,6 +17,7 @@
 from lentilspool.daemons import (
     _attempts,
     _call_server,
+    _collect,
     _configuration,
     _daemon,
     _directory,
@@ -26,11 +27,13 @@
     _identity,
     _link,
     _peers,
+    _published,
     _pulse,
     _runner,
     _sidecar,
     _stages,
     _status,
+    _submission,
     _unrepeatable,
 )
 
@@ -78,6 +81,7 @@
         self._nursery = nursery
         self._identity = identity
         self._metrics = telemetry.Metrics()
+        self._signer = _sidecar.signer_of(own.keys)
         self._times = limits.ServiceTimes()
         self._pulse = _pulse.Pulse(own.links.lease_s, nursery)
         self._hosts = _hosts.HostList(own.platform, nursery)
@@ -89,8 +93,9 @@
             nursery,
         )
         self._directory = _directory.Directory(
-            identity, own.links, self._times, nursery
+            identity, own.links, self._heard, nursery
         )
+        self._published = _published.Published()
         self._runner = self._make_runner()
 
     def application(self) -> kernel.Application:
@@ -99,11 +104,13 @@
         self._hosts.listen(self._peers.follow)
         self._hosts.listen(self._configuration.follow)
         self._hosts.listen(self._directory.follow)
+        self._configuration.listen(self._published.adopt)
         self._configuration.listen(self._directory.adopt)
         self._configuration.listen(self._runner.adopt)
         front = _front.Front(
-            self._configuration,
+            _submission.Gate(self._configuration, own.callers, self._signer),
             self._runner,
+            _collect.Collect(self._directory, self._signer),
             own.callers,
             self._metrics,
             _status.Status(
@@ -137,10 +144,13 @@
 
     def _make_runner(self) -> _runner.Runner:
         attempts = _attempts.Attempts(
-            self._directory, self._times, self._metrics
+            self._directory,
+            self._published,
+            self._times,
+            self._metrics,
         )
         unrepeatable = _unrepeatable.Unrepeatable(
-            self._directory, attempts, _sidecar.signer_of(self._own.keys)
+            self._directory, attempts, self._published, self._signer
         )
         stages = _stages.Stages(
             self._directory, attempts, self._times, unrepeatable, self._own.zone
--- a/src/lentilspool/daemons/_flight.py
+++ b/src/lentilspool/daemons/_flight.py
@@ -4,7 +4,15 @@
 
 import trio
 
-from lentilspool import admission, dialects, kernel, limits, pipeline, wire
+from lentilspool import (
+    admission,
+    config,
+    dialects,
+    kernel,
+    limits,
+    pipeline,
+    wire,
+)
 
 _MS = 1000
 
@@ -31,8 +39,8 @@
     token: str = ''
     """Admission token of the unrepeatable stage; empty before it is had."""
 
-    admitted: admission.AdmissionToken | None = None
-    """The token, verified."""
+    key: admission.IdempotencyKey | None = None
+    """Key of the caller for the unrepeatable stage, if it sent one."""
 
     touched: bool = False
     """Whether any attempt may have run."""
@@ -48,6 +56,14 @@
         """Seconds until the deadline."""
         return self.request.deadline - trio.current_time()
 
+    @property
+    def unrepeatable_stage(self) -> config.StageDocument | None:
+        """First stage that may not be repeated, if there is one."""
+        for stage in self.request.stages:
+            if not stage.repeatable:
+                return stage
+        return None
+
     def refused(self, refusal: kernel.NotRun) -> kernel.Outcome:
         """Return the outcome of a refusal at the current stage.
 
--- a/src/lentilspool/daemons/_link.py
+++ b/src/lentilspool/daemons/_link.py
@@ -148,9 +148,15 @@
             self.peer = message
         else:
             if isinstance(message, wire.Heartbeat):
-                self._silence_s = message.lease_ms / _MS * _SILENT_SHARE
+                await self._renewed(message)
             await self._listener(self, message)
 
+    async def _renewed(self, heartbeat: wire.Heartbeat) -> None:
+        """Allow silence for most of the lease; acknowledge a leaving peer."""
+        self._silence_s = heartbeat.lease_ms / _MS * _SILENT_SHARE
+        if heartbeat.leaving:
+            await self.send(heartbeat)
+
     async def _chunk(self, chunk: wire.StageChunk) -> None:
         pending = self._pending.get(chunk.call_id)
         if pending and pending.on_chunk:
--- a/src/lentilspool/daemons/_once.py
+++ b/src/lentilspool/daemons/_once.py
@@ -66,6 +66,8 @@
         """Issue a token for a request or for a caller's key."""
         self._pulse.check()
         now = trio.current_time()
+        if call.token:
+            return self._look(call, call.token, now)
         if call.idempotency_key:
             answer = self._issue_for_key(call, call.idempotency_key, now)
         else:
@@ -73,15 +75,7 @@
         if isinstance(answer, admission.Issued):
             token = self._signer.sign(answer.token)
             return wire.AdmitAnswer(call.call_id, 'issued', token, '', 0)
-        outcome = answer.outcome
-        if isinstance(outcome, kernel.NotRun):
-            retry_ms = int((outcome.retry_after_s or 0) * _MS)
-            return wire.AdmitAnswer(
-                call.call_id, 'refused', '', outcome.reason.value, retry_ms
-            )
-        return wire.AdmitAnswer(
-            call.call_id, 'unknown', outcome.token, outcome.reason.value, 0
-        )
+        return _admit_answer(call, answer.outcome)
 
     async def run(self, call: wire.StageCall) -> kernel.Outcome:
         """Run a call that carries a token, or wait for its only run."""
@@ -142,6 +136,22 @@
         self._pulse.check()
         return self._ledger.begin_call(token, trio.current_time())
 
+    def _look(
+        self, call: wire.AdmitCall, text: str, now: float
+    ) -> wire.AdmitAnswer:
+        token = self._signer.verify(text)
+        if isinstance(token, admission.TokenRefused):
+            return _admit_answer(call, token.outcome)
+        match self._ledger.look(token, now):
+            case admission.Issued():
+                return wire.AdmitAnswer(call.call_id, 'issued', text, '', 0)
+            case admission.Finished(outcome=outcome):
+                return _admit_answer(call, outcome)
+            case admission.Refused(outcome=refusal):
+                return _admit_answer(call, refusal)
+            case _:
+                return wire.AdmitAnswer(call.call_id, 'running', text, '', 0)
+
     def _issue_for_key(
         self, call: wire.AdmitCall, text: str, now: float
     ) -> admission.IssueAnswer:
@@ -158,6 +168,27 @@
             self._home.on_pause(time.time(), trio.current_time())
 
 
+def _admit_answer(
+    call: wire.AdmitCall, outcome: kernel.Outcome
+) -> wire.AdmitAnswer:
+    match outcome:
+        case kernel.Complete(answer=body):
+            return wire.AdmitAnswer(call.call_id, 'finished', '', '', 0, body)
+        case kernel.NotRun(reason=why, retry_after_s=retry_after_s):
+            retry_ms = int((retry_after_s or 0) * _MS)
+            return wire.AdmitAnswer(
+                call.call_id, 'refused', '', why.value, retry_ms
+            )
+        case kernel.Unknown(token=token, reason=unknown):
+            return wire.AdmitAnswer(
+                call.call_id, 'unknown', token, unknown.value, 0
+            )
+        case kernel.Failed(reason=reason):
+            return wire.AdmitAnswer(call.call_id, 'failed', '', reason, 0)
+        case _:
+            return wire.AdmitAnswer(call.call_id, 'unknown', '', '', 0)
+
+
 def _with_id(call: wire.StageCall, request_id: str) -> wire.StageCall:
     """Return the call under the name that all its sends share."""
     return dataclasses.replace(call, request_id=request_id)
--- a/src/lentilspool/daemons/_problem.py
+++ b/src/lentilspool/daemons/_problem.py
@@ -60,21 +60,21 @@
 
 def response_of(outcome: kernel.Outcome, request_id: str) -> Response:
     """Return the HTTP response of an outcome."""
-    plain = {'request_id': request_id, **describe(outcome)}
+    fields = {'request_id': request_id, **describe(outcome)}
     if isinstance(outcome, kernel.Complete):
-        plain['answer'] = json.loads(outcome.answer)
-        return _plain(_OK, plain)
+        fields['answer'] = json.loads(outcome.answer)
+        return plain(_OK, fields)
     if isinstance(outcome, kernel.Accepted):
-        return _plain(_ACCEPTED, plain)
+        return plain(_ACCEPTED, fields)
     status = _status(outcome)
-    title = plain['outcome']
+    title = fields['outcome']
     problem = {
         'type': f'{_TYPE}{_kebab(title)}',
         'title': title,
         'status': status,
-        **plain,
+        **fields,
     }
-    retry_after_s = plain.get('retry_after_s')
+    retry_after_s = fields.get('retry_after_s')
     headers = {}
     if retry_after_s is not None:
         headers['retry-after'] = str(math.ceil(retry_after_s))
@@ -94,8 +94,9 @@
     return Response(status, _PROBLEM, json.dumps(problem).encode())
 
 
-def _plain(status: int, plain: dict[str, Any]) -> Response:
-    return Response(status, _JSON, json.dumps(plain).encode())
+def plain(status: int, fields: dict[str, Any]) -> Response:
+    """Return a response with plain JSON types."""
+    return Response(status, _JSON, json.dumps(fields).encode())
 
 
 def _status(outcome: kernel.Outcome) -> int:
--- a/src/lentilspool/daemons/_runner.py
+++ b/src/lentilspool/daemons/_runner.py
@@ -1,30 +1,22 @@
 """Requests from admission to their final outcome."""
 
-import dataclasses
 from typing import Any, Final
 
 import trio
 
-from lentilspool import config, dialects, kernel, limits, pipeline
-from lentilspool.daemons import _attempts, _directory, _flight, _stages
+from lentilspool import config, kernel, limits, pipeline
+from lentilspool.daemons import (
+    _attempts,
+    _directory,
+    _flight,
+    _reply,
+    _stages,
+    _submission,
+)
 
 _POLL_S: Final = 0.02
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Admission:
-    """What a caller brings besides its request."""
-
-    token: str = ''
-    """Admission token, if the caller has one."""
-
-    emit: dialects.Emit | None = None
-    """Takes text as it is generated, if the caller wants it."""
-
-    restart: dialects.Emit | None = None
-    """Tells the caller that streamed text begins anew."""
-
-
 class Runner(kernel.BaseComponent):
     """Admits requests and runs their stages within the deadline."""
 
@@ -62,18 +54,23 @@
         )
         self._control = make(shares, policies.parameters)
 
+    async def issue(
+        self, submission: _submission.Submission
+    ) -> str | kernel.NotRun:
+        """Return an admission token for a request; nothing of it runs."""
+        flight = self._make_flight(submission)
+        with trio.move_on_at(flight.request.deadline):
+            return await self._stages.issue(flight)
+        return kernel.NotRun(kernel.NotRunReason.no_endpoint, 1)
+
     async def run(
-        self, request: pipeline.PipelineRequest, brought: Admission
+        self, submission: _submission.Submission, reply: _reply.Reply
     ) -> kernel.Outcome:
         """Run a request to its final outcome."""
-        flight = _flight.Flight(
-            request,
-            pipeline.Execution(request),
-            self._control,
-            emit=brought.emit,
-            restart=brought.restart,
-            token=brought.token,
-        )
+        request = submission.request
+        flight = self._make_flight(submission)
+        flight.emit = reply.emit
+        flight.restart = reply.restart
         refusal = self._admit(flight)
         if refusal is not None:
             return refusal
@@ -100,6 +97,17 @@
             'service_times': self._times.dump(),
         }
 
+    def _make_flight(
+        self, submission: _submission.Submission
+    ) -> _flight.Flight:
+        return _flight.Flight(
+            submission.request,
+            pipeline.Execution(submission.request),
+            self._control,
+            token=submission.token,
+            key=submission.key,
+        )
+
     def _admit(self, flight: _flight.Flight) -> kernel.NotRun | None:
         request = flight.request
         needs = tuple(
--- a/src/lentilspool/daemons/_stages.py
+++ b/src/lentilspool/daemons/_stages.py
@@ -55,6 +55,20 @@
             return kernel.Failed(stage, reason, execution.cost_by_stage)
         return None
 
+    async def issue(self, flight: _flight.Flight) -> str | kernel.NotRun:
+        """Return a token for the unrepeatable stage of a request."""
+        stage = flight.unrepeatable_stage
+        if stage is None:
+            return kernel.NotRun(
+                kernel.NotRunReason.invalid,
+                detail='every stage may be repeated: no token is needed',
+            )
+        router = self._directory.router(stage.pool)
+        if router is None:
+            return self._no_pool()
+        refusal = await self._unrepeatable.obtain(flight, router, stage.pool)
+        return refusal or flight.token
+
     async def _repeatable(
         self, flight: _flight.Flight, router: pipeline.PoolRouter
     ) -> kernel.Outcome:
--- /dev/null
+++ b/src/lentilspool/daemons/_submission.py
@@ -0,0 +1,120 @@
+"""Requests of callers, checked before anything of them runs."""
+
+import dataclasses
+import time
+import uuid
+from typing import Final
+
+import trio
+
+from lentilspool import admission, config, kernel, pipeline, settings
+from lentilspool.daemons import _asgi, _configuration, _problem
+
+TOKEN_HEADER: Final = 'lentilspool-token'
+_KEY_HEADER: Final = 'idempotency-key'
+_BAD_REQUEST: Final = 400
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Submission:
+    """A checked request, with what the caller brings for admission."""
+
+    request: pipeline.PipelineRequest
+    """The request."""
+
+    token: str = ''
+    """Admission token of an earlier send; empty if there is none."""
+
+    key: admission.IdempotencyKey | None = None
+    """Key of the caller, if it sent one."""
+
+
+class Gate:
+    """Reads and checks requests; a refusal is a response to send."""
+
+    def __init__(
+        self,
+        configuration: _configuration.Configuration,
+        limits: settings.CallerLimits,
+        signer: admission.TokenSigner,
+    ) -> None:
+        self._configuration = configuration
+        self._limits = limits
+        self._signer = signer
+
+    async def read(
+        self, name: str, scope: _asgi.Scope, receive: _asgi.Receive
+    ) -> Submission | _problem.Response:
+        """Return the request for a pipeline, or its refusal."""
+        body = await _asgi.read_body(
+            receive, self._limits.max_body_bytes, self._limits.body_timeout_s
+        )
+        if isinstance(body, _asgi.BodyRefused):
+            return _problem.invalid(body.status, body.detail)
+        document = self._configuration.document
+        if document is None or not self._configuration.ready:
+            not_ready = kernel.NotRun(kernel.NotRunReason.not_ready, 1)
+            return _problem.response_of(not_ready, '')
+        request = self._check(name, scope, body, document)
+        if isinstance(request, pipeline.Invalid):
+            return _problem.invalid(request.status, request.detail)
+        return self._with_proof(request, scope)
+
+    def _check(
+        self,
+        name: str,
+        scope: _asgi.Scope,
+        body: bytes,
+        document: config.Document,
+    ) -> pipeline.PipelineRequest | pipeline.Invalid:
+        template = pipeline.PipelineRequest(
+            request_id=uuid.uuid4().hex,
+            pipeline=name,
+            stages=(),
+            team='',
+            fields={},
+            deadline=0,
+            may_wait=False,
+            config_version=self._configuration.version,
+            traceparent=_asgi.header(scope, 'traceparent'),
+        )
+        now = trio.current_time()
+        return pipeline.check_request(body, template, document, now)
+
+    def _with_proof(
+        self, request: pipeline.PipelineRequest, scope: _asgi.Scope
+    ) -> Submission | _problem.Response:
+        """Check the token or the key that came with a request."""
+        token = _asgi.header(scope, TOKEN_HEADER)
+        key = _asgi.header(scope, _KEY_HEADER)
+        if not token and not key:
+            return Submission(request)
+        if request.repeatable or (token and key):
+            text = 'a token or a key is for one unrepeatable stage, not both'
+            return _problem.invalid(_BAD_REQUEST, text)
+        if token:
+            return self._with_token(request, token)
+        return self._with_key(request, key)
+
+    def _with_token(
+        self, request: pipeline.PipelineRequest, text: str
+    ) -> Submission | _problem.Response:
+        token = self._signer.verify(text)
+        if isinstance(token, admission.TokenRefused):
+            return _problem.response_of(token.outcome, request.request_id)
+        if token.content_digest != request.digest:
+            reason = 'the token was issued for another body'
+            return _problem.invalid(_BAD_REQUEST, reason)
+        return Submission(request, token=text)
+
+    def _with_key(
+        self, request: pipeline.PipelineRequest, text: str
+    ) -> Submission | _problem.Response:
+        key = admission.parse_key(request.team, text)
+        if key is None:
+            reason = 'Idempotency-Key must be a UUID of version 7'
+            return _problem.invalid(_BAD_REQUEST, reason)
+        expired = admission.check_age(key, admission.KeyRules(), time.time())
+        if expired is not None:
+            return _problem.response_of(expired, request.request_id)
+        return Submission(request, key=key)
--- a/src/lentilspool/daemons/_unrepeatable.py
+++ b/src/lentilspool/daemons/_unrepeatable.py
@@ -10,6 +10,8 @@
     _classify,
     _directory,
     _flight,
+    _link,
+    _published,
 )
 
 _POLL_S: Final = 0.05
@@ -29,34 +31,39 @@
         self,
         directory: _directory.Directory,
         attempts: _attempts.Attempts,
+        published: _published.Published,
         signer: admission.TokenSigner,
     ) -> None:
         self._directory = directory
         self._attempts = attempts
+        self._published = published
         self._signer = signer
 
     async def run(
         self, flight: _flight.Flight, router: pipeline.PoolRouter
     ) -> kernel.Outcome:
         """Run the current stage of a request at most once."""
-        if not flight.token:
-            refusal = await self.obtain(flight, router)
-            if refusal is not None:
-                return refusal
+        refusal: kernel.NotRun | kernel.Unknown | None = None
+        if flight.key is not None:
+            refusal = await self._obtain_for_key(flight, flight.key)
+        elif not flight.token:
+            refusal = await self.obtain(
+                flight, router, flight.execution.stage.pool
+            )
+        if refusal is not None:
+            return refusal
         verified = self._signer.verify(flight.token)
         if isinstance(verified, admission.TokenRefused):
             return verified.outcome
-        flight.admitted = verified
         return await self._send(flight, verified)
 
     async def obtain(
-        self, flight: _flight.Flight, router: pipeline.PoolRouter
+        self, flight: _flight.Flight, router: pipeline.PoolRouter, pool: str
     ) -> kernel.NotRun | None:
-        """Get a token for the current stage; return a refusal if none."""
+        """Get a token for a stage of the pool; return a refusal if none."""
         tried: set[str] = set()
         refusal = kernel.NotRun(kernel.NotRunReason.no_endpoint, 1)
         for _ in range(_MAX_ISSUE_TRIES):
-            pool = flight.execution.stage.pool
             decision = router.choose(
                 routing.RoutingRequest(pool=pool, excluded=frozenset(tried)),
                 trio.current_time(),
@@ -77,21 +84,42 @@
         link = self._directory.link(endpoint)
         if link is None:
             return kernel.NotRun(kernel.NotRunReason.not_ready, 1)
-        request = flight.request
-        answer = await link.call(
-            lambda call_id: wire.AdmitCall(
-                call_id,
-                request.request_id,
-                flight.execution.stage_input().digest,
-                request.config_version,
-                request.team,
-            )
-        )
-        if isinstance(answer, wire.AdmitAnswer):
-            if answer.state == 'issued':
-                return answer.token
-            return _classify.not_run(answer.reason, answer.retry_after_ms)
-        return kernel.NotRun(kernel.NotRunReason.not_ready, 1)
+        answer = await link.call(_admit_call(flight))
+        if not isinstance(answer, wire.AdmitAnswer):
+            return kernel.NotRun(kernel.NotRunReason.not_ready, 1)
+        if answer.state == 'issued':
+            return answer.token
+        return _classify.not_run(answer.reason, answer.retry_after_ms)
+
+    async def _obtain_for_key(
+        self, flight: _flight.Flight, key: admission.IdempotencyKey
+    ) -> kernel.NotRun | kernel.Unknown | None:
+        """Get the key's token from its home; no other sidecar may serve it."""
+        while True:
+            answer = await self._ask_home(flight, key)
+            if answer is None:
+                await trio.sleep(_POLL_S)
+            elif answer.state == 'issued':
+                flight.token = answer.token
+                return None
+            elif answer.state == 'refused':
+                return _classify.not_run(answer.reason, answer.retry_after_ms)
+            else:
+                return _classify.unknown(answer.reason, key.text)
+
+    async def _ask_home(
+        self, flight: _flight.Flight, key: admission.IdempotencyKey
+    ) -> wire.AdmitAnswer | None:
+        pool = flight.execution.stage.pool
+        target = self._published.home(pool, key)
+        home = self._directory.name_at(target) if target else None
+        if home is None or not self._directory.reach(home):
+            return None
+        link = self._directory.link(home)
+        if link is None:
+            return None
+        answer = await link.call(_admit_call(flight, key.text))
+        return answer if isinstance(answer, wire.AdmitAnswer) else None
 
     async def _send(
         self, flight: _flight.Flight, token: admission.AdmissionToken
@@ -124,6 +152,18 @@
         return kernel.UnknownReason.incarnation_lost
 
 
+def _admit_call(flight: _flight.Flight, key: str = '') -> _link.MakeCall:
+    request = flight.request
+    return lambda call_id: wire.AdmitCall(
+        call_id,
+        request.request_id,
+        request.digest,
+        request.config_version,
+        request.team,
+        idempotency_key=key or None,
+    )
+
+
 def _is_unsettled(outcome: kernel.Outcome) -> bool:
     """Tell whether the connection broke, so that the call is sent again."""
     match outcome:
--- a/src/lentilspool/pipeline/__init__.py
+++ b/src/lentilspool/pipeline/__init__.py
@@ -1,8 +1,8 @@
 """Pipelines: stages, deadlines, attempts and answers."""
 
+from lentilspool.pipeline._digest import digest_of as digest_of
 from lentilspool.pipeline._execution import Execution as Execution
 from lentilspool.pipeline._execution import StageInput as StageInput
-from lentilspool.pipeline._execution import digest_of as digest_of
 from lentilspool.pipeline._pool_router import AttemptEnd as AttemptEnd
 from lentilspool.pipeline._pool_router import LoadReport as LoadReport
 from lentilspool.pipeline._pool_router import PoolRouter as PoolRouter
--- a/src/lentilspool/pipeline/_execution.py
+++ b/src/lentilspool/pipeline/_execution.py
@@ -1,19 +1,11 @@
 """One request's way through the stages of its pipeline."""
 
 import dataclasses
-import hashlib
 import json
-from typing import Any, Final
+from typing import Any
 
 from lentilspool import config, kernel
-from lentilspool.pipeline import _request
-
-_DIGEST_BYTES: Final = 16
-
-
-def digest_of(body: bytes) -> str:
-    """Return the content digest of a stage's input, in hexadecimal."""
-    return hashlib.blake2b(body, digest_size=_DIGEST_BYTES).hexdigest()
+from lentilspool.pipeline import _digest, _request
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -69,7 +61,7 @@
     def stage_input(self) -> StageInput:
         """Return the input of the next stage."""
         body = json.dumps(self._fields, sort_keys=True).encode()
-        return StageInput(self.stage, body, digest_of(body))
+        return StageInput(self.stage, body, _digest.digest_of(body))
 
     def spend(self, provider: str, cost: float) -> None:
         """Add the spend of one attempt of the current stage."""
--- a/src/lentilspool/pipeline/_request.py
+++ b/src/lentilspool/pipeline/_request.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from lentilspool import config
+from lentilspool.pipeline import _digest
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -46,6 +47,9 @@
     config_version: int
     """Configuration version at admission."""
 
+    digest: str = ''
+    """Content digest of the caller's body."""
+
     traceparent: str = ''
     """W3C trace context of the caller; empty if it sent none."""
 
@@ -98,6 +102,7 @@
         stages=_stages(parsed, pipeline),
         team=parsed.team,
         fields=parsed.input,
+        digest=_digest.digest_of(body),
         deadline=now + (parsed.deadline_s or pipeline.deadline_s),
         may_wait=pipeline.may_wait and parsed.may_wait is True,
     )
--- a/src/standins/_endpoints.py
+++ b/src/standins/_endpoints.py
@@ -66,7 +66,7 @@
 class ServiceEndpoint:
     """Runs operations of a plain service and counts each execution.
 
-    ``GET /v1/executions`` returns the count for each request id, so that a
+    ``GET /v1/executions`` returns the count for each subject, so that a
     call that ran twice shows.
     """
 
@@ -83,10 +83,10 @@
             return
         fields = json.loads(await _faults.body_of(receive))
         request_id = _header(scope, b'x-request-id')
-        self.executions[request_id] += 1
+        subject = str(fields.get('subject', request_id))
+        self.executions[subject] += 1
         await trio.sleep(_SERVICE_S * scope.get('slow_factor', 1))
         operation = scope['path'].rsplit('/', 1)[-1]
-        subject = fields.get('subject', '')
         await _faults.reply(
             send,
             {
--- a/src/standins/_engine.py
+++ b/src/standins/_engine.py
@@ -72,7 +72,9 @@
 
     async def _complete(self, scope: Any, receive: Any, send: Any) -> None:
         call = json.loads(await _faults.body_of(receive))
-        words = call['prompt'].split()
+        prompt = call['prompt']
+        words = prompt.split()
+        spoken = _spoken(prompt)
         slow = scope.get('slow_factor', 1)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watch, receive, nursery.cancel_scope)
@@ -80,7 +82,7 @@
                 fresh = self._prefill(words)
                 await trio.sleep(_PREFILL_S_PER_TOKEN * fresh * slow)
                 await _start_stream(send)
-                await self._stream(call, words, slow, send)
+                await self._stream(call, spoken, slow, send)
             nursery.cancel_scope.cancel()
 
     async def _watch(self, receive: Any, scope: trio.CancelScope) -> None:
@@ -127,6 +129,12 @@
             self._cache.popitem(last=False)
 
 
+def _spoken(prompt: str) -> list[str]:
+    """Return the words to generate: the last line first, then the rest."""
+    *lines, last = prompt.splitlines() or ['']
+    return [*last.split(), *' '.join(lines).split()]
+
+
 async def _start_stream(send: Any) -> None:
     await send(
         {
--- a/src/standins/_platform.py
+++ b/src/standins/_platform.py
@@ -112,3 +112,24 @@
         now = trio.current_time()
         shown = [hosts for visible, hosts in self._versions if visible <= now]
         await _faults.reply(send, {'hosts': shown[-1] if shown else []})
+
+
+class Platform:
+    """Configuration service and host list at one port."""
+
+    def __init__(
+        self,
+        document: dict[str, Any],
+        hosts: list[dict[str, Any]],
+        lag_s: float = 0,
+    ) -> None:
+        self.configuration = ConfigurationService(document)
+        self.hosts = HostList(lag_s)
+        self.hosts.publish(hosts)
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Serve one call."""
+        if scope['type'] == 'http' and scope['path'].startswith('/v1/hosts'):
+            await self.hosts(scope, receive, send)
+        else:
+            await self.configuration(scope, receive, send)
