Prove delivery under failure over real sockets; mend what the proofs found

(1) When an endpoint died, the calls in flight there were given up: the retry budget held one retry. (2) A dead endpoint's sidecar refused fast and so drew work again and again. (3) 60 requests at 100/s were refused as team_limit while one of two sidecars stopped: service times were assumed 0.1 s until known. Ruled out: lost answers (the attempt table dropped none), late leaving notices. Change: the budget's reserve is the calls that one endpoint runs together; an unreachable endpoint is refused as not_ready, which is free to retry elsewhere and counts for ejection; the prior is 20 ms.

--- a/src/lentilspool/daemons/_answers.py
+++ b/src/lentilspool/daemons/_answers.py
@@ -17,20 +17,19 @@
     match answer:
         case kernel.NotRun():
             return answer
-        case dialects.Refused(reason=reason):
-            return kernel.NotRun(
-                kernel.NotRunReason.overloaded,
-                answer.retry_after_s,
-                detail=reason,
-            )
+        case dialects.Refused(reason=detail, unreachable=unreachable):
+            reason = kernel.NotRunReason.overloaded
+            if unreachable:
+                reason = kernel.NotRunReason.not_ready
+            return kernel.NotRun(reason, answer.retry_after_s, detail)
         case dialects.Answered(body=body, units=units):
             cost = kernel.StageCost(call.stage, '', units * price, 1)
             return kernel.Complete(body, (cost,))
-        case dialects.EndpointFailed(reason=reason, final=True):
-            return kernel.Failed(call.stage, reason)
-        case dialects.EndpointFailed(reason=reason):
+        case dialects.EndpointFailed(reason=detail, final=True):
+            return kernel.Failed(call.stage, detail)
+        case dialects.EndpointFailed(reason=detail):
             why = kernel.UnknownReason.endpoint_error
-            return kernel.Unknown(call.token or '', why, detail=reason)
+            return kernel.Unknown(call.token or '', why, detail=detail)
 
 
 def answer_of(
--- a/src/lentilspool/daemons/_attempts.py
+++ b/src/lentilspool/daemons/_attempts.py
@@ -80,15 +80,9 @@
             outcome = self._judge(flight, identity, answer)
         finally:
             now = trio.current_time()
-            refused = isinstance(outcome, kernel.NotRun)
-            end = pipeline.AttemptEnd(
-                plan.endpoint,
-                now - started,
-                isinstance(outcome, kernel.Complete),
-                refused,
-            )
+            end = _end(plan.endpoint, outcome, now - started)
             router.ended(end, now)
-            flight.touched = flight.touched or not refused
+            flight.touched = flight.touched or not end.refused
             self._report(flight, plan, outcome)
         return outcome
 
@@ -162,3 +156,17 @@
             endpoint=plan.endpoint,
             outcome=kind,
         )
+
+
+def _end(
+    endpoint: str, outcome: kernel.Outcome, latency_s: float
+) -> pipeline.AttemptEnd:
+    unready = kernel.NotRunReason.not_ready
+    refused = isinstance(outcome, kernel.NotRun)
+    return pipeline.AttemptEnd(
+        endpoint,
+        latency_s,
+        succeeded=isinstance(outcome, kernel.Complete),
+        refused=refused,
+        unreachable=getattr(outcome, 'reason', None) is unready,
+    )
--- a/src/lentilspool/daemons/_directory.py
+++ b/src/lentilspool/daemons/_directory.py
@@ -17,7 +17,7 @@
 )
 from lentilspool.daemons import _hosts, _identity, _link, _targets
 
-_PRIOR_S: Final = 0.1
+_PRIOR_S: Final = 0.02
 _BEAT_S: Final = 0.25
 
 
--- a/src/lentilspool/daemons/_stages.py
+++ b/src/lentilspool/daemons/_stages.py
@@ -13,7 +13,7 @@
     _unrepeatable,
 )
 
-PRIOR_S: Final = 0.1
+PRIOR_S: Final = 0.02
 _NO_POOL_RETRY_S: Final = 1.0
 
 
--- a/src/lentilspool/dialects/_engine.py
+++ b/src/lentilspool/dialects/_engine.py
@@ -31,7 +31,7 @@
             async with self._client.stream(_PATH, completion) as response:
                 return await _read(response, emit)
         except _http.NOT_SENT as error:
-            return _types.Refused(_http.describe(error))
+            return _types.Refused(_http.describe(error), unreachable=True)
         except _http.BROKEN as error:
             return _types.EndpointFailed(_http.describe(error), crashed=True)
         except (httpcore.TimeoutException, httpcore.ProtocolError) as error:
--- a/src/lentilspool/dialects/_http.py
+++ b/src/lentilspool/dialects/_http.py
@@ -52,7 +52,7 @@
             async with self.stream(path, call) as response:
                 return response.status, await response.aread()
         except NOT_SENT as error:
-            return _types.Refused(describe(error))
+            return _types.Refused(describe(error), unreachable=True)
         except BROKEN as error:
             return _types.EndpointFailed(describe(error), crashed=True)
         except (httpcore.TimeoutException, httpcore.ProtocolError) as error:
--- a/src/lentilspool/dialects/_types.py
+++ b/src/lentilspool/dialects/_types.py
@@ -58,6 +58,9 @@
     retry_after_s: float | None = None
     """Seconds after which a new call makes sense, if the endpoint said so."""
 
+    unreachable: bool = False
+    """Whether no connection to the endpoint could be opened."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EndpointFailed:
--- a/src/lentilspool/pipeline/_pool_router.py
+++ b/src/lentilspool/pipeline/_pool_router.py
@@ -36,7 +36,10 @@
     """Whether it brought an answer."""
 
     refused: bool = False
-    """Whether the sidecar refused it, which says nothing of its health."""
+    """Whether the sidecar refused it, which says nothing of the pool."""
+
+    unreachable: bool = False
+    """Whether the endpoint could not be reached at all."""
 
 
 class PoolRouter:
@@ -64,7 +67,9 @@
         self._table = routing.EndpointTable()
         self._ejection = retries.OutlierEjection()
         self._breaker = retries.PoolBreaker()
-        self._budget = retries.RetryBudget(share=retry_share)
+        self._budget = retries.RetryBudget(
+            share=retry_share, reserve=document.max_in_flight
+        )
         self._backoff = retries.Backoff()
         self._waits_s: dict[str, float] = {}
 
@@ -145,11 +150,8 @@
     def ended(self, end: AttemptEnd, now: float) -> None:
         """Take in the end of an attempt that was counted as started."""
         self._table.ended(end.endpoint)
-        if end.refused:
+        if end.refused and not end.unreachable:
             return
-        self._breaker.record(succeeded=end.succeeded, now=now)
-        if end.succeeded:
-            self._budget.succeeded(now)
         self._ejection.record(
             end.endpoint,
             succeeded=end.succeeded,
@@ -157,6 +159,11 @@
             now=now,
             rng=self._rng,
         )
+        if end.refused:
+            return
+        self._breaker.record(succeeded=end.succeeded, now=now)
+        if end.succeeded:
+            self._budget.succeeded(now)
 
     def after(self, attempt: retries.Attempt, now: float) -> retries.NextStep:
         """Decide what follows an attempt without an answer."""
--- a/src/lentilspool/retries/_budget.py
+++ b/src/lentilspool/retries/_budget.py
@@ -12,17 +12,22 @@
     """Bounds the retries and hedges of one pool at one entry.
 
     Call ``succeeded`` for each attempt that succeeds, and ``try_spend``
-    before each retry or hedge. The balance moves towards a reserve of one
-    retry within the window, so that unused retries expire and a pool
-    that has failed altogether gets none beyond the reserve.
+    before each retry or hedge. The balance moves towards a reserve within
+    the window, so that unused retries expire and a pool that has failed
+    altogether gets none beyond the reserve. A reserve of the calls that one
+    endpoint runs together lets all of them be tried again if it dies.
     """
 
     def __init__(
-        self, share: float = _SHARE, window_s: float = _WINDOW_S
+        self,
+        share: float = _SHARE,
+        window_s: float = _WINDOW_S,
+        reserve: float = _RESERVE,
     ) -> None:
         self._share = share
         self._window_s = window_s
-        self._balance = _RESERVE
+        self._reserve = reserve
+        self._balance = reserve
         self._settled_at = -math.inf
 
     @property
@@ -48,5 +53,5 @@
         if elapsed_s <= 0:
             return
         kept = math.exp(-elapsed_s / self._window_s)
-        self._balance = _RESERVE + (self._balance - _RESERVE) * kept
+        self._balance = self._reserve + (self._balance - self._reserve) * kept
         self._settled_at = now
--- a/src/standins/_engine.py
+++ b/src/standins/_engine.py
@@ -36,6 +36,7 @@
         self._state: dict[str, Any] = {}
         self.cancelled = 0
         self.prefilled_tokens = 0
+        self.generated_tokens = 0
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Serve one call."""
@@ -53,6 +54,11 @@
         else:
             await _faults.reply(send, self._load())
 
+    @property
+    def running(self) -> int:
+        """Completions that run now."""
+        return int(self._slots.borrowed_tokens)
+
     def _load(self) -> dict[str, Any]:
         return {
             'running': self._slots.borrowed_tokens,
@@ -103,6 +109,7 @@
                 'total_tokens': len(words) + position + 1,
             }
             await _send_event(send, json.dumps(event))
+            self.generated_tokens += 1
         await _send_event(send, '[DONE]')
         await send({'type': 'http.response.body', 'body': b''})
 
--- a/src/standins/_fleet.py
+++ b/src/standins/_fleet.py
@@ -9,7 +9,7 @@
 import trio
 
 from lentilspool import daemons, settings
-from standins import _endpoints, _engine, _faults, _platform
+from standins import _endpoints, _engine, _faults, _platform, _relay
 
 _ADDRESS: Final = '127.0.0.1'
 _KEY: Final = 'a key for demonstrations and tests only'
@@ -65,6 +65,8 @@
         self.pool = pool
         self.app = app
         self.port = free_port()
+        self.relay_port = free_port()
+        self.relay: _relay.Relay | None = None
         self.faults = _faults.Faulty(app, die=self.kill_endpoint)
         self.server: daemons.HttpServer | None = None
         self.sidecar: daemons.Daemon | None = None
@@ -125,6 +127,8 @@
         """Start an endpoint with its sidecar and list it."""
         place = Place(name, self._endpoint(pool), pool)
         place.server = await self._serve(place.faults)
+        place.relay = _relay.Relay((_ADDRESS, place.port), self._nursery)
+        await place.relay.start(place.relay_port)
         self.places[name] = place
         await self.start_sidecar(place, index)
         return place
@@ -147,7 +151,7 @@
             )
         )
         await self._nursery.start(place.sidecar.run)
-        self._list(place.name, place.port, index, 'sidecar', place.pool)
+        self._list(place.name, place.relay_port, index, 'sidecar', place.pool)
 
     async def add_entry(self, name: str, index: int = 0) -> None:
         """Start an entry and list it."""
