Add fenced orders, rollouts without a coordinator, and load slots

Rollout turns follow from facts that stay true (a member has finished), so stale views only wait longer.

--- /dev/null
+++ b/src/lentilspool/orders/_target.py
@@ -0,0 +1,14 @@
+"""State that a configuration asks of a pool's engines."""
+
+from lentilspool import config
+from lentilspool.orders import _types
+
+
+def target_of(pool: config.PoolDocument) -> _types.EngineState:
+    """Return the state that engines of the pool shall have."""
+    return _types.EngineState(
+        model=pool.model,
+        model_version=pool.model_version,
+        adapters=tuple(sorted(pool.adapters)),
+        role=pool.kind,
+    )
--- /dev/null
+++ b/src/lentilspool/orders/tests/test_queue.py
@@ -0,0 +1,214 @@
+import dataclasses
+import random
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from lentilspool import config, orders
+
+_OLD = orders.EngineState('m', '1')
+_NEW = orders.EngineState('m', '2')
+_LIMITS = orders.OrderLimits(answer_s=10, read_back_s=5, checked_read_back_s=30)
+
+
+def _queue(
+    fencing: config.FencingMode = 'checked', incarnation: int = 5
+) -> orders.OrderQueue:
+    return orders.OrderQueue(incarnation, fencing, _LIMITS)
+
+
+def _read(
+    queue: orders.OrderQueue,
+    state: orders.EngineState,
+    now: float,
+    held: orders.FencingNumber | None = None,
+) -> None:
+    step = queue.step(now)
+    assert isinstance(step, orders.ReadState)
+    queue.read_back(orders.Readback(step.number, state, held), now)
+
+
+def _sent(queue: orders.OrderQueue, now: float) -> orders.Order:
+    step = queue.step(now)
+    assert isinstance(step, orders.SendOrder)
+    return step.order
+
+
+class TestFencingNumber:
+    def test_order(self) -> None:
+        numbers = [
+            orders.FencingNumber(1, 9, 9),
+            orders.FencingNumber(2, 1, 9),
+            orders.FencingNumber(2, 2, 1),
+            orders.FencingNumber(2, 2, 2),
+        ]
+        assert sorted(reversed(numbers)) == numbers
+
+
+class TestOrderQueue:
+    def test_reads_before_it_sends(self) -> None:
+        queue = _queue()
+        queue.want(2, _NEW)
+        assert queue.need(0) is None
+        _read(queue, _OLD, 0)
+        assert queue.need(0) == orders.Need(loads=True)
+        order = _sent(queue, 0)
+        assert order == orders.Order(orders.FencingNumber(2, 5, 1), _NEW)
+        queue.answered(orders.Applied(order.fencing), 1)
+        assert queue.settled
+
+    def test_old_wish_is_dropped(self) -> None:
+        queue = _queue()
+        assert queue.want(3, _NEW)
+        assert not queue.want(2, _OLD)
+        _read(queue, _NEW, 0)
+        assert queue.settled
+
+    def test_nothing_is_sent_without_permission(self) -> None:
+        queue = _queue()
+        queue.want(2, _NEW)
+        _read(queue, _OLD, 0)
+        assert isinstance(queue.step(1, permitted=False), orders.Wait)
+        assert isinstance(queue.step(30, permitted=False), orders.ReadState)
+
+    def test_engine_that_ignores_numbers_is_read_again(self) -> None:
+        queue = _queue('ignored')
+        queue.want(2, _NEW)
+        _read(queue, _OLD, 0)
+        order = _sent(queue, 0)
+        queue.answered(orders.Applied(order.fencing), 1)
+        assert not queue.settled
+        _read(queue, _NEW, 1)
+        assert queue.settled
+        assert queue.step(2) == orders.Wait(6)
+        _read(queue, _OLD, 6)
+        assert _sent(queue, 6).fencing.sequence == 2
+
+    def test_lost_order_is_followed_by_a_read(self) -> None:
+        queue = _queue()
+        queue.want(2, _NEW)
+        _read(queue, _OLD, 0)
+        first = _sent(queue, 0)
+        assert queue.step(1) == orders.Wait(10)
+        _read(queue, _OLD, 10)
+        second = _sent(queue, 10)
+        assert second.fencing > first.fencing
+        queue.answered(orders.Applied(first.fencing), 11)
+        assert not queue.settled
+
+    @pytest.mark.parametrize(
+        ('held', 'superseded'),
+        [
+            (orders.FencingNumber(2, 6, 1), True),
+            (orders.FencingNumber(3, 4, 1), False),
+        ],
+    )
+    def test_refusal(
+        self, held: orders.FencingNumber, superseded: bool
+    ) -> None:
+        queue = _queue()
+        queue.want(2, _NEW)
+        _read(queue, _OLD, 0)
+        order = _sent(queue, 0)
+        queue.answered(orders.RefusedOld(order.fencing, held), 1)
+        assert queue.superseded == superseded
+        if not superseded:
+            _read(queue, _OLD, 1)
+            assert queue.need(1) is None
+            queue.want(3, _NEW)
+            assert queue.need(1) is not None
+
+    def test_new_sidecar_wins_although_its_clock_is_behind(self) -> None:
+        queue = _queue(incarnation=5)
+        queue.want(2, _NEW)
+        _read(queue, _OLD, 0, held=orders.FencingNumber(2, 8, 3))
+        assert _sent(queue, 0).fencing == orders.FencingNumber(2, 9, 1)
+
+    def test_failure_is_tried_again_later(self) -> None:
+        queue = _queue()
+        queue.want(2, _NEW)
+        _read(queue, _OLD, 0)
+        order = _sent(queue, 0)
+        queue.answered(orders.NotApplied(order.fencing, 'no weights'), 1)
+        _read(queue, _OLD, 1)
+        assert queue.need(5.9) is None
+        assert queue.need(6) is not None
+
+    def test_pause_forgets_what_was_seen(self) -> None:
+        queue = _queue()
+        queue.want(2, _NEW)
+        _read(queue, _OLD, 0)
+        queue.pause()
+        assert queue.need(0) is None
+        assert isinstance(queue.step(0), orders.ReadState)
+
+
+def _happens(rng: random.Random, percent: int) -> bool:
+    return rng.randrange(100) < percent
+
+
+class _Engine:
+    def __init__(self, checks: bool) -> None:
+        self.state = orders.EngineState()
+        self.held = orders.FencingNumber(0, 0, 0)
+        self.checks = checks
+
+    def take(self, order: orders.Order) -> orders.EngineAnswer:
+        if self.checks and order.fencing <= self.held:
+            return orders.RefusedOld(order.fencing, self.held)
+        self.held = order.fencing
+        self.state = order.target
+        return orders.Applied(order.fencing)
+
+
+class TestConvergence:
+    """Any loss, delay, doubling, pause and replacement, then quiet."""
+
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=150)
+    @hypothesis.given(
+        checks=strategies.booleans(), seed=strategies.integers(0, 10**6)
+    )
+    def test_engine_ends_in_the_newest_state(
+        self, checks: bool, seed: int
+    ) -> None:
+        rng = random.Random(seed)
+        engine = _Engine(checks)
+        mode: config.FencingMode = 'checked' if checks else 'ignored'
+        queue = _queue(mode, incarnation=1)
+        late: list[orders.Order] = []
+        version = 0
+        for now in range(0, 1000, 2):
+            troubled = now < 800
+            if troubled and _happens(rng, 5):
+                version += 1
+            if troubled and _happens(rng, 3):
+                queue = _queue(mode, incarnation=now + 2)
+            if troubled and _happens(rng, 3):
+                queue.pause()
+            if version:
+                queue.want(version, orders.EngineState('m', str(version)))
+            if late and (now > 800 or _happens(rng, 10)):
+                engine.take(late.pop(rng.randrange(len(late))))
+            step = queue.step(now)
+            lost = troubled and _happens(rng, 20)
+            if isinstance(step, orders.ReadState) and not lost:
+                held = engine.held if checks else None
+                queue.read_back(
+                    orders.Readback(step.number, engine.state, held), now
+                )
+            elif isinstance(step, orders.SendOrder):
+                late.append(step.order)
+                if not lost:
+                    queue.answered(engine.take(step.order), now)
+        assert queue.settled
+        assert engine.state.model_version == (str(version) if version else '')
+
+    def test_answers_of_other_numbers_change_nothing(self) -> None:
+        queue = _queue()
+        queue.want(2, _NEW)
+        _read(queue, _OLD, 0)
+        order = _sent(queue, 0)
+        other = dataclasses.replace(order.fencing, sequence=7)
+        queue.answered(orders.Applied(other), 1)
+        assert not queue.settled
--- /dev/null
+++ b/src/lentilspool/orders/tests/test_rollout.py
@@ -0,0 +1,191 @@
+import math
+import random
+
+import hypothesis
+from hypothesis import strategies
+
+from lentilspool import config, orders
+
+_LIMITS = orders.RolloutLimits(min_capacity_share=0.75, settle_s=11, fresh_s=5)
+_NAMES = tuple(f's{number}' for number in range(12))
+
+
+def _rollout(name: str = 's0') -> orders.Rollout:
+    rollout = orders.Rollout(name, _LIMITS)
+    rollout.set_pool(_NAMES)
+    rollout.want(2, 7, 0)
+    return rollout
+
+
+def _progress(
+    name: str, done: bool = False, busy: bool = False, version: int = 2
+) -> orders.Progress:
+    return orders.Progress(name, version, 7, done, busy)
+
+
+class TestTurn:
+    def test_budget_is_at_least_one(self) -> None:
+        cases = ((1, 1), (3, 1), (4, 1), (12, 3), (59, 14))
+        for count, expected in cases:
+            rollout = orders.Rollout('s0', _LIMITS)
+            rollout.set_pool(f's{number}' for number in range(count))
+            assert rollout.budget == expected
+
+    def test_nobody_starts_before_the_target_settled(self) -> None:
+        rollout = _rollout()
+        for name in _NAMES:
+            rollout.heard(_progress(name, done=True), 10)
+        assert not rollout.turn(10).allowed
+        assert rollout.turn(11).allowed
+
+    def test_silent_members_hold_it_up(self) -> None:
+        turn = _rollout().turn(20)
+        assert not turn.allowed
+        assert len(turn.waits_for) == 11
+
+    def test_only_the_first_few_start(self) -> None:
+        allowed = []
+        for own in _NAMES:
+            rollout = _rollout(own)
+            for name in _NAMES:
+                rollout.heard(_progress(name), 20)
+            allowed.append(rollout.turn(20).allowed)
+        assert sum(allowed) == 3
+
+    def test_done_for_an_older_version_does_not_count(self) -> None:
+        rollout = _rollout()
+        for name in _NAMES:
+            rollout.heard(_progress(name, done=True, version=1), 20)
+        before = len(rollout.turn(20).waits_for)
+        fresh = _rollout()
+        for name in _NAMES:
+            fresh.heard(_progress(name, done=True), 20)
+        assert len(fresh.turn(20).waits_for) == 0
+        assert before > 0
+
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=60)
+    @hypothesis.given(
+        seed=strategies.integers(0, 10**6), loss=strategies.integers(0, 90)
+    )
+    def test_capacity_holds_with_any_stale_views(
+        self, seed: int, loss: int
+    ) -> None:
+        """Messages are lost and old; facts of being done stay true."""
+        rng = random.Random(seed)
+        views = {name: _rollout(name) for name in _NAMES}
+        pool = _Pool()
+        for now in range(400):
+            pool.finish(now)
+            for progress in (*pool.told(), *pool.old(rng)):
+                heard = [one for one in _NAMES if rng.randrange(100) >= loss]
+                for name in heard:
+                    views[name].heard(progress, now)
+            for name, view in views.items():
+                if pool.idle(name) and view.turn(now).allowed:
+                    pool.busy[name] = now + rng.randrange(1, 20)
+            assert len(pool.busy) <= views['s0'].budget
+        if loss < 20:
+            assert len(pool.done) == len(_NAMES)
+
+
+class _Pool:
+    """What is true of the engines, and what was once told of them."""
+
+    def __init__(self) -> None:
+        self.done: set[str] = set()
+        self.busy: dict[str, float] = {}
+        self._told: list[orders.Progress] = []
+
+    def finish(self, now: float) -> None:
+        ended = {name for name, end in self.busy.items() if end <= now}
+        self.done |= ended
+        for name in ended:
+            self.busy.pop(name)
+
+    def idle(self, name: str) -> bool:
+        return name not in self.done and name not in self.busy
+
+    def told(self) -> list[orders.Progress]:
+        fresh = [
+            _progress(name, done=name in self.done, busy=name in self.busy)
+            for name in _NAMES
+        ]
+        self._told += fresh
+        return fresh
+
+    def old(self, rng: random.Random) -> list[orders.Progress]:
+        return rng.sample(self._told, 2)
+
+
+class TestLoadSchedule:
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=40)
+    @hypothesis.given(
+        count=strategies.integers(1, 40),
+        rate=strategies.floats(0.2, 5),
+        start=strategies.floats(0, 1e6),
+    )
+    def test_all_loads_together_keep_the_limit(
+        self, count: int, rate: float, start: float
+    ) -> None:
+        names = tuple(f's{number:02}' for number in range(count))
+        schedules = []
+        for name in names:
+            schedule = orders.LoadSchedule(
+                name, orders.StoreLimits(loads_per_s=rate, used_share=1)
+            )
+            schedule.set_fleet(names)
+            schedules.append(schedule)
+        slot_s = schedules[0].slot_s
+        taken = []
+        for tick in range(10 * count):
+            wall = start + tick * slot_s / 4
+            taken += [one for one in schedules if one.take(wall)]
+        span_s = 10 * count * slot_s / 4
+        assert len(taken) <= math.ceil(span_s * rate) + 1
+        assert len(taken) >= math.floor(span_s * rate) - 1
+
+    def test_next_slot(self) -> None:
+        schedule = orders.LoadSchedule(
+            'b', orders.StoreLimits(loads_per_s=1, used_share=1)
+        )
+        schedule.set_fleet(('a', 'b', 'c'))
+        assert not schedule.take(0.5)
+        assert schedule.take(1.5)
+        assert not schedule.take(1.6)
+        assert schedule.next_at(1.6) == 4
+        assert schedule.take(4)
+
+
+class TestEndpointOrders:
+    def test_load_waits_for_turn_and_slot(self) -> None:
+        schedule = orders.LoadSchedule(
+            's0', orders.StoreLimits(loads_per_s=1, used_share=1)
+        )
+        schedule.set_fleet(('s0', 's1'))
+        queue = orders.OrderQueue(1, 'ignored', orders.OrderLimits())
+        rollout = orders.Rollout('s0', _LIMITS)
+        endpoint = orders.EndpointOrders(queue, rollout, schedule)
+        pool = config.PoolDocument(kind='engine', model='m')
+        endpoint.want(3, pool, 0)
+        step = endpoint.step(0, 0)
+        assert isinstance(step, orders.ReadState)
+        queue.read_back(orders.Readback(step.number, orders.EngineState()), 0)
+        assert isinstance(endpoint.step(4, 4), orders.Wait)
+        step = endpoint.step(11, 11)
+        assert isinstance(step, orders.ReadState)
+        queue.read_back(orders.Readback(step.number, orders.EngineState()), 12)
+        assert isinstance(endpoint.step(13, 13), orders.Wait)
+        step = endpoint.step(14, 14)
+        assert isinstance(step, orders.SendOrder)
+        assert endpoint.busy
+        assert endpoint.progress('s0').busy
+        queue.answered(orders.Applied(step.order.fencing), 15)
+        step = endpoint.step(15, 15)
+        assert isinstance(step, orders.ReadState)
+        queue.read_back(
+            orders.Readback(step.number, orders.target_of(pool)), 15
+        )
+        endpoint.step(16, 16)
+        assert not endpoint.busy
+        assert endpoint.progress('s0').done
+        assert endpoint.dump(16)['settled']
