--- a/src/lentilspool/routing/_default.py
+++ b/src/lentilspool/routing/_default.py
@@ -1,6 +1,7 @@
 """The default routing policy: one score in seconds for each endpoint."""
 
 import random
+import zlib
 from collections.abc import Iterable, Sequence
 from typing import Final
 
@@ -8,13 +9,16 @@
 from lentilspool.routing import _eligibility, _types
 
 _SAMPLE: Final = 12
-_REPORT_TRUST_S: Final = 2.0
+_REPORT_TRUST: Final = 0.5
 _PREFILL_S_PER_TOKEN: Final = 0.0002
 _CROSS_ZONE_S: Final = 0.002
 _PRICE_S: Final = 0.05
 _ADAPTER_LOAD_S: Final = 1.0
 _MIN_WEIGHT: Final = 0.05
+_MIN_SERVICE_S: Final = 0.001
 _JITTER: Final = 0.05
+_HOME_SHARE: Final = 0.1
+_HASH_RANGE: Final = 4294967296.0
 
 
 @kernel.registry.register(kernel.PluginKind.routing_policy, 'default')
@@ -24,7 +28,8 @@
     The score of an endpoint is in seconds: waiting behind the work that
     it has, reading the part of the prompt that it has not cached, a
     penalty for another zone, for its price, and for an adapter that it
-    would have to load. Only a random sample of the endpoints is scored,
+    would have to load. Ties go to an endpoint on which all entries agree
+    by a hash of the prompt's beginning. Only a random sample of the endpoints is scored,
     and those that are predicted to hold the prompt's prefix.
     """
 
@@ -51,11 +56,24 @@
             sampled = _eligibility.eligible(request, candidates)
         if not sampled:
             return _eligibility.no_endpoint(request, candidates)
+        return self._lowest(request, sampled, now, rng)
+
+    def _lowest(
+        self,
+        request: _types.RoutingRequest,
+        sampled: Sequence[_types.Candidate],
+        now: float,
+        rng: random.Random,
+    ) -> _types.Choice:
         typical = sum(seen.reported_others for seen in sampled) / len(sampled)
+        # The load at an endpoint is a new one after a service time or so.
+        trust_s = _REPORT_TRUST * max(request.service_s, _MIN_SERVICE_S)
         best = sampled[0]
         best_s = float('inf')
         for candidate in sampled:
-            others = self._others(candidate, now, typical)
+            age_s = max(now - candidate.reported_at, 0)
+            trust = trust_s / (trust_s + age_s)
+            others = typical + trust * (candidate.reported_others - typical)
             jitter = 1 + _JITTER * rng.random()
             score_s = self._score_s(request, candidate, others, jitter)
             if score_s < best_s:
@@ -86,14 +104,6 @@
             seen for seen in drawn if _eligibility.is_eligible(request, seen)
         ]
 
-    def _others(
-        self, candidate: _types.Candidate, now: float, typical: float
-    ) -> float:
-        """Estimate other entries' work, nearer to typical with age."""
-        age_s = max(now - candidate.reported_at, 0)
-        trust = _REPORT_TRUST_S / (_REPORT_TRUST_S + age_s)
-        return typical + trust * (candidate.reported_others - typical)
-
     def _score_s(
         self,
         request: _types.RoutingRequest,
@@ -113,4 +123,12 @@
             score_s += _CROSS_ZONE_S
         if request.adapter and request.adapter not in candidate.adapters:
             score_s += _ADAPTER_LOAD_S
+        if request.prefix_key:
+            score_s += self._from_home_s(request, candidate.name)
         return score_s
+
+    def _from_home_s(self, request: _types.RoutingRequest, name: str) -> float:
+        """Break ties by rendezvous hash, so that entries agree on them."""
+        distance = zlib.crc32(name.encode(), request.prefix_key) / _HASH_RANGE
+        prefill_s = request.prompt_tokens * self._prefill_s_per_token
+        return _HOME_SHARE * prefill_s * distance
--- a/src/lentilspool/routing/_prefix_index.py
+++ b/src/lentilspool/routing/_prefix_index.py
@@ -11,6 +11,7 @@
 _ROUTED_LEASE_S: Final = 30.0
 _REPORTED_LEASE_S: Final = 120.0
 _GAP_LEASE_S: Final = 10.0
+_RESYNC_LEASE_S: Final = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -99,7 +100,11 @@
     def resynchronized(
         self, snapshot: _cache_events.CacheSnapshot, now: float
     ) -> None:
-        """Replace what is known of the endpoint, unless it is newer."""
+        """Replace what is known of the endpoint, unless it is newer.
+
+        Entries that the snapshot lacks stay for a short time, since the
+        prompts may have been sent after it was taken.
+        """
         held = self._streams.get(snapshot.endpoint)
         if (
             held is not None
@@ -107,7 +112,9 @@
             and held.sequence > snapshot.sequence
         ):
             return
-        self.dropped(snapshot.endpoint)
+        if held is not None and held.incarnation != snapshot.incarnation:
+            self.dropped(snapshot.endpoint)
+        self._shorten(snapshot.endpoint, now + _RESYNC_LEASE_S)
         self._streams[snapshot.endpoint] = _Stream(
             snapshot.incarnation, snapshot.sequence
         )
--- a/src/lentilspool/routing/_types.py
+++ b/src/lentilspool/routing/_types.py
@@ -73,6 +73,12 @@
     )
     """Predicted cached tokens of the prompt, by endpoint name."""
 
+    prefix_key: int = 0
+    """Hash of the beginning of the prompt; zero if it has none.
+
+    Entries that know of no cached prefix agree on an endpoint by it.
+    """
+
     slack_s: float = 5.0
     """Seconds that the deadline leaves beyond the expected service."""
 
