Add the spread of the configuration between processes

Cause: the service allows 2,000 reads a second and the fleet outgrows it; everything must hear of a patch within seconds, also under loss. Ruled out: a first state machine with uniform rules and no replay of old messages passed with the guards switched off, so it was made sharper. Change: Spread (digest, pull, push), readers by hash with takeover, readiness, upload budget; state machine over five processes.

--- a/src/lentilspool/config/__init__.py
+++ b/src/lentilspool/config/__init__.py
@@ -25,6 +25,14 @@
 from lentilspool.config._history import History as History
 from lentilspool.config._history import begin as begin
 from lentilspool.config._holder import Holder as Holder
+from lentilspool.config._messages import Action as Action
+from lentilspool.config._messages import ConfigDigest as ConfigDigest
+from lentilspool.config._messages import ConfigPull as ConfigPull
+from lentilspool.config._messages import ConfigPush as ConfigPush
+from lentilspool.config._messages import Message as Message
+from lentilspool.config._messages import ReadService as ReadService
+from lentilspool.config._messages import Send as Send
+from lentilspool.config._messages import WatchService as WatchService
 from lentilspool.config._offers import Adopted as Adopted
 from lentilspool.config._offers import Fault as Fault
 from lentilspool.config._offers import Ignored as Ignored
@@ -32,7 +40,10 @@
 from lentilspool.config._offers import Unchanged as Unchanged
 from lentilspool.config._problems import KnownNames as KnownNames
 from lentilspool.config._problems import Problem as Problem
+from lentilspool.config._spread import Spread as Spread
 from lentilspool.config._verdicts import EntryAccepted as EntryAccepted
 from lentilspool.config._verdicts import EntryRefused as EntryRefused
 from lentilspool.config._verdicts import RefusalReason as RefusalReason
 from lentilspool.config._verdicts import Verdict as Verdict
+from lentilspool.config._view import Member as Member
+from lentilspool.config._view import View as View
--- /dev/null
+++ b/src/lentilspool/config/tests/test_spread_machine.py
@@ -0,0 +1,163 @@
+"""Any interleaving of faults: versions never fall, verdicts are equal."""
+
+import os
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from lentilspool import config
+from lentilspool.config.tests import fleet, samples
+
+_SIZE = 5
+_NAMES = st.sampled_from([f'p{index}' for index in range(_SIZE)])
+_DEEP_SEED = int(os.environ.get('LENTILSPOOL_DEEP_SEED', '0'))
+
+
+class FleetMachine(stateful.RuleBasedStateMachine):
+    def __init__(self) -> None:
+        super().__init__()
+        self.fleet = fleet.Fleet(_SIZE, fleet.Service(samples.base()))
+        self.seen: dict[tuple[str, int], int] = {}
+        self.verdicts: dict[int, config.Verdict] = {}
+        self.digests: dict[int, str] = {}
+
+    @stateful.rule(
+        back=st.integers(0, 3),
+        team=st.sampled_from('ab'),
+        padding=st.sampled_from([0, 0, 9_000]),
+        stale=st.booleans(),
+    )
+    def publish(self, back: int, team: str, padding: int, stale: bool) -> None:
+        number = len(self.fleet.service.log) + 1
+        merge = {'teams': {team: {'share': number}}}
+        patch = config.Patch(
+            number, max(1, number - 1 - back), 'a' * padding, merge
+        )
+        self.fleet.service.publish(config.encode_patch(patch), stale)
+
+    @stateful.rule()
+    def publish_base(self) -> None:
+        number = len(self.fleet.service.log) + 1
+        self.fleet.service.publish(samples.base(number))
+
+    @stateful.rule(share=st.floats(0, 1), up=st.booleans())
+    def spoil_service(self, share: float, up: bool) -> None:
+        service = self.fleet.service
+        service.up = up
+        service.shown = 1 + int(share * (len(service.log) - 1))
+
+    @stateful.rule(
+        index=st.integers(0, 1000),
+        fate=st.sampled_from(['deliver', 'lose', 'replay', 'replay']),
+    )
+    def deliver_lose_or_replay(self, index: int, fate: str) -> None:
+        links = self.fleet
+        if fate == 'replay' and links.delivered:
+            links.replay(index % len(links.delivered))
+        elif fate == 'deliver' and links.parcels:
+            links.deliver(index % len(links.parcels))
+        elif fate == 'lose' and links.parcels:
+            links.parcels.pop(index % len(links.parcels))
+
+    @stateful.rule(seconds=st.sampled_from([0.25, 3, 40]))
+    def step(self, seconds: float) -> None:
+        self.fleet.step(seconds)
+
+    @stateful.rule(seconds=st.sampled_from([0.5, 3]))
+    def quiet(self, seconds: float) -> None:
+        self.fleet.quiet(seconds)
+
+    @stateful.rule(name=_NAMES, names=st.sets(_NAMES))
+    def pause_or_cut(self, name: str, names: set[str]) -> None:
+        if len(names) > 2:
+            self.fleet.cut = names
+        else:
+            self.fleet.paused ^= {name}
+
+    @stateful.rule(name=_NAMES)
+    def crash(self, name: str) -> None:
+        self.fleet.start(name)
+
+    @stateful.rule(name=_NAMES)
+    def restart_beside_reachable_peers(self, name: str) -> None:
+        links = self.fleet
+        links.parcels.clear()
+        links.start(name)
+        peers = {peer for peer in links.names if links.linked(peer, name)}
+        peers -= links.paused
+        best = max(links.holders[peer].number for peer in peers)
+        links.quiet(5)
+        if name in links.ready_at:
+            assert links.ready_at[name] >= best
+
+    @stateful.rule(silent=st.sets(_NAMES, max_size=3))
+    def silent_readers_are_replaced(self, silent: set[str]) -> None:
+        self._repair()
+        self.fleet.paused = silent
+        self.publish_base()
+        self.fleet.quiet(12)
+        head = len(self.fleet.service.log)
+        for name in set(self.fleet.names) - silent:
+            assert self.fleet.holders[name].number == head
+
+    @stateful.invariant()
+    def versions_never_fall(self) -> None:
+        for name, holder in self.fleet.holders.items():
+            key = (name, self.fleet.incarnations[name])
+            assert holder.number >= self.seen.get(key, 0)
+            self.seen[key] = holder.number
+
+    @stateful.invariant()
+    def verdicts_are_equal(self) -> None:
+        for holder in self.fleet.holders.values():
+            history = holder.history
+            for verdict in history.verdicts if history else ():
+                held = self.verdicts.setdefault(verdict.number, verdict)
+                assert held == verdict
+            if history:
+                number = history.state.number
+                digest = self.digests.setdefault(number, history.state.digest)
+                assert digest == history.state.digest
+
+    @stateful.invariant()
+    def serves_only_with_a_configuration(self) -> None:
+        for name, spread in self.fleet.spreads.items():
+            assert not spread.ready or self.fleet.holders[name].state
+
+    def teardown(self) -> None:
+        self._repair()
+        self.fleet.quiet(6)
+        head = len(self.fleet.service.log)
+        numbers = {held.number for held in self.fleet.holders.values()}
+        assert numbers == {head}
+        assert all(spread.ready for spread in self.fleet.spreads.values())
+        self.versions_never_fall()
+        self.verdicts_are_equal()
+
+    def _repair(self) -> None:
+        self.fleet.paused = set()
+        self.fleet.cut = set()
+        self.fleet.service.up = True
+        self.fleet.service.shown = len(self.fleet.service.log)
+
+
+TestFleet = FleetMachine.TestCase
+TestFleet.settings = hypothesis.settings(
+    derandomize=True,
+    deadline=None,
+    max_examples=30,
+    stateful_step_count=40,
+)
+
+
+class TestDeep:
+    def test_deep_interleavings(self) -> None:
+        if _DEEP_SEED:
+            machine = hypothesis.seed(_DEEP_SEED)(FleetMachine)
+            stateful.run_state_machine_as_test(
+                machine,
+                settings=hypothesis.settings(
+                    deadline=None, max_examples=300, stateful_step_count=60
+                ),
+            )
