--- a/features/steps/delivery_steps.py
+++ b/features/steps/delivery_steps.py
@@ -11,6 +11,7 @@
 DEPOSIT = {'team': 'brides', 'input': {'subject': 'venue-1'}}
 SLOW = {'slow': 100}
 POLL_S = 0.005
+SPACING_S = 0.03
 
 
 @given(
@@ -276,7 +277,7 @@
     async with trio.open_nursery() as nursery:
         for number in range(count):
             nursery.start_soon(_collect, fleet, 'entry-0', number, answers)
-            await trio.sleep(0.01)
+            await trio.sleep(SPACING_S)
             if number == count // 2:
                 action()
     return list(answers.values())
