--- a/src/lentilspool/membership/_lease_table.py
+++ b/src/lentilspool/membership/_lease_table.py
@@ -37,7 +37,8 @@
     Call ``renew`` with each heartbeat and ``sweep`` from a periodic task.
     Nothing in a row is trusted for longer than ``max_lease_s`` plus
     ``memory_s``: ``sweep`` shortens every end that lies further ahead, so
-    the table recovers by itself from any content.
+    the table recovers by itself from any content. A row that refuses its
+    sender's heartbeats ends after one lease of theirs.
     """
 
     def __init__(self, limits: LeaseLimits) -> None:
@@ -64,7 +65,9 @@
         """Grant or renew the lease of the heartbeat's sender."""
         held = self._rows.get(heartbeat.process)
         reason = _refusal(heartbeat, held)
+        lease_s = min(heartbeat.lease_ms / _MS_PER_S, self._limits.max_lease_s)
         if reason is not None:
+            self._shorten(heartbeat.process, now + lease_s)
             return _answers.Refused(heartbeat.process, reason)
         member = _merge(heartbeat, held, now)
         joined = held is None or _joins(held, member, now)
@@ -146,6 +149,15 @@
         self._rows = dict(rows)
         self._generation += 1
 
+    def _shorten(self, name: str, latest: float) -> None:
+        """End a row's lease in time unless its own sender renews it.
+
+        A row that refuses a heartbeat may be the wrong one of the two.
+        """
+        held = self._rows.get(name)
+        if held is not None and held.ends_at > latest:
+            self._rows[name] = dataclasses.replace(held, ends_at=latest)
+
     def _by_pool(self) -> dict[str, tuple[str, ...]]:
         pools: dict[str, tuple[str, ...]] = {}
         for name, lease in self._rows.items():
@@ -189,20 +201,12 @@
 def _merge(
     heartbeat: _member.Heartbeat, held: Lease | None, now: float
 ) -> _member.Member:
-    """Return the member that the heartbeat describes.
-
-    Within an incarnation, leaving is never taken back.
-    """
-    same = (
-        held is not None
-        and held.member.incarnation == heartbeat.incarnation
-        and held.member.leaving
-    )
+    """Return the member that the heartbeat describes."""
     if held is not None and heartbeat.compact:
         return dataclasses.replace(
             held.member,
             sequence=heartbeat.sequence,
-            leaving=heartbeat.leaving or same,
+            leaving=heartbeat.leaving,
             config=heartbeat.config,
             in_flight=heartbeat.in_flight,
             queued=heartbeat.queued,
@@ -220,7 +224,7 @@
         role=role,
         incarnation=heartbeat.incarnation,
         sequence=heartbeat.sequence,
-        leaving=heartbeat.leaving or same,
+        leaving=heartbeat.leaving,
         config=heartbeat.config,
         in_flight=heartbeat.in_flight,
         queued=heartbeat.queued,
