--- a/src/lentilspool/config/__init__.py
+++ b/src/lentilspool/config/__init__.py
@@ -25,6 +25,8 @@
 from lentilspool.config._history import History as History
 from lentilspool.config._history import begin as begin
 from lentilspool.config._holder import Holder as Holder
+from lentilspool.config._judge import Judged as Judged
+from lentilspool.config._judge import judge as judge
 from lentilspool.config._messages import Action as Action
 from lentilspool.config._messages import ConfigDigest as ConfigDigest
 from lentilspool.config._messages import ConfigPull as ConfigPull
--- a/src/lentilspool/config/_holder.py
+++ b/src/lentilspool/config/_holder.py
@@ -22,7 +22,12 @@
     (``offer``); read ``state``. The number held never falls.
     """
 
-    def __init__(self, known: _problems.KnownNames | None = None) -> None:
+    def __init__(
+        self,
+        known: _problems.KnownNames | None = None,
+        judge: _judge.Judge = _judge.judge,
+    ) -> None:
+        self._judge = judge
         self._known = known
         self._history: _history.History | None = None
         self._reports = _reports.Reports()
@@ -74,7 +79,7 @@
 
         ``digest`` is the peer's digest after the last of the entries.
         """
-        judged = _judge.judge(self._history, entries, digest, self._known)
+        judged = self._judge(self._history, entries, digest, self._known)
         self._history = judged.history
         self._reports.settle(judged.outcome, source)
         return judged.outcome
--- a/src/lentilspool/config/_judge.py
+++ b/src/lentilspool/config/_judge.py
@@ -1,6 +1,7 @@
 """Judgement of offered entries against the history that is held."""
 
 import dataclasses
+from collections.abc import Callable
 from typing import Final
 
 from lentilspool.config import (
@@ -25,6 +26,17 @@
     """The held history, or the one that continues it."""
 
 
+Judge = Callable[
+    [
+        _history.History | None,
+        tuple[bytes, ...],
+        str,
+        _problems.KnownNames | None,
+    ],
+    Judged,
+]
+
+
 def judge(
     held: _history.History | None,
     entries: tuple[bytes, ...],
@@ -61,12 +73,18 @@
     entries: tuple[bytes, ...],
     known: _problems.KnownNames | None,
 ) -> _history.History | None:
-    """Return the held history with the entries that are new."""
+    """Return the held history with the entries that are new.
+
+    Of two entries that were published under one number the first counts.
+    """
+    firsts: dict[int, bytes] = {}
+    for entry in entries:
+        firsts.setdefault(_entries.decode_entry(entry).number, entry)
     if held is None:
-        return _history.begin(entries, known) if entries else None
+        shown = tuple(firsts.values())
+        return _history.begin(shown, known) if shown else None
     fresh: list[bytes] = []
-    for raw in entries:
-        number = _entries.decode_entry(raw).number
+    for number, raw in firsts.items():
         if number > held.state.number:
             fresh.append(raw)
         elif not held.repeats(number, raw):
--- a/src/lentilspool/config/_reports.py
+++ b/src/lentilspool/config/_reports.py
@@ -29,9 +29,14 @@
         }
 
     def settle(self, outcome: _offers.OfferOutcome, source: str) -> None:
-        """Record the outcome of what a source offered."""
+        """Record the outcome of what a source offered.
+
+        A gap is no fault: messages may be lost and reordered.
+        """
         before = self._faults.pop(source, None)
         if isinstance(outcome, _offers.Ignored):
+            if outcome.fault is _offers.Fault.gap:
+                return
             self._faults[source] = outcome
             if len(self._faults) > _MAX_FAULTS:
                 self._faults.pop(next(iter(self._faults)))
--- a/src/lentilspool/config/_service.py
+++ b/src/lentilspool/config/_service.py
@@ -7,7 +7,7 @@
 
 _WAIT_S: Final = 30.0
 _CALL_SPACING_S: Final = 1.0
-_RETRY_S: Final = 2.0
+_RETRY_S: Final = 0.75
 _VERIFY_S: Final = 60.0
 _CALL_TIMEOUT_S: Final = 5.0
 
@@ -67,7 +67,7 @@
         self._open_until = now
         self._failures += 1
         self._verify_at = now
-        self._not_before = now + self._rng.uniform(_CALL_SPACING_S, _RETRY_S)
+        self._not_before = now + self._rng.uniform(_RETRY_S / 2, _RETRY_S)
 
     def delay(self, now: float, longest_s: float) -> None:
         """Make no call for a random part of ``longest_s`` seconds."""
--- a/src/lentilspool/config/_uploads.py
+++ b/src/lentilspool/config/_uploads.py
@@ -6,7 +6,7 @@
 
 _CHUNK_BYTES: Final = 16_000
 _BYTES_PER_S: Final = 2_000.0
-_BURST_BYTES: Final = 64_000.0
+_BURST_BYTES: Final = 128_000.0
 
 
 class Uploads:
--- a/src/lentilspool/config/tests/fleet.py
+++ b/src/lentilspool/config/tests/fleet.py
@@ -60,7 +60,6 @@
 
     def __init__(self, size: int, service: Service, seed: int = 1) -> None:
         self.service = service
-        self.names = [f'p{index}' for index in range(size)]
         self.now = 0.0
         self.parcels: list[Parcel] = []
         self.delivered: list[Parcel] = []
@@ -68,13 +67,18 @@
         self.paused: set[str] = set()
         self.cut: set[str] = set()
         self.watches: dict[str, tuple[int, float]] = {}
-        self.incarnations = dict.fromkeys(self.names, 0)
+        self.incarnations = {f'p{index}': 0 for index in range(size)}
         self.holders: dict[str, config.Holder] = {}
         self.spreads: dict[str, config.Spread] = {}
         self.rng = random.Random(seed)
         for name in self.names:
             self.start(name)
 
+    @property
+    def names(self) -> list[str]:
+        """Names of the processes."""
+        return list(self.incarnations)
+
     def start(self, name: str) -> None:
         """Start a process that holds nothing, or replace one by it."""
         member = config.Member(name, _zone(name))
--- a/src/lentilspool/config/tests/test_holder.py
+++ b/src/lentilspool/config/tests/test_holder.py
@@ -64,6 +64,12 @@
         assert _fault(outcome) is config.Fault.invalid
         assert holder.number == 3
 
+    def test_first_of_two_entries_under_one_number_counts(self) -> None:
+        early = _holder(*_LOG[:2])
+        early.offer_service((_LOG[1], _LOG[2], _OTHER))
+        late = _holder(*_LOG, _OTHER)
+        assert early.digest == late.digest == _holder(*_LOG).digest
+
     def test_ignores_bytes_that_are_no_entry(self) -> None:
         holder = _holder(*_LOG)
         deep = b'[' * 100_000
--- a/src/lentilspool/config/tests/test_spread_machine.py
+++ b/src/lentilspool/config/tests/test_spread_machine.py
@@ -88,8 +88,7 @@
         peers -= links.paused
         best = max(links.holders[peer].number for peer in peers)
         links.quiet(5)
-        if name in links.ready_at:
-            assert links.ready_at[name] >= best
+        assert links.ready_at.get(name, best) >= best
 
     @stateful.rule(silent=st.sets(_NAMES, max_size=3))
     def silent_readers_are_replaced(self, silent: set[str]) -> None:
@@ -105,7 +104,8 @@
     def versions_never_fall(self) -> None:
         for name, holder in self.fleet.holders.items():
             key = (name, self.fleet.incarnations[name])
-            assert holder.number >= self.seen.get(key, 0)
+            before = self.seen.setdefault(key, 0)
+            assert holder.number >= before
             self.seen[key] = holder.number
 
     @stateful.invariant()
--- /dev/null
+++ b/src/lentilspool/programs/_config_client.py
@@ -0,0 +1,104 @@
+"""Calls of ``lentilspool-config`` to the platform and to processes."""
+
+import dataclasses
+import json
+from typing import Any, Final
+
+import httpcore
+
+from lentilspool import config
+
+_TIMEOUT_S: Final = 5.0
+_OK: Final = 200
+_FAILURES: Final = (
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+    httpcore.UnsupportedProtocol,
+    json.JSONDecodeError,
+)
+
+
+class CallError(Exception):
+    """A call failed; the text tells which and why."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Process:
+    """One process of the host list."""
+
+    name: str
+    """Name of the process."""
+
+    dump_url: str
+    """URL of its state."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Held:
+    """What one process holds."""
+
+    version: int
+    """Version in force."""
+
+    digest: str
+    """Digest of the state in force."""
+
+
+class ConfigClient:
+    """Reads the configuration service, the host list and processes.
+
+    Every method raises ``CallError``. Close it after use.
+    """
+
+    def __init__(self, service_url: str) -> None:
+        self._url = service_url.rstrip('/')
+        self._pool = httpcore.ConnectionPool(max_keepalive_connections=1)
+
+    def close(self) -> None:
+        """Close the connections."""
+        self._pool.close()
+
+    def log(self) -> tuple[bytes, ...]:
+        """Return the published log, the base first."""
+        plain = self._call('GET', f'{self._url}/v1/config?after=0')
+        shown = [plain.get('base'), *plain.get('entries', ())]
+        return tuple(config.encode_entry(entry) for entry in shown if entry)
+
+    def publish(self, raw: bytes) -> None:
+        """Hand an entry to the operators' door of the platform."""
+        self._call('POST', f'{self._url}/v1/config/publish', raw)
+
+    def processes(self) -> tuple[Process, ...]:
+        """Return the processes of the host list that are not leaving."""
+        plain = self._call('GET', f'{self._url}/v1/hosts')
+        return tuple(
+            Process(host['name'], _dump_url(host))
+            for host in plain['hosts']
+            if host.get('state') != 'leaving'
+        )
+
+    def held(self, process: Process) -> Held:
+        """Return what a process holds."""
+        plain = self._call('GET', process.dump_url).get('configuration', {})
+        return Held(plain.get('version', 0), plain.get('digest', ''))
+
+    def _call(self, method: str, url: str, body: bytes = b'') -> Any:
+        timeouts = dict.fromkeys(('connect', 'read', 'write'), _TIMEOUT_S)
+        try:
+            response = self._pool.request(
+                method, url, content=body, extensions={'timeout': timeouts}
+            )
+        except _FAILURES as error:
+            reason = str(error) or type(error).__name__
+            raise CallError(f'{url}: {reason}') from None
+        if response.status != _OK:
+            raise CallError(f'{url}: status {response.status}')
+        try:
+            return json.loads(response.content)
+        except ValueError:
+            raise CallError(f'{url}: the answer is no JSON') from None
+
+
+def _dump_url(host: dict[str, Any]) -> str:
+    return f'http://{host["address"]}:{host["dump_port"]}/dump'
--- /dev/null
+++ b/src/lentilspool/programs/config.py
@@ -0,0 +1,118 @@
+"""``lentilspool-config``: patches against a numbered version."""
+
+import os
+import sys
+from collections.abc import Callable
+from typing import Any, Final
+
+from lentilspool import settings
+from lentilspool.programs import _command, _config_commands
+
+_NAME: Final = 'lentilspool-config'
+_SERVICE: Final = 'http://127.0.0.1:8500'
+_TIMEOUT_S: Final = 30.0
+
+
+def check(
+    patch: str,
+    service: str = _SERVICE,
+    against: int = 0,
+    author: str = '',
+) -> _config_commands.Check:
+    """Print the verdict that a patch would get; publish nothing.
+
+    Example: lentilspool-config check patch.jsonc --service http://10.0.0.1:80
+
+    Args:
+        patch: File with a JSON merge patch; comments are allowed.
+        service: URL of the platform's configuration service.
+        against: Version that the patch was made against; 0 for the newest.
+        author: Who submits it; the user's name if empty.
+    """
+    return _config_commands.Check(service, _draft(patch, against, author))
+
+
+def diff(
+    patch: str,
+    service: str = _SERVICE,
+    against: int = 0,
+    author: str = '',
+) -> _config_commands.Diff:
+    """Print the values that a patch would change.
+
+    Args:
+        patch: File with a JSON merge patch; comments are allowed.
+        service: URL of the platform's configuration service.
+        against: Version that the patch was made against; 0 for the newest.
+        author: Who submits it; the user's name if empty.
+    """
+    return _config_commands.Diff(service, _draft(patch, against, author))
+
+
+def submit(
+    patch: str,
+    service: str = _SERVICE,
+    against: int = 0,
+    author: str = '',
+) -> _config_commands.Submit:
+    """Publish a patch if it passes the check; print its verdict.
+
+    Args:
+        patch: File with a JSON merge patch; comments are allowed.
+        service: URL of the platform's configuration service.
+        against: Version that the patch was made against; 0 for the newest.
+        author: Who submits it; the user's name if empty.
+    """
+    return _config_commands.Submit(service, _draft(patch, against, author))
+
+
+def wait(
+    version: int, service: str = _SERVICE, timeout_s: float = _TIMEOUT_S
+) -> _config_commands.Wait:
+    """Wait until every listed process has a version in force.
+
+    Args:
+        version: The version; one that is higher is enough.
+        service: URL of the platform with the host list.
+        timeout_s: Seconds after which the processes that lag are listed.
+    """
+    wanted = _number('version', version, int)
+    limit_s = _number('timeout_s', timeout_s, float)
+    return _config_commands.Wait(service, wanted, limit_s)
+
+
+def history(service: str = _SERVICE) -> _config_commands.History:
+    """Print the verdict on each published entry since the base.
+
+    Args:
+        service: URL of the platform's configuration service.
+    """
+    return _config_commands.History(service)
+
+
+def main() -> None:
+    """Run the program."""
+    commands: dict[str, Callable[..., Any]] = {
+        'check': check,
+        'diff': diff,
+        'submit': submit,
+        'wait': wait,
+        'history': history,
+    }
+    sys.exit(_command.run(commands, _NAME))
+
+
+def _draft(patch: str, against: int, author: str) -> _config_commands.Draft:
+    merge = settings.load_file(str(patch), dict[str, Any])
+    version = _number('against', against, int)
+    signed = str(author) or os.environ.get('USER', 'unknown')
+    return _config_commands.Draft(merge, version, signed)
+
+
+def _number(flag: str, given: object, kind: type[Any]) -> Any:
+    allowed = (int, float) if kind is float else (int,)
+    if isinstance(given, bool) or not isinstance(given, allowed) or given < 0:
+        raise settings.SettingsError(
+            'arguments', f'--{flag}', f'"{given}" is no number from 0'
+        )
+    return kind(given)
