Add ConnectionHealth and the silent experiment; test the experiments

Ruled out: judging an endpoint by the silent connection itself. Change: ConnectionHealth (progress, probes, a fresh connection judges), bench silent, smoke tests of routing, slow and silent; the bound of slow counts what can wait for the end of the fault.

--- a/bench/slow.py
+++ b/bench/slow.py
@@ -4,8 +4,9 @@
 turn each pool, or one endpoint of it, gets ten times slower or answers
 with errors. All arms have the same endpoints, timeouts, cancels and queue
 bounds; they differ in what follows an attempt that failed. The bound
-knows the fault: it serves every request that arrives outside of it, and
-of those inside the share that the pool can still work off.
+knows the fault: it serves every request that arrives outside of it, of
+those inside the share that the pool can still work off, and all that
+arrive so late that they can wait for the end of the fault.
 """
 
 import collections
@@ -323,11 +324,12 @@
     load: float = 0.9,
     scope: str = 'pool',
     stages: int = 4,
+    baselines: bool = True,
 ) -> Iterator[dict[str, object]]:
     """Yield each arm for every stage and fault; scope pool or endpoint."""
     for stage in range(stages):
         for fault in _FAULTS:
-            for arm in _ARMS:
+            for arm in _ARMS if baselines else _ARMS[:1]:
                 one = _Run(arm, seed, endpoints, entries, load)
                 yield {
                     'arm': arm,
@@ -336,14 +338,18 @@
                     'fault': fault,
                     **one.figures(stage, fault, scope),
                 }
-            left = 0.1 / load if fault == 'slow' else 0.0
-            if scope == 'endpoint':
-                left = min((endpoints - 1) / endpoints / load, 1)
             yield {
                 'arm': 'bound',
                 'seed': seed,
                 'stage': _STAGES[stage],
                 'fault': fault,
                 'recovery_seconds': 0.0,
-                'attainment_during': round(left, 4),
+                'attainment_during': _bound(fault, scope, endpoints, load),
             }
+
+
+def _bound(fault: str, scope: str, endpoints: int, load: float) -> float:
+    hit = 1 / endpoints if scope == 'endpoint' else 1.0
+    works = 1 / _SLOWDOWN if fault == 'slow' else 0.0
+    left = (1 - hit + hit * works) / load + _DEADLINE_S / _FAULT_S
+    return round(min(left, 1), 4)
--- a/src/lentilspool/retries/__init__.py
+++ b/src/lentilspool/retries/__init__.py
@@ -5,6 +5,13 @@
 from lentilspool.retries._breaker import PoolBreaker as PoolBreaker
 from lentilspool.retries._breaker import Refused as Refused
 from lentilspool.retries._budget import RetryBudget as RetryBudget
+from lentilspool.retries._connections import (
+    ConnectionHealth as ConnectionHealth,
+)
+from lentilspool.retries._connections import OpenNew as OpenNew
+from lentilspool.retries._connections import Probe as Probe
+from lentilspool.retries._connections import Retired as Retired
+from lentilspool.retries._connections import Use as Use
 from lentilspool.retries._decision import after_attempt as after_attempt
 from lentilspool.retries._ejection import OutlierEjection as OutlierEjection
 from lentilspool.retries._ejection import Verdict as Verdict
