--- a/src/lentilspool/daemons/_asgi.py
+++ b/src/lentilspool/daemons/_asgi.py
@@ -22,12 +22,13 @@
     """A body that was not read whole."""
 
     status: int
-    """HTTP status that fits the reason; 0 if the caller went away."""
+    """HTTP status that fits the reason."""
 
     detail: str
     """Explanation for the caller."""
 
 
+_BAD_REQUEST: Final = 400
 _TIMEOUT: Final = 408
 _TOO_LARGE: Final = 413
 
@@ -42,7 +43,7 @@
         while True:
             message = await receive()
             if message['type'] == 'http.disconnect':
-                return BodyRefused(0, 'the caller went away')
+                return BodyRefused(_BAD_REQUEST, 'the body ended early')
             parts.append(message.get('body', b''))
             size += len(parts[-1])
             if size > max_bytes:
--- a/src/lentilspool/daemons/_entry.py
+++ b/src/lentilspool/daemons/_entry.py
@@ -1,7 +1,7 @@
 """The entry daemon."""
 
 from functools import partial
-from typing import Final
+from typing import Any, Final
 
 import trio
 
@@ -135,7 +135,11 @@
                 'requests': self._runner,
                 'server': server,
                 'http': _http_server.HttpServer(
-                    front, own.address, own.port, self._nursery
+                    front,
+                    own.address,
+                    own.port,
+                    self._nursery,
+                    _server_options(own.callers),
                 ),
                 'front': front,
             }
@@ -180,3 +184,13 @@
     async def _heard(self, link: _link.Link, message: wire.Message) -> None:
         if isinstance(message, _CONFIG_MESSAGES) and link.peer:
             await self._configuration.on_message(link.peer.process, message)
+
+
+def _server_options(callers: settings.CallerLimits) -> dict[str, Any]:
+    """Return the HTTP server's options for the limits towards callers."""
+    return {
+        'h11_max_incomplete_size': callers.max_header_bytes,
+        'h2_max_header_list_size': callers.max_header_bytes,
+        'keep_alive_timeout': callers.header_timeout_s,
+        'backlog': callers.max_connections,
+    }
--- a/src/standins/_fleet.py
+++ b/src/standins/_fleet.py
@@ -96,6 +96,7 @@
         self.hosts = _platform.HostList()
         self.places: dict[str, Place] = {}
         self.entries: dict[str, tuple[daemons.Daemon, int]] = {}
+        self.peer_ports: dict[str, int] = {}
         self._listed: dict[str, dict[str, Any]] = {}
         self._platform: settings.PlatformSettings | None = None
 
@@ -174,6 +175,7 @@
         )
         await self._nursery.start(daemon.run)
         self.entries[name] = (daemon, port)
+        self.peer_ports[name] = peer_port
         self._list(name, peer_port, index, 'entry', '')
 
     async def wait_ready(self) -> None:
