--- a/src/lentilspool/limits/_admission.py
+++ b/src/lentilspool/limits/_admission.py
@@ -1,34 +1,18 @@
 """Admission by predicted completion over all remaining stages."""
 
 import collections
-import dataclasses
 import types
 from collections.abc import Mapping
 from typing import Final
 
 from lentilspool import kernel
-from lentilspool.limits import _pool_state, _types
+from lentilspool.limits import _bookings, _pool_state, _types
 
 _EMPTY: Final[Mapping[str, float]] = types.MappingProxyType({})
-_LEAST_RETRY_S: Final = 0.1
 _register = kernel.registry.register
 _KIND: Final = kernel.PluginKind.admission_policy
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Booking:
-    """Remaining stages of an admitted request."""
-
-    request: _types.AdmissionRequest
-    """The request as admitted."""
-
-    remaining: tuple[_types.StageNeed, ...]
-    """Stages that have not ended."""
-
-    dues: tuple[_types.StageDue, ...]
-    """Due time of each remaining stage."""
-
-
 @_register(_KIND, 'default')
 class AdmissionControl:
     """Admits what every remaining stage can finish before the deadline.
@@ -47,10 +31,8 @@
         shares: Mapping[str, float] = _EMPTY,
         parameters: Mapping[str, float] = _EMPTY,
     ) -> None:
-        self._shares = shares
         self._tuning = _pool_state.Tuning.read(parameters)
-        self._pools: dict[str, _pool_state.PoolState] = {}
-        self._bookings: dict[str, _Booking] = {}
+        self._bookings = _bookings.Bookings(shares, self._tuning)
         self._counts: collections.Counter[str] = collections.Counter()
 
     def decide(
@@ -60,22 +42,18 @@
         now: float,
     ) -> _types.Admission:
         """Admit the request, let it wait, or refuse it."""
-        for need in request.needs:
-            pool = self._pool(need.pool, loads, now)
-            pool.offer(request.team, need.expected_s, now)
         dues = split_deadline(request.needs, request.deadline, now)
-        finish = self._finish(request.needs, dues, now)
-        refusal = self._refusal(request, dues, finish, now)
-        if refusal is None:
-            self._book(request, dues)
-            self._counts['admitted'] += 1
-            return _types.Admit(finish, dues)
-        retry_after_s = self._retry_after_s(request.needs)
-        if request.may_wait:
-            self._counts['waiting'] += 1
-            return _types.AdmitWaiting(retry_after_s)
-        self._counts[refusal.value] += 1
-        return kernel.NotRun(refusal, retry_after_s=retry_after_s)
+        favoured = self._offer(request, dues, loads, now)
+        finish = self._bookings.finish(request.needs, dues, now)
+        refusal = kernel.NotRunReason.team_limit
+        if favoured:
+            found = self._refusal(request, dues, finish, now)
+            if found is None:
+                self._bookings.add(request, dues)
+                self._counts['admitted'] += 1
+                return _types.Admit(finish, dues)
+            refusal = found
+        return self._refuse(request, refusal)
 
     def recheck(
         self,
@@ -89,111 +67,85 @@
         spent on the request is lost if it is dropped too early.
         """
         booking = self._bookings[request_id]
-        for later in booking.remaining:
-            self._pool(later.pool, loads, now)
-        least_s = sum(need.expected_s for need in booking.remaining)
+        needs = booking.remaining
+        self._report(needs, loads, now)
+        least_s = sum(need.expected_s for need in needs)
         if now + least_s <= booking.request.deadline:
-            finish = self._finish(booking.remaining, booking.dues, now)
+            finish = self._bookings.finish(needs, booking.dues, now)
             return _types.Admit(finish, booking.dues)
         self._counts['given_up'] += 1
-        retry_after_s = self._retry_after_s(booking.remaining)
-        return _types.GiveUp(booking.remaining[0].stage, retry_after_s)
+        retry_after_s = self._bookings.retry_after_s(needs)
+        return _types.GiveUp(needs[0].stage, retry_after_s)
 
     def stage_done(self, request_id: str, stage: str, now: float) -> None:
         """Release the work of a stage that has ended."""
-        booking = self._bookings.get(request_id)
-        if booking is None or booking.remaining[0].stage != stage:
-            return
-        self._release(booking.remaining[0], booking.dues[0])
-        if len(booking.remaining) == 1:
-            self._bookings.pop(request_id)
-            return
-        self._bookings[request_id] = dataclasses.replace(
-            booking, remaining=booking.remaining[1:], dues=booking.dues[1:]
-        )
+        self._bookings.end_stage(request_id, stage)
 
     def forget(self, request_id: str) -> None:
-        """Release what the request still holds; does nothing the 2nd time."""
-        booking = self._bookings.pop(request_id, None)
-        if booking is not None:
-            for need, due in zip(booking.remaining, booking.dues):
-                self._release(need, due)
+        """Release what the request still holds; harmless when repeated."""
+        self._bookings.remove(request_id)
 
     def dump(self, now: float) -> dict[str, object]:
         """Return the state as plain JSON types."""
         return {
             'admitted_in_hand': len(self._bookings),
             'counts': dict(sorted(self._counts.items())),
-            'pools': {
-                name: pool.dump(now)
-                for name, pool in sorted(self._pools.items())
-            },
+            'pools': self._bookings.dump(now),
         }
 
-    def _refusal(
+    def _offer(
         self,
         request: _types.AdmissionRequest,
         dues: tuple[_types.StageDue, ...],
-        finish: float,
+        loads: Mapping[str, _types.PoolLoad],
         now: float,
-    ) -> kernel.NotRunReason | None:
+    ) -> bool:
+        self._report(request.needs, loads, now)
+        favoured = True
         lead_s = 0.0
-        for need, due in zip(request.needs, dues):
-            pool = self._pools[need.pool]
-            if not pool.favours(request.team, need.expected_s, lead_s):
-                return kernel.NotRunReason.team_limit
-            if not pool.book.fits(need.expected_s, due.due, pool.slots, now):
-                return kernel.NotRunReason.overloaded
+        for need, split in zip(request.needs, dues):
+            pool = self._bookings.pool(need.pool, now)
+            favoured &= pool.offer(
+                request.team, need.expected_s, split.due, lead_s, now
+            )
             lead_s += need.expected_s
-        if finish + self._tuning.safety_s > request.deadline:
-            return kernel.NotRunReason.deadline
-        return None
+        return favoured
 
-    def _finish(
+    def _report(
         self,
         needs: tuple[_types.StageNeed, ...],
-        dues: tuple[_types.StageDue, ...],
-        now: float,
-    ) -> float:
-        lead_s = 0.0
-        spread_s = 0.0
-        for need, due in zip(needs, dues):
-            pool = self._pools[need.pool]
-            lead_s += pool.wait_s(due.due, lead_s) + need.expected_s
-            spread_s = max(spread_s, need.high_s - need.expected_s)
-        return now + lead_s + spread_s
-
-    def _pool(
-        self,
-        name: str,
         loads: Mapping[str, _types.PoolLoad],
         now: float,
-    ) -> _pool_state.PoolState:
-        pool = self._pools.get(name)
-        if pool is None:
-            pool = _pool_state.PoolState(self._shares, self._tuning, now)
-            self._pools[name] = pool
-        load = loads.get(name)
-        if load is not None:
-            pool.report(load)
-        return pool
-
-    def _book(
+    ) -> None:
+        for need in needs:
+            load = loads.get(need.pool)
+            if load is not None:
+                self._bookings.pool(need.pool, now).report(load)
+
+    def _refusal(
         self,
         request: _types.AdmissionRequest,
         dues: tuple[_types.StageDue, ...],
-    ) -> None:
-        booking = _Booking(request, request.needs, dues)
-        self._bookings[request.request_id] = booking
-        for need, due in zip(request.needs, dues):
-            self._pools[need.pool].book.add(need.expected_s, due.due)
-
-    def _release(self, need: _types.StageNeed, due: _types.StageDue) -> None:
-        self._pools[need.pool].book.release(need.expected_s, due.due)
+        finish: float,
+        now: float,
+    ) -> kernel.NotRunReason | None:
+        if finish + self._tuning.safety_s > request.deadline:
+            return kernel.NotRunReason.deadline
+        for need, split in zip(request.needs, dues):
+            pool = self._bookings.pool(need.pool, now)
+            if not pool.book.fits(need.expected_s, split.due, pool.slots, now):
+                return kernel.NotRunReason.overloaded
+        return None
 
-    def _retry_after_s(self, needs: tuple[_types.StageNeed, ...]) -> float:
-        longest_s = max(self._pools[need.pool].backlog_s for need in needs)
-        return max(_LEAST_RETRY_S, longest_s)
+    def _refuse(
+        self, request: _types.AdmissionRequest, reason: kernel.NotRunReason
+    ) -> _types.AdmitWaiting | kernel.NotRun:
+        retry_after_s = self._bookings.retry_after_s(request.needs)
+        if request.may_wait:
+            self._counts['waiting'] += 1
+            return _types.AdmitWaiting(retry_after_s)
+        self._counts[reason.value] += 1
+        return kernel.NotRun(reason, retry_after_s=retry_after_s)
 
 
 def split_deadline(
--- a/src/lentilspool/limits/_book.py
+++ b/src/lentilspool/limits/_book.py
@@ -44,9 +44,10 @@
 
     def ahead_s(self, due: float) -> float:
         """Return the work that is due at the given time or before."""
-        last = math.floor(due / _BUCKET_S)
         return sum(
-            work_s for bucket, work_s in self._buckets.items() if bucket <= last
+            work_s
+            for bucket, work_s in self._buckets.items()
+            if bucket * _BUCKET_S <= due
         )
 
     def wait_s(self, due: float, slots: float) -> float:
@@ -54,9 +55,10 @@
 
         Calls of their mean size fill the slots; the rest are in its way.
         """
-        last = math.floor(due / _BUCKET_S)
         calls = sum(
-            count for bucket, count in self._counts.items() if bucket <= last
+            count
+            for bucket, count in self._counts.items()
+            if bucket * _BUCKET_S <= due
         )
         if not calls or calls + 1 <= slots:
             return 0
--- /dev/null
+++ b/src/lentilspool/limits/_bookings.py
@@ -0,0 +1,113 @@
+"""Admitted requests of one entry, and their bookings at the pools."""
+
+import dataclasses
+from collections.abc import Mapping
+from typing import Final
+
+from lentilspool.limits import _pool_state, _types
+
+_LEAST_RETRY_S: Final = 0.1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Booking:
+    """Remaining stages of an admitted request."""
+
+    request: _types.AdmissionRequest
+    """The request as admitted."""
+
+    remaining: tuple[_types.StageNeed, ...]
+    """Stages that have not ended."""
+
+    dues: tuple[_types.StageDue, ...]
+    """Due time of each remaining stage."""
+
+
+class Bookings:
+    """Books every remaining stage of admitted requests at its pool."""
+
+    def __init__(
+        self, shares: Mapping[str, float], tuning: _pool_state.Tuning
+    ) -> None:
+        self._shares = shares
+        self._tuning = tuning
+        self._pools: dict[str, _pool_state.PoolState] = {}
+        self._bookings: dict[str, Booking] = {}
+
+    def __len__(self) -> int:
+        return len(self._bookings)
+
+    def __getitem__(self, request_id: str) -> Booking:
+        return self._bookings[request_id]
+
+    def pool(self, name: str, now: float) -> _pool_state.PoolState:
+        """Return the state of a pool, empty the first time."""
+        pool = self._pools.get(name)
+        if pool is None:
+            pool = _pool_state.PoolState(self._shares, self._tuning, now)
+            self._pools[name] = pool
+        return pool
+
+    def add(
+        self,
+        request: _types.AdmissionRequest,
+        dues: tuple[_types.StageDue, ...],
+    ) -> None:
+        """Book all stages of an admitted request."""
+        booking = Booking(request, request.needs, dues)
+        self._bookings[request.request_id] = booking
+        for need, due in zip(request.needs, dues):
+            self._pools[need.pool].book.add(need.expected_s, due.due)
+
+    def end_stage(self, request_id: str, stage: str) -> None:
+        """Release the work of the next stage, if it is this one."""
+        booking = self._bookings.get(request_id)
+        if booking is None or booking.remaining[0].stage != stage:
+            return
+        self._release(booking.remaining[0], booking.dues[0])
+        if len(booking.remaining) == 1:
+            self._bookings.pop(request_id)
+            return
+        self._bookings[request_id] = dataclasses.replace(
+            booking, remaining=booking.remaining[1:], dues=booking.dues[1:]
+        )
+
+    def remove(self, request_id: str) -> None:
+        """Release what a request still holds, if anything."""
+        booking = self._bookings.pop(request_id, None)
+        if booking is not None:
+            for need, due in zip(booking.remaining, booking.dues):
+                self._release(need, due)
+
+    def finish(
+        self,
+        needs: tuple[_types.StageNeed, ...],
+        dues: tuple[_types.StageDue, ...],
+        now: float,
+    ) -> float:
+        """Return when the stages are expected to have ended.
+
+        Waits and mean service times of all stages, and the spread of the
+        stage that varies most.
+        """
+        lead_s = 0.0
+        spread_s = 0.0
+        for need, due in zip(needs, dues):
+            pool = self._pools[need.pool]
+            lead_s += pool.wait_s(due.due, lead_s) + need.expected_s
+            spread_s = max(spread_s, need.high_s - need.expected_s)
+        return now + lead_s + spread_s
+
+    def retry_after_s(self, needs: tuple[_types.StageNeed, ...]) -> float:
+        """Return when the most loaded of the pools will have caught up."""
+        longest_s = max(self._pools[need.pool].backlog_s for need in needs)
+        return max(_LEAST_RETRY_S, longest_s)
+
+    def dump(self, now: float) -> dict[str, object]:
+        """Return the state of the pools as plain JSON types."""
+        return {
+            name: pool.dump(now) for name, pool in sorted(self._pools.items())
+        }
+
+    def _release(self, need: _types.StageNeed, due: _types.StageDue) -> None:
+        self._pools[need.pool].book.release(need.expected_s, due.due)
--- a/src/lentilspool/limits/_pool_state.py
+++ b/src/lentilspool/limits/_pool_state.py
@@ -1,6 +1,7 @@
 """What the admission policy of one entry knows of one pool."""
 
 import dataclasses
+import math
 from collections.abc import Mapping
 from typing import Final
 
@@ -8,6 +9,10 @@
 
 _REFRESH_S: Final = 0.25
 _LEAST_SLOTS: Final = 1e-3
+_GOLDEN: Final = 0.618034
+_SLACK_GAIN: Final = 0.02
+_MOST_ROOM: Final = 1.5
+_LEAST_ROOM: Final = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -20,14 +25,17 @@
     headroom: float = 1.0
     """Share of a pool's slots that admitted work may fill."""
 
+    depth: float = 0.3
+    """Backlog to keep under overload, as a share of the mean slack."""
+
     lend_s: float = 0.3
     """Backlog up to which work beyond a share is admitted, in seconds."""
 
     safety_s: float = 0.05
     """Margin before the deadline, in seconds."""
 
-    overload: float = 0.95
-    """Offered work, as a share of the slots, from which sizes matter."""
+    settle_s: float = 4.0
+    """Time in which the backlog is brought to its depth, in seconds."""
 
     @classmethod
     def read(cls, parameters: Mapping[str, float]) -> 'Tuning':
@@ -58,6 +66,8 @@
         self._refreshed = now
         self._slots = 1.0
         self._reported_s = 0.0
+        self._slack_s = 0.0
+        self._offers = 0
 
     @property
     def book(self) -> _book.WorkBook:
@@ -71,8 +81,9 @@
 
     @property
     def backlog_s(self) -> float:
-        """Time in which the known work is done, in seconds."""
-        return max(self._book.total_s / self._slots, self._reported_s)
+        """Wait of a call that is due after all known work, in seconds."""
+        booked_s = self._book.wait_s(math.inf, self._slots)
+        return max(booked_s, self._reported_s)
 
     def report(self, load: _types.PoolLoad) -> None:
         """Take the pool's latest load."""
@@ -80,20 +91,26 @@
         self._slots = max(part, _LEAST_SLOTS)
         self._reported_s = max(0, load.wait_s - load.age_s)
 
-    def offer(self, team: str, work_s: float, now: float) -> None:
-        """Record offered work, whether or not it will be admitted."""
-        self._offered.add(team, work_s, now)
+    def offer(
+        self, team: str, work_s: float, due: float, lead_s: float, now: float
+    ) -> bool:
+        """Record offered work; tell whether it may be admitted.
+
+        It may be if it is inside its team's share of an overloaded pool,
+        or if the backlog is low. ``lead_s`` is the time until the work
+        reaches the pool. Work of one size is spread over a bucket, so that
+        a cutoff can fall between two requests of the same size.
+        """
+        self._offers += 1
+        spread, _whole = math.modf(self._offers * _GOLDEN)
+        size_s = work_s * _offered.BUCKET_RATIO**spread
+        self._offered.add(team, size_s, now)
+        self._slack_s += (due - now - self._slack_s) * _SLACK_GAIN
         if now - self._refreshed >= _REFRESH_S:
             self._refreshed = now
-            room = self._slots * self._tuning.overload
+            room = self._room()
             self._cutoffs = self._offered.cutoffs(room, self._shares, now)
-
-    def favours(self, team: str, work_s: float, lead_s: float) -> bool:
-        """Tell whether the work is inside a share or may borrow.
-
-        ``lead_s`` is the time until the work reaches the pool.
-        """
-        if self._cutoffs.favours(team, work_s):
+        if self._cutoffs.favours(team, size_s):
             return True
         return self.backlog_s <= self._tuning.lend_s + lead_s
 
@@ -115,3 +132,9 @@
             },
             'cutoff_s': self._cutoffs.dump(),
         }
+
+    def _room(self) -> float:
+        """Return the slots to fill, more while the backlog is shallow."""
+        depth_s = self._slack_s * self._tuning.depth
+        lacking = (depth_s - self.backlog_s) / self._tuning.settle_s
+        return self._slots * max(_LEAST_ROOM, min(_MOST_ROOM, lacking + 1))
