--- a/src/lentilspool/admission/__init__.py
+++ b/src/lentilspool/admission/__init__.py
@@ -33,10 +33,25 @@
 from lentilspool.admission._ledger_types import LookAnswer as LookAnswer
 from lentilspool.admission._ledger_types import Refused as Refused
 from lentilspool.admission._ledger_types import StartAnswer as StartAnswer
+from lentilspool.admission._quarantine import Quarantine as Quarantine
 from lentilspool.admission._streams import Broken as Broken
 from lentilspool.admission._streams import Pieces as Pieces
 from lentilspool.admission._streams import StreamAssembler as StreamAssembler
 from lentilspool.admission._streams import StreamProblem as StreamProblem
+from lentilspool.admission._suspicions import Judgement as Judgement
+from lentilspool.admission._suspicions import Quarantined as Quarantined
+from lentilspool.admission._suspicions import (
+    QuarantineLimits as QuarantineLimits,
+)
+from lentilspool.admission._suspicions import RunAlone as RunAlone
+from lentilspool.admission._suspicions import RunFreely as RunFreely
+from lentilspool.admission._suspicions import Suspicion as Suspicion
+from lentilspool.admission._suspicions import (
+    decode_suspicion as decode_suspicion,
+)
+from lentilspool.admission._suspicions import (
+    encode_suspicion as encode_suspicion,
+)
 from lentilspool.admission._tokens import AdmissionToken as AdmissionToken
 from lentilspool.admission._tokens import TokenProblem as TokenProblem
 from lentilspool.admission._tokens import TokenRefused as TokenRefused
