--- a/bench/_config_fleet.py
+++ b/bench/_config_fleet.py
@@ -159,7 +159,7 @@
         self._schedule(name)
 
     def _send(self, name: str, peer: str, message: config.Message) -> None:
-        if self.links.push_only and not isinstance(message, config.ConfigPush):
+        if self.links.push_only and isinstance(message, config.ConfigPull):
             return
         here = self.zone_of[name]
         there = self.zone_of[peer]
@@ -170,10 +170,21 @@
         def deliver() -> None:
             now = self.queue.now
             self.links.count(now, peer, message)
-            self._act(peer, self.spreads[peer].on_message(now, name, message))
+            taken = self._taken(peer, message)
+            self._act(peer, self.spreads[peer].on_message(now, name, taken))
 
         self.queue.after(self.links.delay_s(here, there), deliver)
 
+    def _taken(self, peer: str, message: config.Message) -> config.Message:
+        """Return a message as the arm takes it.
+
+        With one push and no pull, a digest only shows that its sender lives.
+        """
+        if self.links.push_only and isinstance(message, config.ConfigDigest):
+            held = self.holders[peer]
+            return config.ConfigDigest(held.number, held.digest)
+        return message
+
     def _call(
         self, name: str, action: config.ReadService | config.WatchService
     ) -> None:
--- a/src/lentilspool/config/_history.py
+++ b/src/lentilspool/config/_history.py
@@ -73,6 +73,17 @@
         return history
 
 
+def firsts(entries: tuple[bytes, ...]) -> dict[int, bytes]:
+    """Return entries by number; of two under one number the first counts.
+
+    Raises ``EntryError``.
+    """
+    found: dict[int, bytes] = {}
+    for raw in entries:
+        found.setdefault(_entries.decode_entry(raw).number, raw)
+    return found
+
+
 def begin(
     entries: tuple[bytes, ...], known: _problems.KnownNames | None = None
 ) -> History:
@@ -80,10 +91,11 @@
 
     Raises ``EntryError``, ``GapError`` or ``InvalidBaseError``.
     """
-    base = _entries.decode_entry(entries[0])
+    raws = tuple(firsts(entries).values())
+    base = _entries.decode_entry(raws[0])
     if not isinstance(base, _entries.Base):
         raise GapError(f'entry {base.number} needs a base before it')
-    return _rebased(base, entries[0], known).extended(entries[1:])
+    return _rebased(base, raws[0], known).extended(raws[1:])
 
 
 def _extended_by_one(history: History, raw: bytes) -> History:
--- a/src/lentilspool/config/_judge.py
+++ b/src/lentilspool/config/_judge.py
@@ -73,18 +73,11 @@
     entries: tuple[bytes, ...],
     known: _problems.KnownNames | None,
 ) -> _history.History | None:
-    """Return the held history with the entries that are new.
-
-    Of two entries that were published under one number the first counts.
-    """
-    firsts: dict[int, bytes] = {}
-    for entry in entries:
-        firsts.setdefault(_entries.decode_entry(entry).number, entry)
+    """Return the held history with the entries that are new."""
     if held is None:
-        shown = tuple(firsts.values())
-        return _history.begin(shown, known) if shown else None
+        return _history.begin(entries, known) if entries else None
     fresh: list[bytes] = []
-    for number, raw in firsts.items():
+    for number, raw in _history.firsts(entries).items():
         if number > held.state.number:
             fresh.append(raw)
         elif not held.repeats(number, raw):
--- a/src/lentilspool/config/_readiness.py
+++ b/src/lentilspool/config/_readiness.py
@@ -12,7 +12,8 @@
 class Readiness:
     """Holds a process back until it is not below a peer that it can reach.
 
-    Begin with the peers to ask, and send a digest to each of ``probes``.
+    Begin with the peers to ask, and send a digest to each of ``probes``; a
+    pull where it ``insists``, because equals answer no digest.
     The process is ready when it holds a configuration, no answer is above
     it, and every peer has answered or the wait is over. Once it is ready it
     stays so until the next ``begin``.
@@ -23,6 +24,7 @@
         self._claims: dict[str, tuple[int, float]] = {}
         self._wait_until: float | None = None
         self._probe_at = 0.0
+        self._rounds = 0
         self._ready = False
 
     @property
@@ -30,6 +32,11 @@
         """Whether the process may serve."""
         return self._ready
 
+    @property
+    def insists(self) -> bool:
+        """Whether the peers that are left have been asked before."""
+        return self._rounds > 1
+
     @property
     def due(self) -> float:
         """Time of the next probe; infinite for a ready process."""
@@ -42,6 +49,7 @@
         self._claims = {}
         self._wait_until = now + _PROBE_WAIT_S
         self._probe_at = now
+        self._rounds = 0
         self._ready = False
 
     def probes(self, now: float) -> tuple[str, ...]:
@@ -49,6 +57,7 @@
         if self._ready or self._wait_until is None or now < self._probe_at:
             return ()
         self._probe_at = now + _PROBE_SPACING_S
+        self._rounds += 1
         return tuple(sorted(self._open))
 
     def heard(self, now: float, peer: str, number: int) -> None:
--- a/src/lentilspool/config/_spread.py
+++ b/src/lentilspool/config/_spread.py
@@ -80,10 +80,11 @@
     def tick(self, now: float) -> _Actions:
         """Return what is due."""
         self._note_pause(now)
-        actions: _Actions = [
-            _messages.Send(peer, self._exchange.digest)
-            for peer in self._digest_peers(now)
-        ]
+        digest = self._exchange.digest
+        actions = self._probes(now, digest)
+        actions.extend(
+            _messages.Send(peer, digest) for peer in self._digest_peers(now)
+        )
         actions.extend(self._exchange.retry(now))
         actions.extend(self._reading.next_call(now, self._holder.number))
         self._readiness.update(now, self._holder.number)
@@ -133,16 +134,22 @@
             'watched_by': list(self._reading.successors),
         }
 
+    def _probes(self, now: float, held: _messages.ConfigDigest) -> _Actions:
+        peers = self._readiness.probes(now)
+        message: _messages.Message = held
+        if self._readiness.insists and held.number:
+            message = _messages.ConfigPull(held.number, held.digest)
+        return [_messages.Send(peer, message) for peer in peers]
+
     def _digest_peers(self, now: float) -> tuple[str, ...]:
-        probed = self._readiness.probes(now)
         if now < self._digest_at:
-            return probed
+            return ()
         spread_s = _DIGEST_PERIOD_S * _JITTER
         period_s = _DIGEST_PERIOD_S + self._rng.uniform(-spread_s, spread_s)
         self._digest_at = now + period_s
         self._reading.choose(now)
         sampled = (self._rng.choice(self._peers),) if self._peers else ()
-        return (*probed, *self._reading.successors, *sampled)
+        return (*self._reading.successors, *sampled)
 
     def _note_pause(self, now: float) -> None:
         gap_s = now - self._ticked_at
--- a/src/lentilspool/programs/_config_client.py
+++ b/src/lentilspool/programs/_config_client.py
@@ -23,6 +23,17 @@
     """A call failed; the text tells which and why."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Platform:
+    """Where the platform listens."""
+
+    service_url: str
+    """URL of the configuration service."""
+
+    hosts_url: str
+    """URL of the host list."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Process:
     """One process of the host list."""
@@ -51,8 +62,9 @@
     Every method raises ``CallError``. Close it after use.
     """
 
-    def __init__(self, service_url: str) -> None:
-        self._url = service_url.rstrip('/')
+    def __init__(self, platform: Platform) -> None:
+        self._service = platform.service_url.rstrip('/')
+        self._hosts = platform.hosts_url.rstrip('/')
         self._pool = httpcore.ConnectionPool(max_keepalive_connections=1)
 
     def close(self) -> None:
@@ -61,17 +73,17 @@
 
     def log(self) -> tuple[bytes, ...]:
         """Return the published log, the base first."""
-        plain = self._call('GET', f'{self._url}/v1/config?after=0')
+        plain = self._call('GET', f'{self._service}/v1/config?after=0')
         shown = [plain.get('base'), *plain.get('entries', ())]
         return tuple(config.encode_entry(entry) for entry in shown if entry)
 
     def publish(self, raw: bytes) -> None:
         """Hand an entry to the operators' door of the platform."""
-        self._call('POST', f'{self._url}/v1/config/publish', raw)
+        self._call('POST', f'{self._service}/v1/config/publish', raw)
 
     def processes(self) -> tuple[Process, ...]:
         """Return the processes of the host list that are not leaving."""
-        plain = self._call('GET', f'{self._url}/v1/hosts')
+        plain = self._call('GET', f'{self._hosts}/v1/hosts')
         return tuple(
             Process(host['name'], _dump_url(host))
             for host in plain['hosts']
--- a/src/lentilspool/programs/_config_commands.py
+++ b/src/lentilspool/programs/_config_commands.py
@@ -30,11 +30,11 @@
 class _Service:
     """Base of commands that read the service; failures give one line."""
 
-    url: str
+    platform: _config_client.Platform
 
     def run(self) -> int:
         """Run the command; return the exit status."""
-        client = _config_client.ConfigClient(self.url)
+        client = _config_client.ConfigClient(self.platform)
         try:
             return self._run(client)
         except (_config_client.CallError, ValueError) as error:
@@ -51,8 +51,8 @@
 class Check(_Service):
     """Folds a patch locally and prints the verdict it would get."""
 
-    url: str
-    """URL of the platform."""
+    platform: _config_client.Platform
+    """Where the platform listens."""
 
     draft: Draft
     """The patch."""
@@ -75,8 +75,8 @@
 class Diff(_Service):
     """Prints the values that a patch would change."""
 
-    url: str
-    """URL of the platform."""
+    platform: _config_client.Platform
+    """Where the platform listens."""
 
     draft: Draft
     """The patch."""
@@ -97,8 +97,8 @@
 class Submit(_Service):
     """Publishes a patch that passes the check, and reads back its verdict."""
 
-    url: str
-    """URL of the platform."""
+    platform: _config_client.Platform
+    """Where the platform listens."""
 
     draft: Draft
     """The patch."""
@@ -131,8 +131,8 @@
 class History(_Service):
     """Prints the verdict on each published entry."""
 
-    url: str
-    """URL of the platform."""
+    platform: _config_client.Platform
+    """Where the platform listens."""
 
     def _run(self, client: _config_client.ConfigClient) -> int:
         for verdict in config.begin(client.log()).verdicts:
@@ -144,8 +144,8 @@
 class Wait(_Service):
     """Polls processes until each has a version in force."""
 
-    url: str
-    """URL of the platform."""
+    platform: _config_client.Platform
+    """Where the platform listens."""
 
     version: int
     """The version to wait for."""
--- a/src/lentilspool/programs/config.py
+++ b/src/lentilspool/programs/config.py
@@ -2,11 +2,11 @@
 
 import os
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any, Final
 
 from lentilspool import settings
-from lentilspool.programs import _command, _config_commands
+from lentilspool.programs import _command, _config_client, _config_commands
 
 _NAME: Final = 'lentilspool-config'
 _SERVICE: Final = 'http://127.0.0.1:8500'
@@ -16,6 +16,7 @@
 def check(
     patch: str,
     service: str = _SERVICE,
+    hosts: str = '',
     against: int = 0,
     author: str = '',
 ) -> _config_commands.Check:
@@ -26,10 +27,12 @@
     Args:
         patch: File with a JSON merge patch; comments are allowed.
         service: URL of the platform's configuration service.
+        hosts: URL of the platform's host list; as service if empty.
         against: Version that the patch was made against; 0 for the newest.
         author: Who submits it; the user's name if empty.
     """
-    return _config_commands.Check(service, _draft(patch, against, author))
+    draft = _draft(patch, against, author)
+    return _config_commands.Check(_platform(service, hosts), draft)
 
 
 def diff(
@@ -46,7 +49,8 @@
         against: Version that the patch was made against; 0 for the newest.
         author: Who submits it; the user's name if empty.
     """
-    return _config_commands.Diff(service, _draft(patch, against, author))
+    draft = _draft(patch, against, author)
+    return _config_commands.Diff(_platform(service), draft)
 
 
 def submit(
@@ -63,22 +67,23 @@
         against: Version that the patch was made against; 0 for the newest.
         author: Who submits it; the user's name if empty.
     """
-    return _config_commands.Submit(service, _draft(patch, against, author))
+    draft = _draft(patch, against, author)
+    return _config_commands.Submit(_platform(service), draft)
 
 
 def wait(
-    version: int, service: str = _SERVICE, timeout_s: float = _TIMEOUT_S
+    version: int, hosts: str = _SERVICE, timeout_s: float = _TIMEOUT_S
 ) -> _config_commands.Wait:
     """Wait until every listed process has a version in force.
 
     Args:
         version: The version; one that is higher is enough.
-        service: URL of the platform with the host list.
+        hosts: URL of the platform's host list.
         timeout_s: Seconds after which the processes that lag are listed.
     """
     wanted = _number('version', version, int)
     limit_s = _number('timeout_s', timeout_s, float)
-    return _config_commands.Wait(service, wanted, limit_s)
+    return _config_commands.Wait(_platform(hosts), wanted, limit_s)
 
 
 def history(service: str = _SERVICE) -> _config_commands.History:
@@ -87,11 +92,11 @@
     Args:
         service: URL of the platform's configuration service.
     """
-    return _config_commands.History(service)
+    return _config_commands.History(_platform(service))
 
 
-def main() -> None:
-    """Run the program."""
+def run(arguments: Sequence[str] | None = None) -> int:
+    """Run one command; return the exit status."""
     commands: dict[str, Callable[..., Any]] = {
         'check': check,
         'diff': diff,
@@ -99,7 +104,16 @@
         'wait': wait,
         'history': history,
     }
-    sys.exit(_command.run(commands, _NAME))
+    return _command.run(commands, _NAME, arguments)
+
+
+def main() -> None:
+    """Run the program."""
+    sys.exit(run())
+
+
+def _platform(service: str, hosts: str = '') -> _config_client.Platform:
+    return _config_client.Platform(str(service), str(hosts or service))
 
 
 def _draft(patch: str, against: int, author: str) -> _config_commands.Draft:
