Hand over requests that may wait, with a lease between owner and standby

Ruled out: a standby that calls every unknown request taken (a restarted standby would make the owner drop it); it now tells taken from missing.

--- a/src/lentilspool/admission/__init__.py
+++ b/src/lentilspool/admission/__init__.py
@@ -7,6 +7,21 @@
 from lentilspool.admission._attempts import Foreign as Foreign
 from lentilspool.admission._attempts import LateLoser as LateLoser
 from lentilspool.admission._attempts import Verdict as Verdict
+from lentilspool.admission._hand_off import HandOff as HandOff
+from lentilspool.admission._hand_off_types import Collected as Collected
+from lentilspool.admission._hand_off_types import Copy as Copy
+from lentilspool.admission._hand_off_types import (
+    HandOffLimits as HandOffLimits,
+)
+from lentilspool.admission._hand_off_types import HeldRequest as HeldRequest
+from lentilspool.admission._hand_off_types import Peer as Peer
+from lentilspool.admission._hand_off_types import Renew as Renew
+from lentilspool.admission._hand_off_types import Renewed as Renewed
+from lentilspool.admission._hand_off_types import Role as Role
+from lentilspool.admission._hand_off_types import Run as Run
+from lentilspool.admission._hand_off_types import Stop as Stop
+from lentilspool.admission._hand_off_types import Transfer as Transfer
+from lentilspool.admission._held_table import HeldTable as HeldTable
 from lentilspool.admission._key_home import KeyHome as KeyHome
 from lentilspool.admission._key_slots import KeySlots as KeySlots
 from lentilspool.admission._key_slots import SlotFault as SlotFault
@@ -34,6 +49,7 @@
 from lentilspool.admission._ledger_types import Refused as Refused
 from lentilspool.admission._ledger_types import StartAnswer as StartAnswer
 from lentilspool.admission._quarantine import Quarantine as Quarantine
+from lentilspool.admission._standby import Standby as Standby
 from lentilspool.admission._streams import Broken as Broken
 from lentilspool.admission._streams import Pieces as Pieces
 from lentilspool.admission._streams import StreamAssembler as StreamAssembler
--- /dev/null
+++ b/src/lentilspool/admission/_standby.py
@@ -0,0 +1,104 @@
+"""Standby's side of requests that may wait: copies and takeover."""
+
+import dataclasses
+from collections.abc import Iterable
+
+from lentilspool import kernel
+from lentilspool.admission import _hand_off_types as types
+from lentilspool.admission import _held_table
+
+_Role = types.Role
+
+
+class Standby:
+    """Holds copies for other entries, and takes over when a lease ends.
+
+    Call ``store`` for each copy, ``renewed`` for each renewal, ``receive``
+    for each transfer, and ``due`` once a second.
+    """
+
+    def __init__(self, table: _held_table.HeldTable) -> None:
+        self._table = table
+        self._lease_s = table.limits.lease_s
+
+    def store(self, request: types.HeldRequest, owner: str, now: float) -> bool:
+        """Hold a copy for its owner; return whether it is stored."""
+        held = self._table.get(request.request_id)
+        if held and held.role is not _Role.standby:
+            return False
+        if held and held.request.epoch > request.epoch:
+            return False
+        return self._table.add(request, _Role.standby, owner, now)
+
+    def renewed(
+        self, claims: Iterable[tuple[str, int]], owner: str, now: float
+    ) -> types.Renewed:
+        """Extend an owner's leases; tell which requests are not its own."""
+        taken: list[str] = []
+        missing: list[str] = []
+        for request_id, epoch in claims:
+            held = self._table.get(request_id)
+            if held is None:
+                past = self._table.has_left(request_id)
+                (taken if past else missing).append(request_id)
+            elif held.role is _Role.standby and held.request.epoch == epoch:
+                held.partner = owner
+                held.lease_ends = now + self._lease_s
+            else:
+                taken.append(request_id)
+        return types.Renewed(tuple(taken), tuple(missing))
+
+    def due(
+        self, peers: Iterable[types.Peer], now: float
+    ) -> tuple[types.Run | types.Copy, ...]:
+        """Take over copies whose lease has ended, and copy them again."""
+        known = tuple(peers)
+        actions: list[types.Run | types.Copy] = []
+        for held in self._table:
+            if held.role is _Role.standby and held.lease_ends <= now:
+                epoch = held.request.epoch + 1
+                request = dataclasses.replace(held.request, epoch=epoch)
+                actions += self._own(request, known, now)
+        return tuple(actions)
+
+    def receive(
+        self,
+        transfer: types.Transfer,
+        peers: Iterable[types.Peer],
+        now: float,
+    ) -> tuple[types.Run | types.Copy, ...]:
+        """Own a request that a stopping entry has transferred.
+
+        Returns nothing if a later epoch is held or there is no room; then
+        the transfer must not be acknowledged.
+        """
+        held = self._table.get(transfer.request.request_id)
+        if held and held.request.epoch >= transfer.request.epoch:
+            return ()
+        return self._own(transfer.request, tuple(peers), now, transfer.outcome)
+
+    def on_pause(self, now: float) -> None:
+        """Let leases begin anew: renewals may be waiting to be read."""
+        for held in self._table:
+            if held.role is _Role.standby:
+                held.lease_ends = now + self._lease_s
+
+    def _own(
+        self,
+        request: types.HeldRequest,
+        peers: tuple[types.Peer, ...],
+        now: float,
+        outcome: kernel.Outcome | None = None,
+    ) -> tuple[types.Run | types.Copy, ...]:
+        standby = self._table.choose(request.request_id, peers) or ''
+        if not self._table.add(request, _Role.owner, standby, now):
+            return ()
+        held = self._table.get(request.request_id)
+        actions: list[types.Run | types.Copy] = [types.Run(request)]
+        if held and outcome is not None:
+            held.role = _Role.finished
+            held.outcome = outcome
+            actions = []
+        if standby:
+            actions.append(types.Copy(request, standby))
+        return tuple(actions)
