--- a/bench/delivery.py
+++ b/bench/delivery.py
@@ -205,6 +205,7 @@
     def expire(self, request: _Request, host: str, entry: _Entry) -> None:
         """Answer a caller whose deadline has passed."""
         if not request.answers and self.entries[host] is entry:
+            entry.table.close(request.name)
             self.tell(request, kernel.Late('stage'))
 
     def run_stage(
