--- a/bench/_heartbeats.py
+++ b/bench/_heartbeats.py
@@ -11,9 +11,9 @@
 """IPv4 and TCP headers of a packet, with timestamps."""
 
 
-def frame_bytes(heartbeat: membership.Heartbeat) -> int:
-    """Return the bytes of the heartbeat's frame, packet headers aside."""
-    message = wire.Heartbeat(
+def message(heartbeat: membership.Heartbeat) -> wire.Heartbeat:
+    """Return the heartbeat as it is sent."""
+    return wire.Heartbeat(
         process=heartbeat.process,
         incarnation=heartbeat.incarnation,
         sequence=heartbeat.sequence,
@@ -29,7 +29,31 @@
         address=heartbeat.address,
         port=heartbeat.port,
     )
-    return _FRAME_BYTES + len(wire.encode(message))
+
+
+def received(sent: wire.Heartbeat) -> membership.Heartbeat:
+    """Return a heartbeat as membership takes it."""
+    return membership.Heartbeat(
+        process=sent.process,
+        incarnation=sent.incarnation,
+        sequence=sent.sequence,
+        leaving=sent.leaving,
+        config=membership.HeldVersion(sent.config.number, sent.config.digest),
+        in_flight=sent.in_flight,
+        queued=sent.queued,
+        limit=sent.limit,
+        lease_ms=sent.lease_ms,
+        suspects=sent.suspects,
+        zone=sent.zone,
+        pool=sent.pool,
+        address=sent.address,
+        port=sent.port,
+    )
+
+
+def frame_bytes(heartbeat: membership.Heartbeat) -> int:
+    """Return the bytes of the heartbeat's frame, packet headers aside."""
+    return _FRAME_BYTES + len(wire.encode(message(heartbeat)))
 
 
 def template(name: str, zone: str, pool: str) -> membership.Heartbeat:
