Convert only what a patch touches when it is folded

Ruled out: skipping the search for unknown keys (a misspelt key would be accepted). Change: named objects that no path touches are kept; where one does not fit, the whole is converted, so the refusal stays the same. A property test compares both ways.

--- a/src/lentilspool/config/_check.py
+++ b/src/lentilspool/config/_check.py
@@ -1,10 +1,11 @@
 """Checks across a whole configuration document."""
 
+import dataclasses
 from collections.abc import Iterator
 from typing import Any, Final
 
 from lentilspool import settings
-from lentilspool.config import _document, _problems, _rules
+from lentilspool.config import _document, _merge, _problems, _rules
 
 _SECTIONS: Final[tuple[tuple[str, type[object]], ...]] = (
     ('pipelines', _document.PipelineDocument),
@@ -24,6 +25,47 @@
         return _named(plain) or _problems.Problem(error.path, error.problem)
 
 
+def retyped(
+    before: _document.Document,
+    plain: dict[str, Any],
+    paths: tuple[_merge.Path, ...],
+) -> _document.Document | _problems.Problem:
+    """Return what ``typed`` does, converting only what paths touch.
+
+    ``before`` is the typed document that differs from ``plain`` at most at
+    the paths.
+    """
+    document = before
+    for path in paths:
+        target = dict(_SECTIONS).get(path[0])
+        if target is None or len(path) < 2:
+            return typed(plain)
+        section, name, *_ = path
+        try:
+            document = _with_one(document, plain, (section, name), target)
+        except settings.SettingsError:
+            return typed(plain)
+    return document
+
+
+def _with_one(
+    document: _document.Document,
+    plain: dict[str, Any],
+    place: tuple[str, str],
+    target: type[object],
+) -> _document.Document:
+    """Return the document with one named object converted or left out."""
+    section, name = place
+    held = dict(getattr(document, section))
+    inner = plain[section].get(name)
+    if inner is None:
+        held.pop(name, None)
+    else:
+        held[name] = settings.convert(inner, target, 'document')
+    changed: dict[str, Any] = {section: held}
+    return dataclasses.replace(document, **changed)
+
+
 def _named(plain: dict[str, Any]) -> _problems.Problem | None:
     """Return the problem of the first named object that does not fit."""
     for section, target in _SECTIONS:
--- a/src/lentilspool/config/_fold.py
+++ b/src/lentilspool/config/_fold.py
@@ -77,7 +77,7 @@
 ) -> Step:
     """Return the state at a base; raises ``InvalidBaseError``."""
     text = _entries.encode_entry(base.document)
-    checked = _checked(base.document, text, known)
+    checked = _checked(_check.typed(base.document), text, known)
     if isinstance(checked, _problems.Problem):
         raise InvalidBaseError(f'{checked.path}: {checked.detail}')
     state = State(
@@ -107,7 +107,9 @@
         return _refuse(step, entry.number, entry.author, raw, refusal)
     plain = _merge.merged(step.state.text, entry.merge)
     text = _entries.encode_entry(plain)
-    checked = _checked(plain, text, known)
+    paths = _merge.touched(entry.merge)
+    document = _check.retyped(step.state.document, plain, paths)
+    checked = _checked(document, text, known)
     if isinstance(checked, _problems.Problem):
         reason = _verdicts.RefusalReason.invalid
         return _refuse(step, entry.number, entry.author, raw, (reason, checked))
@@ -190,12 +192,13 @@
 
 
 def _checked(
-    plain: dict[str, object], text: bytes, known: _problems.KnownNames | None
+    document: _document.Document | _problems.Problem,
+    text: bytes,
+    known: _problems.KnownNames | None,
 ) -> _document.Document | _problems.Problem:
     if len(text) > _MAX_DOCUMENT_BYTES:
         detail = f'{len(text)} bytes; at most {_MAX_DOCUMENT_BYTES}'
         return _problems.Problem('$', detail)
-    document = _check.typed(plain)
     if isinstance(document, _problems.Problem):
         return document
     problems = _check.check(document, known)
--- a/src/lentilspool/config/tests/test_fold.py
+++ b/src/lentilspool/config/tests/test_fold.py
@@ -1,8 +1,12 @@
 """Tests of the fold of published entries."""
 
+import json
 from typing import Any
 
+import hypothesis
+import json_merge_patch
 import pytest
+from hypothesis import strategies as st
 
 from lentilspool import config
 from lentilspool.config.tests import samples
@@ -122,3 +126,53 @@
         other = config.begin((samples.base(), samples.share(2, 8, 'a', 1)))
         assert one.state.version == other.state.version
         assert one.state.digest != other.state.digest
+
+
+_AMOUNTS: st.SearchStrategy[Any] = st.sampled_from([1, 2, -1, None, 'x', {}])
+_TEAMS = st.dictionaries(
+    st.sampled_from(['desk', 'b']),
+    st.one_of(st.none(), st.dictionaries(st.just('share'), _AMOUNTS), _AMOUNTS),
+)
+_POOLS = st.dictionaries(
+    st.sampled_from(['spare', 'models', 'new']),
+    st.one_of(
+        st.none(),
+        st.dictionaries(st.sampled_from(['price', 'kind', 'no']), _AMOUNTS),
+    ),
+)
+_MERGES = st.fixed_dictionaries(
+    {}, optional={'teams': _TEAMS, 'pools': _POOLS, 'policies': st.just({})}
+)
+
+
+class TestIncrementalConversion:
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=300)
+    @hypothesis.given(merges=st.lists(_MERGES, max_size=4))
+    def test_equals_the_conversion_of_the_whole(
+        self, merges: list[dict[str, Any]]
+    ) -> None:
+        history = config.begin((samples.base(),))
+        for number, merge in enumerate(merges, start=2):
+            before = history.state
+            raw = samples.patch(number, before.version, merge)
+            history = history.extended((raw,))
+            whole = config.typed(json.loads(history.state.text))
+            assert history.state.document == whole
+            expected = _whole(before.text, merge)
+            verdict = history.verdicts[-1]
+            if isinstance(verdict, config.EntryAccepted):
+                assert expected == history.state.document
+            else:
+                problem = config.Problem(verdict.path, verdict.detail)
+                assert expected == problem
+
+
+def _whole(
+    text: bytes, merge: dict[str, Any]
+) -> config.Document | config.Problem:
+    """Return what becomes of a patch if the whole is converted."""
+    plain = json_merge_patch.merge(json.loads(text), merge)
+    document = config.typed(plain)
+    if isinstance(document, config.Problem):
+        return document
+    return next(iter(config.check(document)), document)
