--- a/src/lentilspool/membership/_hosts.py
+++ b/src/lentilspool/membership/_hosts.py
@@ -15,6 +15,7 @@
     def __init__(self, own: _subset.Place) -> None:
         self._own = own
         self._hosts: dict[str, _member.HostHint] = {}
+        self._live: dict[str, tuple[_member.HostHint, ...]] = {}
 
     def __len__(self) -> int:
         return len(self._hosts)
@@ -22,9 +23,7 @@
     @property
     def pools(self) -> tuple[str, ...]:
         """Pools of the hosts listed."""
-        return tuple(
-            sorted({hint.pool for hint in self._hosts.values() if hint.pool})
-        )
+        return tuple(sorted(pool for pool in self._live if pool))
 
     def replace(self, hosts: Iterable[_member.HostHint]) -> frozenset[str]:
         """Take a new list; return the pools whose subsets it may change."""
@@ -33,9 +32,10 @@
             hint.pool for hint in self._differences(fresh) if hint is not None
         }
         self._hosts = fresh
-        if '' in changed:
-            return frozenset((*changed, *self.pools))
-        return frozenset(changed)
+        self._live = self._by_pool()
+        entries_changed = '' in changed
+        changed.discard('')
+        return frozenset((*changed, *(self.pools if entries_changed else ())))
 
     def hint(self, name: str) -> _member.HostHint | None:
         """Return the line of a host, if it is listed."""
@@ -52,9 +52,7 @@
         """Return the entries listed, this one always included."""
         listed = {
             hint.name: _subset.Place(hint.name, hint.zone)
-            for hint in self._hosts.values()
-            if hint.role is _member.Role.entry
-            and hint.state is _member.HostState.live
+            for hint in self._live.get('', ())
         }
         return tuple({**listed, self._own.name: self._own}.values())
 
@@ -64,8 +62,7 @@
         """Return who takes work in the pool: listed, or heard from."""
         places = {
             hint.name: _subset.Place(hint.name, hint.zone)
-            for hint in self._hosts.values()
-            if hint.pool == pool and hint.state is _member.HostState.live
+            for hint in self._live.get(pool, ())
         }
         for lease in leases:
             member = lease.member
@@ -73,6 +70,14 @@
                 places[member.name] = _subset.Place(member.name, member.zone)
         return tuple(places.values())
 
+    def _by_pool(self) -> dict[str, tuple[_member.HostHint, ...]]:
+        """Return the hosts listed as live, entries under the empty name."""
+        pools: dict[str, list[_member.HostHint]] = {}
+        for hint in self._hosts.values():
+            if hint.state is _member.HostState.live:
+                pools.setdefault(hint.pool, []).append(hint)
+        return {pool: tuple(hints) for pool, hints in pools.items()}
+
     def _differences(
         self, fresh: dict[str, _member.HostHint]
     ) -> Iterator[_member.HostHint | None]:
--- a/src/lentilspool/membership/_lease_table.py
+++ b/src/lentilspool/membership/_lease_table.py
@@ -45,6 +45,7 @@
         self._limits = limits
         self._rows: dict[str, Lease] = {}
         self._generation = 0
+        self._ended: set[str] = set()
         self._pools: dict[str, tuple[str, ...]] = {}
         self._pools_generation = 0
 
@@ -74,7 +75,9 @@
         left = member.leaving and (held is None or not held.member.leaving)
         lease_s = min(heartbeat.lease_ms / _MS_PER_S, self._limits.max_lease_s)
         self._rows[member.name] = Lease(member, now + lease_s)
-        self._generation += joined or left
+        self._ended.discard(member.name)
+        changed = held is not None and held.member.leaving != member.leaving
+        self._generation += joined or changed
         return _answers.Renewed(member, joined=joined, left=left)
 
     def extend(self, name: str, incarnation: int, now: float) -> bool:
@@ -123,6 +126,7 @@
         held = self._rows.get(name)
         if held is not None and held.ends_at > now:
             self._rows[name] = dataclasses.replace(held, ends_at=now)
+            self._ended.add(name)
             self._generation += 1
 
     def end_all(self, now: float) -> None:
@@ -131,24 +135,41 @@
             self.end(name, now)
 
     def sweep(self, now: float) -> tuple[_member.Member, ...]:
-        """Drop forgotten rows and bound the rest; return who was dropped."""
-        latest = now + self._limits.max_lease_s
-        dropped = []
+        """Bound and forget rows; return whose leases ran out since last."""
+        ran_out = []
         for name, lease in tuple(self._rows.items()):
+            if lease.ends_at > now:
+                self._bound(name, lease, now)
+            elif name not in self._ended:
+                ran_out.append(lease.member)
+                self._ended.add(name)
             if lease.ends_at + self._limits.memory_s <= now:
                 self._rows.pop(name)
-                dropped.append(lease.member)
-            elif lease.ends_at > latest or lease.member.name != name:
-                self._rows[name] = _bounded(name, lease, now, latest)
-                self._generation += 1
-        self._generation += bool(dropped)
-        return tuple(dropped)
+                self._ended.discard(name)
+        self._generation += bool(ran_out)
+        return tuple(ran_out)
+
+    def touch(self) -> None:
+        """Count a change to who may get new work that came from elsewhere."""
+        self._generation += 1
 
     def overwrite(self, rows: dict[str, Lease]) -> None:
         """Replace every row, whatever it holds; for fault injection."""
         self._rows = dict(rows)
         self._generation += 1
 
+    def _bound(self, name: str, lease: Lease, now: float) -> None:
+        """Make a row that holds garbage expire in time, under its name."""
+        latest = now + self._limits.max_lease_s
+        if lease.ends_at > latest or lease.member.name != name:
+            member = dataclasses.replace(
+                lease.member,
+                name=name,
+                heard_at=min(lease.member.heard_at, now),
+            )
+            self._rows[name] = Lease(member, min(lease.ends_at, latest))
+            self._generation += 1
+
     def _shorten(self, name: str, latest: float) -> None:
         """End a row's lease in time unless its own sender renews it.
 
@@ -166,14 +187,6 @@
         return pools
 
 
-def _bounded(name: str, lease: Lease, now: float, latest: float) -> Lease:
-    """Return a row that expires in time and stands under its own name."""
-    member = dataclasses.replace(
-        lease.member, name=name, heard_at=min(lease.member.heard_at, now)
-    )
-    return Lease(member, min(lease.ends_at, latest))
-
-
 def _refusal(
     heartbeat: _member.Heartbeat, held: Lease | None
 ) -> _answers.RefusalReason | None:
--- a/src/lentilspool/membership/_membership.py
+++ b/src/lentilspool/membership/_membership.py
@@ -8,6 +8,7 @@
 from lentilspool import kernel
 from lentilspool.membership import (
     _answers,
+    _contacts,
     _events,
     _hosts,
     _lease_table,
@@ -31,6 +32,9 @@
     pause_limit_s: float = 1.5
     """Gap between two calls of ``beat`` that counts as a pause."""
 
+    spare_after_s: float = 2.0
+    """Time without a lease after which a spare stands in for a member."""
+
     reach_share: float = 0.5
     """Share of the subsets' members with live leases; less is a partition."""
 
@@ -40,8 +44,9 @@
 
     Feed it the host list by ``update_hosts`` and heartbeats by
     ``receive``; call ``beat`` from a task that runs several times a
-    second and before work after a wait. Dial what ``candidates`` returns;
-    route to what ``usable`` returns.
+    second and before work after a wait. Keep connections with what
+    ``candidates`` returns; route to what ``usable`` returns, which may
+    change when ``leases.generation`` does.
     """
 
     def __init__(
@@ -54,6 +59,7 @@
         self._hosts = _hosts.HostView(own)
         self._subsets: dict[str, tuple[str, ...]] = {}
         self._stale: dict[str, None] = {}
+        self._contacts = _contacts.Contacts(limits.spare_after_s)
         self._cut_off = False
 
     @property
@@ -82,7 +88,13 @@
 
     def update_hosts(self, hosts: Iterable[_member.HostHint]) -> None:
         """Take a new host list, which may be old; ends no lease."""
-        self._stale.update(dict.fromkeys(sorted(self._hosts.replace(hosts))))
+        changed = sorted(self._hosts.replace(hosts))
+        if changed:
+            self._stale.update(dict.fromkeys(changed))
+            self._leases.touch()
+            self._contacts.forget(
+                lambda name: self._hosts.hint(name) is not None
+            )
 
     def receive(
         self, heartbeat: _member.Heartbeat, now: float
@@ -138,24 +150,18 @@
         )
 
     def candidates(self, pool: str, now: float) -> tuple[_member.HostHint, ...]:
-        """Return the hosts to connect to: the subset, or spares for it.
+        """Return the hosts to keep connections with.
 
-        For each member of the subset that has no live lease, the next
-        endpoint in this entry's order of preference is added.
+        These are the subset and, for each member of it that stays without
+        a lease, the next endpoint in this entry's order of preference.
         """
-        subset = self.subset(pool)
-        missing = sum(self._leases.live(name, now) is None for name in subset)
-        ranked = _subset.preference(
-            self._own,
-            self._hosts.endpoints(pool, self._leases),
-            self._limits.subsets.remote_penalty,
-        )
-        spares = tuple(name for name in ranked if name not in subset)
-        hints = (
-            self._hosts.hint(name)
-            for name in (*subset, *spares[:missing])
-            if self._leases.live(name, now) is None
+        names = self._contacts.choose(
+            self.subset(pool),
+            lambda: self._ranked(pool),
+            lambda name: self._leases.live(name, now) is not None,
+            now,
         )
+        hints = (self._hosts.hint(name) for name in names)
         return tuple(hint for hint in hints if hint is not None)
 
     def dump(self, now: float) -> dict[str, object]:
@@ -179,6 +185,13 @@
             },
         }
 
+    def _ranked(self, pool: str) -> tuple[str, ...]:
+        return _subset.preference(
+            self._own,
+            self._hosts.endpoints(pool, self._leases),
+            self._limits.subsets.remote_penalty,
+        )
+
     def _refresh(self, pool: str) -> None:
         """Compute the subset of a pool from the view as it is now."""
         self._stale.pop(pool, None)
