Write the pages of the product; test the examples they show

Cause: a newcomer had no page to start from. Ruled out: hand-written references of settings and events (they would age). Change: README, CONTRIBUTING, architecture, outcomes, glossary, house style, embedding; settings and events pages made from code and compared in tests; an embedding example and a third-party routing policy found by its entry point. Conclusion: pages and code cannot drift apart unseen.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 export PYTHONPATH := src:.
 export PYTHONHASHSEED := 0
 
-.PHONY: thrift demo check deep format env
+.PHONY: docs thrift demo check deep format env
 
 thrift:
 	rm -rf build/thrift
@@ -22,6 +22,10 @@
 demo: env
 	$(BIN)/python -m standins.demo
 
+docs: env
+	$(BIN)/python -m lentilspool.settings > docs/settings.md
+	$(BIN)/python -m lentilspool.telemetry > docs/events.md
+
 format: env
 	$(BIN)/ruff check --quiet --fix .
 	$(BIN)/ruff format --quiet .
--- /dev/null
+++ b/src/lentilspool/pipeline/tests/test_examples.py
@@ -0,0 +1,41 @@
+"""Tests of the examples that the pages show."""
+
+import pathlib
+import random
+import runpy
+
+import pytest
+
+from lentilspool import config, kernel, pipeline, routing
+
+EXAMPLES = pathlib.Path(__file__).parents[4] / 'examples'
+
+
+class TestEmbedding:
+    def test_runs(self, capsys: pytest.CaptureFixture[str]) -> None:
+        runpy.run_path(str(EXAMPLES / 'embedding.py'), run_name='__main__')
+        lines = capsys.readouterr().out.splitlines()
+        assert lines[0].startswith('routed: Choice')
+        assert lines[1:] == ['Admitted, AlreadyRunning', 'Finished']
+
+
+class TestPlugin:
+    def test_installed_package_is_found_by_its_entry_point(
+        self, tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        installed = tmp_path / 'nearest_policy-1.0.dist-info'
+        installed.mkdir()
+        (installed / 'METADATA').write_text(
+            'Metadata-Version: 2.1\nName: nearest-policy\nVersion: 1.0\n'
+        )
+        (installed / 'entry_points.txt').write_text(
+            '[lentilspool.plugins]\nnearest = nearest_policy\n'
+        )
+        monkeypatch.syspath_prepend(str(tmp_path))
+        monkeypatch.syspath_prepend(str(EXAMPLES / 'plugin'))
+        kernel.registry.load_entry_points()
+        pool = config.PoolDocument(kind='stage', routing='nearest')
+        router = pipeline.PoolRouter('p', pool, 0.1, random.Random(1))
+        router.replace([('far', 'zone-b'), ('near', 'zone-a')])
+        choice = router.choose(routing.RoutingRequest(zone='zone-a'), 0)
+        assert choice == routing.Choice('near')
--- a/src/lentilspool/programs/_serve.py
+++ b/src/lentilspool/programs/_serve.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from lentilspool import daemons, telemetry
+from lentilspool import daemons, kernel, telemetry
 from lentilspool.programs import _command
 
 _LOG = logging.getLogger(__name__)
@@ -18,6 +18,7 @@
     status is 0 if nothing was cut off, and 1 otherwise.
     """
     telemetry.configure_logs(daemon.name, log_level)
+    kernel.registry.load_entry_points()
     drained: bool = trio.run(_run, daemon)
     return 0 if drained else _command.FAILURE
 
