--- a/src/lentilspool/routing/_default.py
+++ b/src/lentilspool/routing/_default.py
@@ -16,7 +16,7 @@
 _ADAPTER_LOAD_S: Final = 1.0
 _MIN_WEIGHT: Final = 0.05
 _MIN_SERVICE_S: Final = 0.001
-_JITTER: Final = 0.05
+_JITTER_CALLS: Final = 1.0
 _HOME_SHARE: Final = 0.1
 _HASH_RANGE: Final = 4294967296.0
 
@@ -72,10 +72,10 @@
         best_s = float('inf')
         for candidate in sampled:
             age_s = max(now - candidate.reported_at, 0)
-            trust = trust_s / (trust_s + age_s)
+            trust = (trust_s / (trust_s + age_s)) ** 2
             others = typical + trust * (candidate.reported_others - typical)
-            jitter = 1 + _JITTER * rng.random()
-            score_s = self._score_s(request, candidate, others, jitter)
+            others += _JITTER_CALLS * rng.random()
+            score_s = self._score_s(request, candidate, others)
             if score_s < best_s:
                 best = candidate
                 best_s = score_s
@@ -109,13 +109,12 @@
         request: _types.RoutingRequest,
         candidate: _types.Candidate,
         others: float,
-        jitter: float,
     ) -> float:
         work = 1 + candidate.in_flight + others
         weight = max(candidate.weight, _MIN_WEIGHT)
         cached = request.cached_tokens.get(candidate.name, 0)
         score_s = (
-            request.service_s * jitter * work / (candidate.capacity * weight)
+            request.service_s * work / (candidate.capacity * weight)
             + (request.prompt_tokens - cached) * self._prefill_s_per_token
             + candidate.price * _PRICE_S
         )
