Refuse unknown policy names in lentilspool-config

Cause: a patch that names an unknown routing policy was accepted by the tool, and a daemon fails when it looks the policy up. Ruled out: a fixed list of names (plug-ins add to it). Change: registered_names reads the registry; the tool folds with it. Conclusion: the daemons should pass the same names to their Holder.

--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -16,6 +16,11 @@
     And the command prints "not published"
     And the status is not 0 and the history has 1 entries
 
+  Scenario: A patch that names an unknown routing policy is refused
+    When the patch {"pools": {"encoders": {"routing": "defalt"}}} is submitted
+    Then the command prints "$.pools.encoders.routing: no policy"
+    And the command prints "not published"
+
   Scenario: Two operators change the same value
     When the patch {"teams": {"brides": {"share": 3}}} is submitted
     And the patch {"teams": {"brides": {"share": 5}}} against version 1 is checked
--- a/src/lentilspool/config/__init__.py
+++ b/src/lentilspool/config/__init__.py
@@ -35,6 +35,7 @@
 from lentilspool.config._messages import ReadService as ReadService
 from lentilspool.config._messages import Send as Send
 from lentilspool.config._messages import WatchService as WatchService
+from lentilspool.config._names import registered_names as registered_names
 from lentilspool.config._offers import Adopted as Adopted
 from lentilspool.config._offers import Fault as Fault
 from lentilspool.config._offers import Ignored as Ignored
--- a/src/lentilspool/config/tests/test_fold.py
+++ b/src/lentilspool/config/tests/test_fold.py
@@ -8,19 +8,13 @@
 import pytest
 from hypothesis import strategies as st
 
-from lentilspool import config
+from lentilspool import config, kernel
 from lentilspool.config.tests import samples
 
 _EMPTY_STAGES: dict[str, Any] = {'pipelines': {'draft': {'stages': []}}}
 _BAD_DATE = {'providers': {'cloud': {'expires_at': 'soon'}}}
 _NAIVE_DATE = {'providers': {'cloud': {'expires_at': '2027-01-01T00:00:00'}}}
-_KNOWN = config.KnownNames(
-    routing=('default',),
-    limit=('default',),
-    admission=('default',),
-    queue=('default',),
-    spend=('default',),
-)
+_KNOWN = config.registered_names(kernel.Registry())
 
 
 def _refusal(
--- a/src/lentilspool/programs/_config_commands.py
+++ b/src/lentilspool/programs/_config_commands.py
@@ -5,9 +5,13 @@
 import time
 from typing import Any, Final
 
-from lentilspool import config
+from lentilspool import config, kernel
+from lentilspool import limits as _limits
+from lentilspool import routing as _routing
 from lentilspool.programs import _command, _config_client, _config_format
 
+# Imported to register their policies.
+_PLUGINS: Final = (_limits, _routing)
 _POLL_S: Final = 0.5
 _SHOWN_LAGGING: Final = 20
 _SAMPLED_PROCESSES: Final = 20
@@ -58,7 +62,7 @@
     """The patch."""
 
     def _run(self, client: _config_client.ConfigClient) -> int:
-        history = config.begin(client.log())
+        history = _read(client)
         verdict = _verdict(history, self.draft)
         sys.stdout.write(f'{_config_format.verdict(verdict)}\n')
         ahead = _highest(client) - history.state.version
@@ -82,7 +86,7 @@
     """The patch."""
 
     def _run(self, client: _config_client.ConfigClient) -> int:
-        before = config.begin(client.log())
+        before = _read(client)
         raw = _encoded(before, self.draft)
         after = before.extended((raw,))
         lines = _config_format.changes(before.state.text, after.state.text)
@@ -104,7 +108,7 @@
     """The patch."""
 
     def _run(self, client: _config_client.ConfigClient) -> int:
-        history = config.begin(client.log())
+        history = _read(client)
         expected = _verdict(history, self.draft)
         if isinstance(expected, config.EntryRefused):
             sys.stdout.write(f'{_config_format.verdict(expected)}\n')
@@ -112,11 +116,9 @@
             return _command.FAILURE
         raw = _encoded(history, self.draft)
         client.publish(raw)
-        holder = config.Holder()
-        holder.offer_service(client.log())
-        published = holder.history
+        published = _read(client)
         number = history.state.number + 1
-        if published is None or not published.covers(number):
+        if not published.covers(number):
             sys.stdout.write(f'number {number}: published, not yet visible\n')
             return _command.FAILURE
         if not published.repeats(number, raw):
@@ -135,7 +137,7 @@
     """Where the platform listens."""
 
     def _run(self, client: _config_client.ConfigClient) -> int:
-        for verdict in config.begin(client.log()).verdicts:
+        for verdict in _read(client).verdicts:
             sys.stdout.write(f'{_config_format.verdict(verdict)}\n')
         return 0
 
@@ -194,6 +196,12 @@
         return f'version {held.version}'
 
 
+def _read(client: _config_client.ConfigClient) -> config.History:
+    """Return the published log, folded as the daemons fold it."""
+    kernel.registry.load_entry_points()
+    return config.begin(client.log(), config.registered_names())
+
+
 def _encoded(history: config.History, draft: Draft) -> bytes:
     against = draft.against or history.state.version
     patch = config.Patch(
