--- a/src/lentilspool/retries/_budget.py
+++ b/src/lentilspool/retries/_budget.py
@@ -12,10 +12,11 @@
     """Bounds the retries and hedges of one pool at one entry.
 
     Call ``succeeded`` for each attempt that succeeds, and ``try_spend``
-    before each retry or hedge. The balance moves towards a reserve within
-    the window, so that unused retries expire and a pool that has failed
-    altogether gets none beyond the reserve. A reserve of the calls that one
-    endpoint runs together lets all of them be tried again if it dies.
+    before each retry or hedge. Unused retries above a reserve expire within
+    the window. Below the reserve the balance regains one retry a window
+    besides what successes earn, so that a pool that has failed altogether
+    gets few retries. A reserve of the calls that one endpoint runs together
+    lets all of them be tried again if it dies.
     """
 
     def __init__(
@@ -52,6 +53,11 @@
         elapsed_s = now - self._settled_at
         if elapsed_s <= 0:
             return
-        kept = math.exp(-elapsed_s / self._window_s)
-        self._balance = self._reserve + (self._balance - self._reserve) * kept
         self._settled_at = now
+        surplus = self._balance - self._reserve
+        if surplus < 0:
+            refill = elapsed_s / self._window_s
+            self._balance += min(refill, -surplus)
+        else:
+            kept = math.exp(-elapsed_s / self._window_s)
+            self._balance = self._reserve + surplus * kept
