--- a/src/lentilspool/admission/_hand_off.py
+++ b/src/lentilspool/admission/_hand_off.py
@@ -1,12 +1,15 @@
 """Owner's side of requests that may wait: copies, leases and transfer."""
 
 import dataclasses
+import logging
 from collections.abc import Iterable
+from typing import Final
 
 from lentilspool import kernel
+from lentilspool.admission import _events, _held_table
 from lentilspool.admission import _hand_off_types as types
-from lentilspool.admission import _held_table
 
+_logger: Final = logging.getLogger(__name__)
 _Role = types.Role
 
 
@@ -77,6 +80,7 @@
                 continue
             if request_id in answer.taken:
                 self._table.forget(request_id, sent.to)
+                _events.SUPERSEDED.log(_logger, request=request_id)
                 actions.append(types.Stop(request_id))
                 continue
             if request_id in answer.missing:
--- a/src/lentilspool/admission/_key_home.py
+++ b/src/lentilspool/admission/_key_home.py
@@ -1,9 +1,12 @@
 """Home of idempotency keys: a ledger behind a gate."""
 
 import collections
+import logging
+from typing import Final
 
 from lentilspool import kernel
 from lentilspool.admission import (
+    _events,
     _key_slots,
     _keys,
     _ledger,
@@ -11,6 +14,7 @@
     _tokens,
 )
 
+_logger: Final = logging.getLogger(__name__)
 _Expiry = tuple[float, _keys.IdempotencyKey]
 
 
@@ -57,6 +61,7 @@
             return _unknown(key, 'by the slots held here, not its home')
         self._forget_expired(now)
         if key not in self._tokens and not self._gate.is_new(key, now):
+            _events.KEY_REFUSED.log(_logger, key=key.text)
             return _unknown(key, 'it may have run before this home started')
         answer = self._ledger.issue(
             key.request_id, content_digest, now, renew=True
--- a/src/lentilspool/admission/_ledger.py
+++ b/src/lentilspool/admission/_ledger.py
@@ -1,11 +1,15 @@
 """At-most-once ledger of one sidecar incarnation."""
 
+import logging
 from collections.abc import Callable
+from typing import Final
 
 from lentilspool import kernel
+from lentilspool.admission import _events, _tokens
 from lentilspool.admission import _ledger_table as table
 from lentilspool.admission import _ledger_types as types
-from lentilspool.admission import _tokens
+
+_logger: Final = logging.getLogger(__name__)
 
 _State = types.EntryState
 _UNSTARTED = frozenset((_State.issued, _State.queued))
@@ -35,6 +39,7 @@
         self._limits = limits or types.LedgerLimits()
         self._table = table.LedgerTable(self._limits)
         self._draining = False
+        self._full = False
 
     @property
     def usage(self) -> types.LedgerUsage:
@@ -151,6 +156,8 @@
             self._table.close(
                 entry, kernel.NotRun(kernel.NotRunReason.expired_token)
             )
+        if unstarted:
+            _events.UNSTARTED_REFUSED.log(_logger, requests=len(unstarted))
         return len(unstarted)
 
     def _issue_new(
@@ -159,6 +166,7 @@
         if self._draining:
             return _not_run(kernel.NotRunReason.draining)
         if not self._table.has_room():
+            self._note_full()
             return _not_run(
                 kernel.NotRunReason.ledger_full, self._limits.retry_after_s
             )
@@ -171,8 +179,15 @@
             now + self._limits.lifetime_s,
         )
         self._table.add(token)
+        self._full = False
         return types.Issued(token)
 
+    def _note_full(self) -> None:
+        """Log once until there is room again."""
+        if not self._full:
+            self._full = True
+            _events.LEDGER_FULL.log(_logger, entries=self.usage.entries)
+
     def _is_foreign(self, token: _tokens.AdmissionToken) -> bool:
         return (token.endpoint, token.incarnation) != (
             self._endpoint,
--- a/src/lentilspool/admission/_quarantine.py
+++ b/src/lentilspool/admission/_quarantine.py
@@ -1,12 +1,15 @@
 """Quarantine of contents that crash the endpoints which run them."""
 
 import dataclasses
+import logging
 from collections.abc import Iterable
 from typing import Final
 
 from lentilspool import kernel
+from lentilspool.admission import _events
 from lentilspool.admission import _suspicions as types
 
+_logger: Final = logging.getLogger(__name__)
 _NOTHING: Final[frozenset[str]] = frozenset()
 
 
@@ -78,6 +81,7 @@
         self._held[content_digest] = dataclasses.replace(
             held, cleared=held.deaths
         )
+        _events.CLEARED.log(_logger, content=content_digest)
         return True
 
     def shared(self, now: float) -> tuple[types.Suspicion, ...]:
@@ -137,6 +141,10 @@
         alone_at = held.alone_at
         if merged.open_deaths > held.open_deaths:
             alone_at = now + self._limits.spread_s
+            event = _events.QUARANTINED if guilty else _events.SUSPECTED
+            event.log(
+                _logger, content=content_digest, deaths=sorted(merged.deaths)
+            )
         self._held[content_digest] = dataclasses.replace(
             merged,
             expires_at=max(held.expires_at, now + lease_s),
--- a/src/lentilspool/admission/_standby.py
+++ b/src/lentilspool/admission/_standby.py
@@ -1,12 +1,15 @@
 """Standby's side of requests that may wait: copies and takeover."""
 
 import dataclasses
+import logging
 from collections.abc import Iterable
+from typing import Final
 
 from lentilspool import kernel
+from lentilspool.admission import _events, _held_table
 from lentilspool.admission import _hand_off_types as types
-from lentilspool.admission import _held_table
 
+_logger: Final = logging.getLogger(__name__)
 _Role = types.Role
 
 
@@ -57,6 +60,11 @@
         for held in self._table:
             if held.role is _Role.standby and held.lease_ends <= now:
                 epoch = held.request.epoch + 1
+                _events.TAKEN_OVER.log(
+                    _logger,
+                    request=held.request.request_id,
+                    owner=held.partner,
+                )
                 request = dataclasses.replace(held.request, epoch=epoch)
                 actions += self._own(request, known, now)
         return tuple(actions)
