Let each process pass on a large entry three times

Ruled out: shared neighbours and lost pulls (nearly all holders had an empty bucket, with one copy sent each). Change: an entry is charged as a third of the bucket at most.

--- a/src/lentilspool/config/_uploads.py
+++ b/src/lentilspool/config/_uploads.py
@@ -7,14 +7,15 @@
 _CHUNK_BYTES: Final = 16_000
 _BYTES_PER_S: Final = 2_000.0
 _BURST_BYTES: Final = 128_000.0
+_LARGEST_CHARGE_BYTES: Final = 43_000.0
 
 
 class Uploads:
     """Token bucket over the bytes of entries that are sent.
 
-    A single entry may be larger than the bucket: it is sent while the bucket
-    is above zero and leaves it below, so one process sends a large entry
-    once in a while and the others that hold it send the rest.
+    A large entry is charged as a third of the bucket at most. Each process
+    that gets it can thus pass it on to more than one other at once, even if
+    some of these messages are lost; with fewer copies the spread dies out.
     """
 
     def __init__(self, now: float) -> None:
@@ -28,7 +29,7 @@
         self._at = now
         if self._level <= 0:
             return False
-        self._level -= size
+        self._level -= min(size, _LARGEST_CHARGE_BYTES)
         return True
 
 
