--- a/src/lentilspool/membership/_membership.py
+++ b/src/lentilspool/membership/_membership.py
@@ -162,7 +162,11 @@
             now,
         )
         hints = (self._hosts.hint(name) for name in names)
-        return tuple(hint for hint in hints if hint is not None)
+        return tuple(
+            hint
+            for hint in hints
+            if hint is not None and hint.state is _member.HostState.live
+        )
 
     def dump(self, now: float) -> dict[str, object]:
         """Return the view as plain JSON types."""
