Quarantine contents that crash endpoints; follow prompt prefixes

Cause: a request whose content crashes its engine was tried on one endpoint after another, and each resend killed more. Ruled out: blaming every content in flight for good (innocents are cleared when they complete); judging only at admission (the retry itself kills the second). Change: sidecars name each death of their endpoint in the answers it broke; entries count it against the content, run suspects alone and refuse after two; suspicions go to every entry on change and every 2 s. Routing gets the hashes of a prompt's blocks. A connection that has been quiet for longer than heartbeats explain gets no new calls.

--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,7 @@
 	$(BIN)/ruff format --quiet .
 
 check: env
+	@echo "checks: formatter, linter, types, imports, tests, scenarios"
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check --quiet .
 	$(BIN)/flake8 src bench features
--- a/src/lentilspool/daemons/_answers.py
+++ b/src/lentilspool/daemons/_answers.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from lentilspool import dialects, kernel, wire
+from lentilspool.daemons import _endpoint
 
 _MS: Final = 1000
 
@@ -35,7 +36,7 @@
 def answer_of(
     call: wire.StageCall,
     outcome: kernel.Outcome,
-    service_s: float,
+    ran: _endpoint.Ran,
     queued: int,
 ) -> wire.StageAnswer:
     """Return the message that carries an outcome to the entry.
@@ -53,8 +54,9 @@
         cost=0,
         reason='',
         retry_after_ms=0,
-        service_ms=int(service_s * _MS),
+        service_ms=int(ran.service_s * _MS),
         queued=queued,
+        death=ran.death,
     )
     match outcome:
         case kernel.Complete(answer=body, cost_by_stage=costs):
--- a/src/lentilspool/daemons/_attempts.py
+++ b/src/lentilspool/daemons/_attempts.py
@@ -12,6 +12,7 @@
     _flight,
     _link,
     _published,
+    _suspects,
 )
 from lentilspool.daemons._log import LOG
 
@@ -39,11 +40,13 @@
         self,
         directory: _directory.Directory,
         published: _published.Published,
+        suspects: _suspects.Suspects,
         times: limits.ServiceTimes,
         metrics: telemetry.Metrics,
     ) -> None:
         self._directory = directory
         self._published = published
+        self._suspects = suspects
         self._times = times
         self._metrics = metrics
         self._table = admission.AttemptTable()
@@ -118,6 +121,8 @@
         answered = admission.Attempt(
             answer.request_id, answer.stage, answer.attempt, answer.digest
         )
+        if answer.death:
+            self._suspects.died(answer.death, flight.request.digest)
         if not isinstance(outcome, kernel.Complete):
             self._table.fail(answered, answer.cost)
             return outcome
--- a/src/lentilspool/daemons/_directory.py
+++ b/src/lentilspool/daemons/_directory.py
@@ -146,7 +146,10 @@
 
     async def _beat(self) -> None:
         while True:
-            self._members.beat(trio.current_time())
+            now = trio.current_time()
+            self._members.beat(now)
+            for router in self._routers.values():
+                router.expire(now)
             self._refresh()
             self._want()
             await trio.sleep(_BEAT_S)
--- a/src/lentilspool/daemons/_endpoint.py
+++ b/src/lentilspool/daemons/_endpoint.py
@@ -7,7 +7,12 @@
 import trio
 
 from lentilspool import config, dialects, kernel, limits, wire
-from lentilspool.daemons import _configuration, _events, _slots
+from lentilspool.daemons import (
+    _configuration,
+    _events,
+    _identity,
+    _slots,
+)
 from lentilspool.daemons._log import LOG
 
 _EXPIRED: Final = kernel.NotRun(kernel.NotRunReason.expired_token)
@@ -26,21 +31,29 @@
     service_s: float = 0
     """Seconds at the endpoint, without the wait for a turn."""
 
+    death: str = ''
+    """Name of the endpoint's death that ended the call; empty if none."""
+
 
 class Endpoint:
     """Runs calls on the endpoint, each in its turn."""
 
     def __init__(
-        self, pool: str, url: str, configuration: _configuration.Configuration
+        self,
+        identity: _identity.Identity,
+        url: str,
+        configuration: _configuration.Configuration,
     ) -> None:
-        self._pool = pool
+        self._name = f'{identity.name}/{identity.incarnation}'
+        self._pool = identity.pool
         self._url = url
         self._configuration = configuration
         self._times = limits.ServiceTimes()
         self._slots = _slots.Slots(self._times)
         self._dialect: dialects.Dialect | None = None
         self._kind = ''
-        self._crashes = 0
+        self._deaths = 0
+        self._alive = True
 
     @property
     def slots(self) -> _slots.Slots:
@@ -97,7 +110,7 @@
             self._slots.free()
         service_s = trio.current_time() - started
         self._learn(call, answer, service_s, in_flight)
-        return Ran(answer, service_s)
+        return Ran(answer, service_s, self._death(answer))
 
     async def aclose(self) -> None:
         """Close connections to the endpoint."""
@@ -108,11 +121,26 @@
         """Return the state as plain JSON types."""
         return {
             'url': self._url,
-            'crashes': self._crashes,
+            'deaths': self._deaths,
             'slots': self._slots.dump(),
             'service_times': self._times.dump(),
         }
 
+    def _death(self, answer: dialects.EndpointAnswer) -> str:
+        """Return the name of the death that broke a call's connection.
+
+        All calls that break together get the same name, until an answer or
+        a refused connection shows that the death is over.
+        """
+        crashed = isinstance(answer, dialects.EndpointFailed) and answer.crashed
+        if not crashed:
+            self._alive = True
+            return ''
+        if self._alive:
+            self._deaths += 1
+            self._alive = False
+        return f'{self._name}/{self._deaths}'
+
     def _learn(
         self,
         call: wire.StageCall,
@@ -124,8 +152,6 @@
         expected = self._times.estimate(self._pool, call.stage, service_s)
         if not failed:
             self._times.observe(self._pool, call.stage, service_s)
-        if isinstance(answer, dialects.EndpointFailed) and answer.crashed:
-            self._crashes += 1
         self._slots.observe(
             limits.LatencySample(service_s, expected.mean_s, in_flight, failed)
         )
--- a/src/lentilspool/daemons/_entry.py
+++ b/src/lentilspool/daemons/_entry.py
@@ -34,6 +34,7 @@
     _stages,
     _status,
     _submission,
+    _suspects,
     _unrepeatable,
 )
 
@@ -96,6 +97,7 @@
             identity, own.links, self._heard, nursery
         )
         self._published = _published.Published()
+        self._suspects = _suspects.Suspects(own.name, self._peers.send, nursery)
         self._runner = self._make_runner()
 
     def application(self) -> kernel.Application:
@@ -104,6 +106,7 @@
         self._hosts.listen(self._peers.follow)
         self._hosts.listen(self._configuration.follow)
         self._hosts.listen(self._directory.follow)
+        self._hosts.listen(self._suspects.follow)
         self._configuration.listen(self._published.adopt)
         self._configuration.listen(self._directory.adopt)
         self._configuration.listen(self._runner.adopt)
@@ -132,6 +135,7 @@
                 'hosts': self._hosts,
                 'configuration': self._configuration,
                 'directory': self._directory,
+                'quarantine': self._suspects,
                 'requests': self._runner,
                 'server': server,
                 'http': _http_server.HttpServer(
@@ -150,6 +154,7 @@
         attempts = _attempts.Attempts(
             self._directory,
             self._published,
+            self._suspects,
             self._times,
             self._metrics,
         )
@@ -157,9 +162,16 @@
             self._directory, attempts, self._published, self._signer
         )
         stages = _stages.Stages(
-            self._directory, attempts, self._times, unrepeatable, self._own.zone
+            self._directory,
+            attempts,
+            self._times,
+            unrepeatable,
+            self._suspects,
+            self._own.zone,
+        )
+        return _runner.Runner(
+            self._directory, attempts, stages, self._times, self._suspects
         )
-        return _runner.Runner(self._directory, attempts, stages, self._times)
 
     def _ready(self) -> bool:
         return (
@@ -177,6 +189,8 @@
             connection.when_ended(partial(self._peers.closed, peer, connection))
         elif isinstance(message, _CONFIG_MESSAGES):
             await self._configuration.on_message(peer, message)
+        elif isinstance(message, wire.Suspicions):
+            self._suspects.heard(message)
         else:
             kind = type(message).__name__
             await connection.send(wire.Refusal(0, f'{kind} is not served'))
@@ -184,6 +198,8 @@
     async def _heard(self, link: _link.Link, message: wire.Message) -> None:
         if isinstance(message, _CONFIG_MESSAGES) and link.peer:
             await self._configuration.on_message(link.peer.process, message)
+        elif isinstance(message, wire.Suspicions):
+            self._suspects.heard(message)
 
 
 def _server_options(callers: settings.CallerLimits) -> dict[str, Any]:
--- a/src/lentilspool/daemons/_executor.py
+++ b/src/lentilspool/daemons/_executor.py
@@ -63,15 +63,14 @@
         self, call: wire.StageCall, reply: _endpoint.Reply
     ) -> wire.StageAnswer:
         outcome: kernel.Outcome = _DRAINING
-        service_s = 0.0
+        ran = _endpoint.Ran(_DRAINING)
         if call.token:
             outcome = await self._once.run(call)
         elif not self._identity.leaving:
             ran = await self._repeatable(call, reply)
-            service_s = ran.service_s
             outcome = self._outcome(call, ran.answer)
         queued = self._endpoint.slots.queued
-        return _answers.answer_of(call, outcome, service_s, queued)
+        return _answers.answer_of(call, outcome, ran, queued)
 
     def _outcome(
         self,
--- a/src/lentilspool/daemons/_flight.py
+++ b/src/lentilspool/daemons/_flight.py
@@ -51,6 +51,16 @@
     streamed: bool = False
     """Whether text of the current attempt was passed on."""
 
+    @property
+    def prefix(self) -> tuple[int, ...]:
+        """Hashes of the blocks of the current stage's prompt."""
+        return pipeline.block_hashes(self._prompt)
+
+    @property
+    def prompt_tokens(self) -> int:
+        """Estimated tokens of the current stage's prompt."""
+        return len(self._prompt) // pipeline.CHARS_PER_TOKEN
+
     @property
     def remaining_s(self) -> float:
         """Seconds until the deadline."""
@@ -104,3 +114,9 @@
             token=self.token or None,
             traceparent=self.request.traceparent or None,
         )
+
+    @property
+    def _prompt(self) -> str:
+        stage = self.execution.stage
+        operation = stage.operation or stage.name
+        return pipeline.prompt_of(self.execution.fields, operation)
--- a/src/lentilspool/daemons/_link.py
+++ b/src/lentilspool/daemons/_link.py
@@ -14,6 +14,7 @@
 
 _MS: Final = 1000
 _SILENT_SHARE: Final = 0.75
+_FRESH_SHARE: Final = 0.75
 
 OnChunk = Callable[[wire.StageChunk], Awaitable[None]]
 Listener = Callable[['Link', wire.Message], Awaitable[None]]
@@ -61,12 +62,20 @@
         self._last_call_id = 0
         self._closed = False
         self._silence_s = link_settings.lease_s
+        self._progress_at = trio.current_time()
         self.peer: wire.Hello | None = None
 
     @property
     def usable(self) -> bool:
-        """Whether new calls may be sent."""
-        return self._stream is not None and not self._closed
+        """Whether new calls may be sent.
+
+        Nothing is sent on a connection that has been quiet for longer than
+        its peer's heartbeats explain.
+        """
+        if self._stream is None or self._closed:
+            return False
+        quiet_s = trio.current_time() - self._progress_at
+        return quiet_s <= self._silence_s * _FRESH_SHARE
 
     @property
     def open_calls(self) -> int:
@@ -135,6 +144,7 @@
                     _LOG, target=self._target, reason=message.reason
                 )
                 return
+            self._progress_at = trio.current_time()
             await self._dispatch(message)
 
     async def _dispatch(self, message: wire.Message | wire.Malformed) -> None:
--- a/src/lentilspool/daemons/_once.py
+++ b/src/lentilspool/daemons/_once.py
@@ -78,7 +78,11 @@
         return _admit_answer(call, answer.outcome)
 
     async def run(self, call: wire.StageCall) -> kernel.Outcome:
-        """Run a call that carries a token, or wait for its only run."""
+        """Run a call that carries a token, or wait for its only run.
+
+        An endpoint's death during an unrepeatable call is not held against
+        its content: the call is not sent again in any case.
+        """
         token = self._signer.verify(call.token or '')
         if isinstance(token, admission.TokenRefused):
             return token.outcome
--- a/src/lentilspool/daemons/_runner.py
+++ b/src/lentilspool/daemons/_runner.py
@@ -12,6 +12,7 @@
     _reply,
     _stages,
     _submission,
+    _suspects,
 )
 
 _POLL_S: Final = 0.02
@@ -26,11 +27,13 @@
         attempts: _attempts.Attempts,
         stages: _stages.Stages,
         times: limits.ServiceTimes,
+        suspects: _suspects.Suspects,
     ) -> None:
         self._directory = directory
         self._attempts = attempts
         self._stages = stages
         self._times = times
+        self._suspects = suspects
         self._control: limits.AdmissionPolicy = limits.AdmitAll()
         self._policies: object = None
         self._open = 0
@@ -76,11 +79,14 @@
             return refusal
         self._open += 1
         try:
-            return await self._run(flight)
+            outcome = await self._run(flight)
         finally:
             self._open -= 1
             flight.control.forget(request.request_id)
             self._attempts.table.close(request.request_id)
+        if isinstance(outcome, kernel.Complete):
+            self._suspects.completed(request.digest)
+        return outcome
 
     async def drain(self) -> None:
         """Wait until every request in hand has its outcome."""
--- a/src/lentilspool/daemons/_sidecar.py
+++ b/src/lentilspool/daemons/_sidecar.py
@@ -82,7 +82,7 @@
             nursery,
         )
         self._endpoint = _endpoint.Endpoint(
-            own.pool, own.endpoint_url, self._configuration
+            identity, own.endpoint_url, self._configuration
         )
         self._once = _once.Once(
             identity,
--- a/src/lentilspool/daemons/_stages.py
+++ b/src/lentilspool/daemons/_stages.py
@@ -1,15 +1,15 @@
 """Stages of a request: choice of endpoints, retries, at-most-once runs."""
 
-import random
 from typing import Final
 
 import trio
 
-from lentilspool import kernel, limits, pipeline, retries, routing
+from lentilspool import admission, kernel, limits, pipeline, retries, routing
 from lentilspool.daemons import (
     _attempts,
     _directory,
     _flight,
+    _suspects,
     _unrepeatable,
 )
 
@@ -26,14 +26,15 @@
         attempts: _attempts.Attempts,
         times: limits.ServiceTimes,
         unrepeatable: _unrepeatable.Unrepeatable,
+        suspects: _suspects.Suspects,
         zone: str,
     ) -> None:
         self._directory = directory
         self._attempts = attempts
         self._times = times
         self._unrepeatable = unrepeatable
+        self._suspects = suspects
         self._zone = zone
-        self._rng = random.Random()
 
     async def run(self, flight: _flight.Flight) -> kernel.Outcome | None:
         """Run the current stage; return None once its answer is taken."""
@@ -99,8 +100,15 @@
         number: int,
         tried: set[str],
     ) -> kernel.Outcome:
-        wanted = self._wanted(flight, frozenset(tried))
-        decision = router.choose(wanted, trio.current_time())
+        judgement = self._suspects.judge(flight.request.digest)
+        if isinstance(judgement, admission.Quarantined):
+            return judgement.outcome
+        alone = isinstance(judgement, admission.RunAlone)
+        if isinstance(judgement, admission.RunAlone):
+            await trio.sleep(judgement.wait_s)
+        wanted = self._wanted(flight, frozenset(tried), alone)
+        prefix = flight.prefix
+        decision = router.choose(wanted, trio.current_time(), prefix)
         if isinstance(decision, routing.NoEndpoint):
             return kernel.NotRun(
                 kernel.NotRunReason.no_endpoint,
@@ -138,7 +146,7 @@
         )
 
     def _wanted(
-        self, flight: _flight.Flight, excluded: frozenset[str]
+        self, flight: _flight.Flight, excluded: frozenset[str], alone: bool
     ) -> routing.RoutingRequest:
         stage = flight.execution.stage
         expected = self._times.estimate(stage.pool, stage.name, PRIOR_S)
@@ -148,6 +156,8 @@
             service_s=expected.mean_s,
             slack_s=flight.remaining_s - expected.mean_s,
             excluded=excluded,
+            solo=alone,
+            prompt_tokens=flight.prompt_tokens,
         )
 
     def _later_s(self, flight: _flight.Flight) -> float:
--- a/src/lentilspool/dialects/_engine.py
+++ b/src/lentilspool/dialects/_engine.py
@@ -2,11 +2,11 @@
 
 import dataclasses
 import json
-from typing import Any, Final
+from typing import Final
 
 import httpcore
 
-from lentilspool import kernel
+from lentilspool import kernel, pipeline
 from lentilspool.dialects import _http, _types
 
 _DATA: Final = b'data: '
@@ -47,7 +47,7 @@
     fields = json.loads(call.body)
     return json.dumps(
         {
-            'prompt': _prompt(fields, call.operation),
+            'prompt': pipeline.prompt_of(fields, call.operation),
             'max_tokens': call.max_output_tokens,
             'priority': call.priority,
             'stream': True,
@@ -55,16 +55,6 @@
     ).encode()
 
 
-def _prompt(fields: dict[str, Any], operation: str) -> str:
-    """Return the prompt: instruction, documents, then the caller's text."""
-    prompt = fields.get('prompt')
-    if prompt is not None:
-        return str(prompt)
-    documents = fields.get('documents', ())
-    lines = [operation, *(str(document) for document in documents)]
-    return '\n'.join([*lines, str(fields.get('text', ''))])
-
-
 async def _read(
     response: httpcore.Response, emit: _types.Emit
 ) -> _types.EndpointAnswer:
--- a/src/lentilspool/pipeline/__init__.py
+++ b/src/lentilspool/pipeline/__init__.py
@@ -8,6 +8,7 @@
 from lentilspool.pipeline._pool_router import PoolRouter as PoolRouter
 from lentilspool.pipeline._prefix import CHARS_PER_TOKEN as CHARS_PER_TOKEN
 from lentilspool.pipeline._prefix import block_hashes as block_hashes
+from lentilspool.pipeline._prefix import prompt_of as prompt_of
 from lentilspool.pipeline._request import Invalid as Invalid
 from lentilspool.pipeline._request import PipelineRequest as PipelineRequest
 from lentilspool.pipeline._request import check_request as check_request
--- a/src/lentilspool/pipeline/_execution.py
+++ b/src/lentilspool/pipeline/_execution.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import json
+from collections.abc import Mapping
 from typing import Any
 
 from lentilspool import config, kernel
@@ -53,6 +54,11 @@
         """Stages that have not answered."""
         return self._request.stages[self._position :]
 
+    @property
+    def fields(self) -> Mapping[str, Any]:
+        """Input of the next stage."""
+        return self._fields
+
     @property
     def cost_by_stage(self) -> tuple[kernel.StageCost, ...]:
         """Spend so far, in the order in which stages ran."""
--- a/src/lentilspool/pipeline/_pool_router.py
+++ b/src/lentilspool/pipeline/_pool_router.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from lentilspool import config, kernel, limits, retries, routing
+from lentilspool.pipeline import _prefix
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -71,6 +72,7 @@
             share=retry_share, reserve=document.max_in_flight
         )
         self._backoff = retries.Backoff()
+        self._index = routing.PrefixIndex()
         self._waits_s: dict[str, float] = {}
 
     @property
@@ -124,24 +126,38 @@
             wait_s=min(waits, default=0),
         )
 
+    def expire(self, now: float) -> None:
+        """Free what has expired; call every few seconds."""
+        self._index.expire(now)
+
     def admit(self, now: float) -> retries.Admitted | retries.Refused:
         """Tell whether a first attempt may be sent to the pool."""
         return self._breaker.admit(now, self._rng)
 
     def choose(
-        self, request: routing.RoutingRequest, now: float
+        self,
+        request: routing.RoutingRequest,
+        now: float,
+        prefix: Sequence[int] = (),
     ) -> routing.Decision:
-        """Choose an endpoint; tried ones only if there is no other."""
+        """Choose an endpoint; tried ones only if there is no other.
+
+        ``prefix`` has the hashes of the prompt's blocks; the endpoint that
+        is chosen is expected to hold them from now on.
+        """
         self._judge(now)
-        decision = self._policy.choose(
-            request, self._table.candidates, now, self._rng
-        )
-        if isinstance(decision, routing.Choice) or not request.excluded:
-            return decision
-        again = dataclasses.replace(request, excluded=frozenset())
-        return self._policy.choose(
-            again, self._table.candidates, now, self._rng
-        )
+        wanted = request
+        if prefix and self._document.kind == 'engine':
+            wanted = dataclasses.replace(
+                request, cached_tokens=self._cached_tokens(prefix, now)
+            )
+        decision = self._ask(wanted, now)
+        if isinstance(decision, routing.NoEndpoint) and wanted.excluded:
+            again = dataclasses.replace(wanted, excluded=frozenset())
+            decision = self._ask(again, now)
+        if prefix and isinstance(decision, routing.Choice):
+            self._index.routed(decision.endpoint, prefix, now)
+        return decision
 
     def started(self, name: str) -> None:
         """Count an attempt that is sent to an endpoint."""
@@ -176,6 +192,7 @@
         return {
             'retry_budget': round(self._budget.balance, 2),
             'success_share': round(self._breaker.success_share, 3),
+            'cached_prefix_blocks': self._index.size,
             'ejected': list(self._ejection.ejected(now)),
             'endpoints': {
                 held.name: {
@@ -189,6 +206,20 @@
             },
         }
 
+    def _ask(
+        self, request: routing.RoutingRequest, now: float
+    ) -> routing.Decision:
+        return self._policy.choose(
+            request, self._table.candidates, now, self._rng
+        )
+
+    def _cached_tokens(
+        self, prefix: Sequence[int], now: float
+    ) -> dict[str, int]:
+        tokens = _prefix.BLOCK_CHARS // _prefix.CHARS_PER_TOKEN
+        depths = self._index.depths(prefix, now)
+        return {name: depth * tokens for name, depth in depths.items()}
+
     def _judge(self, now: float) -> None:
         for candidate in tuple(self._table.candidates):
             verdict = self._ejection.verdict(candidate.name, now)
--- a/src/lentilspool/pipeline/_prefix.py
+++ b/src/lentilspool/pipeline/_prefix.py
@@ -1,7 +1,7 @@
-"""Hashes of a prompt's blocks, by which cached prefixes are found."""
+"""Prompts, and the hashes of their blocks by which caches are found."""
 
-from collections.abc import Iterator
-from typing import Final
+from collections.abc import Iterator, Mapping
+from typing import Any, Final
 
 import xxhash
 
@@ -10,6 +10,16 @@
 CHARS_PER_TOKEN: Final = 4
 
 
+def prompt_of(fields: Mapping[str, Any], operation: str) -> str:
+    """Return the prompt: the operation, documents, then the caller's text."""
+    prompt = fields.get('prompt')
+    if prompt is not None:
+        return str(prompt)
+    documents = fields.get('documents', ())
+    lines = [operation, *(str(document) for document in documents)]
+    return '\n'.join([*lines, str(fields.get('text', ''))])
+
+
 def block_hashes(prompt: str) -> tuple[int, ...]:
     """Return one hash for each whole block, over all text up to its end."""
     return tuple(_hashes(prompt))
--- a/src/lentilspool/wire/_calls.py
+++ b/src/lentilspool/wire/_calls.py
@@ -136,6 +136,9 @@
     queued: int
     """Calls waiting at the sidecar."""
 
+    death: str
+    """Name of the endpoint's death that ended the call; empty if none."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Cancel:
--- a/src/lentilspool/wire/_codec.py
+++ b/src/lentilspool/wire/_codec.py
@@ -12,10 +12,10 @@
 from thrift.protocol import TCompactProtocol
 from thrift.transport import TTransport
 
-from lentilspool.wire import _calls, _control
+from lentilspool.wire import _calls, _control, _hand_off
 from lentilspool.wire.generated.messages import constants, ttypes
 
-Message = (
+CallMessage = (
     _calls.Hello
     | _calls.StageCall
     | _calls.StageChunk
@@ -24,14 +24,24 @@
     | _calls.AdmitCall
     | _calls.AdmitAnswer
     | _calls.Refusal
-    | _control.ConfigDigest
+)
+ControlMessage = (
+    _control.ConfigDigest
     | _control.ConfigPull
     | _control.ConfigPush
     | _control.Heartbeat
-    | _control.HeldRequest
-    | _control.CollectCall
-    | _control.CollectAnswer
+    | _control.Suspicions
+    | _control.OrderProgress
+)
+HandOffMessage = (
+    _hand_off.HeldCall
+    | _hand_off.HeldAnswer
+    | _hand_off.RenewCall
+    | _hand_off.RenewAnswer
+    | _hand_off.CollectCall
+    | _hand_off.CollectAnswer
 )
+Message = CallMessage | ControlMessage | HandOffMessage
 
 PROTOCOL_VERSION: Final[int] = constants.PROTOCOL_VERSION
 
@@ -49,9 +59,14 @@
         _control.ConfigPull: 'config_pull',
         _control.ConfigPush: 'config_push',
         _control.Heartbeat: 'heartbeat',
-        _control.HeldRequest: 'held_request',
-        _control.CollectCall: 'collect_call',
-        _control.CollectAnswer: 'collect_answer',
+        _control.Suspicions: 'suspicions',
+        _control.OrderProgress: 'order_progress',
+        _hand_off.HeldCall: 'held_call',
+        _hand_off.HeldAnswer: 'held_answer',
+        _hand_off.RenewCall: 'renew_call',
+        _hand_off.RenewAnswer: 'renew_answer',
+        _hand_off.CollectCall: 'collect_call',
+        _hand_off.CollectAnswer: 'collect_answer',
     }
 )
 
--- a/src/lentilspool/wire/_control.py
+++ b/src/lentilspool/wire/_control.py
@@ -1,4 +1,4 @@
-"""Messages about configuration, membership and hand-off."""
+"""Messages about configuration and membership."""
 
 import dataclasses
 
@@ -87,51 +87,28 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class HeldRequest:
-    """A copy of a request that may wait, for its standby."""
+class Suspicions:
+    """What is held against contents that may crash endpoints."""
 
-    token: str
-    """Token with which the caller collects the answer."""
-
-    pipeline: str
-    """Name of the pipeline."""
-
-    body: bytes
-    """Request as JSON text."""
-
-    team: str
-    """Team of the request."""
-
-    remaining_ms: int
-    """Milliseconds for which the request is worked on."""
-
-    lease_ms: int
-    """Milliseconds after which the standby takes over."""
-
-    transfer: bool
-    """Whether the receiver owns the request from now on."""
+    suspicions: tuple[str, ...]
+    """Suspicions, as ``admission.encode_suspicion`` writes them."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class CollectCall:
-    """Asks a peer for the answer of a request that waits."""
-
-    call_id: int
-    """Number of the call on its connection."""
+class OrderProgress:
+    """How far the sender's engine is with the state it was ordered to."""
 
-    token: str
-    """Token of the request."""
+    name: str
+    """Name of the sidecar."""
 
+    version: int
+    """Configuration in force at the sidecar."""
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class CollectAnswer:
-    """Answer to a ``CollectCall``."""
-
-    call_id: int
-    """Call that is answered."""
+    target: int
+    """Digest of the state wanted, as a signed number."""
 
-    state: str
-    """One of unknown, running and finished."""
+    done: bool
+    """Whether the engine was seen in that state."""
 
-    body: bytes
-    """Finished answer as JSON text, or nothing."""
+    busy: bool
+    """Whether an order is under way."""
--- a/src/lentilspool/wire/lentilspool.thrift
+++ b/src/lentilspool/wire/lentilspool.thrift
@@ -52,6 +52,7 @@
   10: required i32 retry_after_ms
   11: required i32 service_ms
   12: required i32 queued
+  13: required string death
 }
 
 struct Cancel {
@@ -112,25 +113,61 @@
   14: required i32 port
 }
 
-struct HeldRequest {
-  1: required string token
-  2: required string pipeline
-  3: required binary body
-  4: required string team
-  5: required i32 remaining_ms
-  6: required i32 lease_ms
-  7: required bool transfer
+// action: copy, transfer. Stage i has the admission token i.
+struct HeldCall {
+  1: required i64 call_id
+  2: required string action
+  3: required string request_id
+  4: required string pipeline
+  5: required string team
+  6: required binary body
+  7: required list<string> stages
+  8: required list<string> tokens
+  9: required i64 epoch
+  10: optional binary outcome
+}
+
+struct HeldAnswer {
+  1: required i64 call_id
+  2: required bool stored
+}
+
+// Request i is claimed with the epoch i.
+struct RenewCall {
+  1: required i64 call_id
+  2: required list<string> request_ids
+  3: required list<i64> epochs
+}
+
+struct RenewAnswer {
+  1: required i64 call_id
+  2: required list<string> taken
+  3: required list<string> missing
+}
+
+struct Suspicions {
+  1: required list<string> suspicions
+}
+
+struct OrderProgress {
+  1: required string name
+  2: required i64 version
+  3: required i64 target
+  4: required bool done
+  5: required bool busy
 }
 
 struct CollectCall {
   1: required i64 call_id
-  2: required string token
+  2: required string request_id
 }
 
+// state: unknown, running, finished, moved
 struct CollectAnswer {
   1: required i64 call_id
   2: required string state
-  3: required binary body
+  3: required binary outcome
+  4: required string ask
 }
 
 struct Refusal {
@@ -150,8 +187,13 @@
   9: optional ConfigPull config_pull
   10: optional ConfigPush config_push
   11: optional Heartbeat heartbeat
-  12: optional HeldRequest held_request
+  12: optional HeldCall held_call
   13: optional CollectCall collect_call
   14: optional CollectAnswer collect_answer
   15: optional Refusal refusal
+  16: optional HeldAnswer held_answer
+  17: optional RenewCall renew_call
+  18: optional RenewAnswer renew_answer
+  19: optional Suspicions suspicions
+  20: optional OrderProgress order_progress
 }
--- a/src/standins/_engine.py
+++ b/src/standins/_engine.py
@@ -3,6 +3,7 @@
 import json
 import zlib
 from collections import OrderedDict
+from collections.abc import Callable
 from typing import Any, Final
 
 import trio
@@ -34,6 +35,8 @@
         self._events: list[dict[str, Any]] = []
         self._fence: list[int] = []
         self._state: dict[str, Any] = {}
+        self.poison = ''
+        self.on_poison: Callable[[], None] = _ignore
         self.cancelled = 0
         self.prefilled_tokens = 0
         self.generated_tokens = 0
@@ -80,6 +83,9 @@
         call = json.loads(await _faults.body_of(receive))
         prompt = call['prompt']
         words = prompt.split()
+        if self.poison and self.poison in prompt:
+            self.on_poison()
+            await trio.sleep_forever()
         spoken = _spoken(prompt)
         slow = scope.get('slow_factor', 1)
         async with trio.open_nursery() as nursery:
@@ -136,6 +142,10 @@
             self._cache.popitem(last=False)
 
 
+def _ignore() -> None:
+    """Do nothing at a poisonous prompt."""
+
+
 def _spoken(prompt: str) -> list[str]:
     """Return the words to generate: the last line first, then the rest."""
     *lines, last = prompt.splitlines() or ['']
