--- a/bench/delivery.py
+++ b/bench/delivery.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import functools
+import logging
 import random
 from collections.abc import Callable, Iterator
 from typing import Final
@@ -14,6 +15,8 @@
 from bench import _events, _faulty_network
 from lentilspool import admission, kernel, retries
 
+logging.getLogger('lentilspool').addHandler(logging.NullHandler())
+
 _RATE: Final = 100.0
 _UNREPEATABLE: Final = 0.3
 _DEADLINE_S: Final = 2.0
--- a/bench/poison.py
+++ b/bench/poison.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import functools
+import logging
 import random
 from collections.abc import Iterator
 from typing import Final
@@ -13,6 +14,8 @@
 from bench import _events
 from lentilspool import admission
 
+logging.getLogger('lentilspool').addHandler(logging.NullHandler())
+
 _RATE: Final = 100.0
 _SERVICE_S: Final = 0.2
 _CRASH_S: Final = 0.05
