--- a/src/lentilspool/limits/_admission.py
+++ b/src/lentilspool/limits/_admission.py
@@ -44,7 +44,7 @@
         """Admit the request, let it wait, or refuse it."""
         dues = split_deadline(request.needs, request.deadline, now)
         favoured = self._offer(request, dues, loads, now)
-        finish = self._bookings.finish(request.needs, dues, now)
+        finish = self._bookings.finish(request.team, request.needs, dues, now)
         refusal = kernel.NotRunReason.team_limit
         if favoured:
             found = self._refusal(request, dues, finish, now)
@@ -71,7 +71,9 @@
         self._report(needs, loads, now)
         least_s = sum(need.expected_s for need in needs)
         if now + least_s <= booking.request.deadline:
-            finish = self._bookings.finish(needs, booking.dues, now)
+            finish = self._bookings.finish(
+                booking.request.team, needs, booking.dues, now
+            )
             return _types.Admit(finish, booking.dues)
         self._counts['given_up'] += 1
         retry_after_s = self._bookings.retry_after_s(needs)
@@ -133,6 +135,8 @@
             return kernel.NotRunReason.deadline
         for need, split in zip(request.needs, dues):
             pool = self._bookings.pool(need.pool, now)
+            if pool.protects(request.team):
+                continue
             if not pool.book.fits(need.expected_s, split.due, pool.slots, now):
                 return kernel.NotRunReason.overloaded
         return None
--- a/src/lentilspool/limits/_bookings.py
+++ b/src/lentilspool/limits/_bookings.py
@@ -81,6 +81,7 @@
 
     def finish(
         self,
+        team: str,
         needs: tuple[_types.StageNeed, ...],
         dues: tuple[_types.StageDue, ...],
         now: float,
@@ -94,7 +95,7 @@
         spread_s = 0.0
         for need, due in zip(needs, dues):
             pool = self._pools[need.pool]
-            lead_s += pool.wait_s(due.due, lead_s) + need.expected_s
+            lead_s += pool.wait_s(team, due.due, lead_s) + need.expected_s
             spread_s = max(spread_s, need.high_s - need.expected_s)
         return now + lead_s + spread_s
 
--- a/src/lentilspool/limits/_offered.py
+++ b/src/lentilspool/limits/_offered.py
@@ -12,8 +12,11 @@
 _LEAST_AGE_S: Final = 0.05
 _DEFAULT_SHARE: Final = 1.0
 _TOLERANCE: Final = 1.25
+_ALLOWED_REQUESTS: Final = 4.0
+_MEAN_GAIN: Final = 0.02
 _SURGE_SHARE: Final = 0.25
 _SURGE_FACTOR: Final = 1.3
+_SURGE_REQUESTS: Final = 10.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -40,40 +43,40 @@
     """Fading histogram of the work that teams offer to a pool.
 
     ``cutoffs`` splits the pool's capacity by max-min fairness over the
-    teams. All work of a team that offers no more than its part is favoured.
-    Of the others the smallest requests are favoured, since that completes
-    most of them: by one common size that fills the parts together, unless
-    a team would get a quarter more than its part; then by its own size.
+    teams. All work of a team that offers no more than its part, or a few
+    requests more, is favoured. Of the others the smallest requests are
+    favoured, since that completes most of them: by one common size that
+    fills the parts together, unless a team would get a quarter more than
+    its part; then by its own size.
     """
 
     def __init__(self, window_s: float, started: float) -> None:
         self._window_s = window_s
         self._epoch = started
         self._started = started
-        self._teams: dict[str, dict[int, float]] = {}
-        self._surge = _Surge(window_s * _SURGE_SHARE, started)
+        self._teams: dict[str, _TeamWork] = {}
+        self._mean_s = 0.0
 
     def add(self, team: str, work_s: float, now: float) -> None:
         """Record that a team offers work, in seconds of one slot."""
-        self._surge.add(work_s, now)
+        self._mean_s += (work_s - self._mean_s) * _MEAN_GAIN
         exponent = (now - self._epoch) / self._window_s
         if exponent > _MAX_EXPONENT:
             self._rebase(now)
             exponent = 0
-        sizes = self._teams.setdefault(team, {})
-        bucket = math.floor(math.log(max(work_s, _LEAST_WORK_S)) / _LOG_RATIO)
-        gain = work_s * math.exp(exponent)
-        sizes[bucket] = sizes.get(bucket, 0) + gain
+        held = self._teams.get(team)
+        if held is None:
+            held = _TeamWork(self._window_s * _SURGE_SHARE, now)
+            self._teams[team] = held
+        held.add(work_s, math.exp(exponent), now)
 
     def rates(self, now: float) -> dict[str, float]:
-        """Return the slots that each team's offered work would fill.
-
-        All are scaled up while a shorter window shows a sudden increase.
-        """
+        """Return the slots that each team's offered work would fill."""
         fade = self._fade(now)
+        least_s = self._mean_s * _SURGE_REQUESTS
         return {
-            team: sum(sizes.values()) * fade
-            for team, sizes in self._teams.items()
+            team: held.total * fade * held.surge(fade, least_s, now)
+            for team, held in self._teams.items()
         }
 
     def cutoffs(
@@ -83,68 +86,91 @@
         rates = self.rates(now)
         if sum(rates.values()) <= slots:
             return Cutoffs({})
-        level = fair_level(rates, shares, slots)
-        fade = self._fade(now)
-        parts = {
-            team: level * shares.get(team, _DEFAULT_SHARE) / fade
-            for team, rate in rates.items()
-            if rate > level * shares.get(team, _DEFAULT_SHARE)
-        }
-        common = _cutoff(self._merged(parts), sum(parts.values()))
+        parts = self._exceeded(rates, shares, slots)
+        if not parts:
+            return Cutoffs({})
+        sizes = {team: self._sizes(team, rates[team]) for team in parts}
+        common = _cutoff(_merged(sizes.values()), sum(parts.values()))
         by_team: dict[str, float] = {}
         for team, part in parts.items():
-            own = _cutoff(self._teams[team], part * _TOLERANCE)
+            own = _cutoff(sizes[team], part * _TOLERANCE)
             by_team[team] = BUCKET_RATIO ** min(common, own)
         return Cutoffs(by_team)
 
-    def _merged(self, teams: Iterable[str]) -> dict[int, float]:
-        merged: dict[int, float] = {}
-        for team in teams:
-            for bucket, weight in self._teams[team].items():
-                merged[bucket] = merged.get(bucket, 0) + weight
-        return merged
+    def _exceeded(
+        self,
+        rates: Mapping[str, float],
+        shares: Mapping[str, float],
+        slots: float,
+    ) -> dict[str, float]:
+        """Return the parts, in slots, of the teams that offer more."""
+        level = fair_level(rates, shares, slots)
+        allowance = self._mean_s * _ALLOWED_REQUESTS / self._window_s
+        return {
+            team: level * shares.get(team, _DEFAULT_SHARE)
+            for team, rate in rates.items()
+            if rate - allowance > level * shares.get(team, _DEFAULT_SHARE)
+        }
+
+    def _sizes(self, team: str, rate: float) -> dict[int, float]:
+        """Return the slots that a team's work of each size would fill."""
+        held = self._teams[team]
+        factor = rate / held.total
+        return {
+            bucket: weight * factor for bucket, weight in held.sizes.items()
+        }
 
     def _fade(self, now: float) -> float:
         """Return the factor from a weight to the slots that it fills."""
         age_s = now - self._started
         seen = 1 - math.exp(-max(age_s, _LEAST_AGE_S) / self._window_s)
         faded = math.exp((self._epoch - now) / self._window_s)
-        fade = faded / (self._window_s * seen)
-        total = sum(sum(sizes.values()) for sizes in self._teams.values())
-        surge = self._surge.rate(now) / max(total * fade, _LEAST_WORK_S)
-        return fade * (surge if surge > _SURGE_FACTOR else 1)
+        return faded / (self._window_s * seen)
 
     def _rebase(self, now: float) -> None:
         fade = math.exp((self._epoch - now) / self._window_s)
-        rebased: dict[str, dict[int, float]] = {}
-        for team, sizes in self._teams.items():
-            kept = {
-                bucket: weight * fade
-                for bucket, weight in sizes.items()
-                if weight * fade > _LEAST_WORK_S
-            }
-            if kept:
-                rebased[team] = kept
-        self._teams = rebased
         self._epoch = now
+        for team, held in list(self._teams.items()):
+            held.scale(fade)
+            if held.total <= _LEAST_WORK_S:
+                self._teams.pop(team)
 
 
-class _Surge:
-    """Rate of work over a short fading window."""
+class _TeamWork:
+    """Work of one team: a histogram of sizes, and a short window's rate."""
 
-    def __init__(self, window_s: float, started: float) -> None:
-        self._window_s = window_s
-        self._weight = 0.0
-        self._at = started
+    def __init__(self, short_s: float, now: float) -> None:
+        self.sizes: dict[int, float] = {}
+        self.total = 0.0
+        self._short_s = short_s
+        self._short = 0.0
+        self._at = now
 
-    def add(self, work_s: float, now: float) -> None:
-        self._weight = self.rate(now) * self._window_s + work_s
+    def add(self, work_s: float, gain: float, now: float) -> None:
+        """Add work, multiplied by ``gain`` in the histogram."""
+        bucket = math.floor(math.log(max(work_s, _LEAST_WORK_S)) / _LOG_RATIO)
+        self.sizes[bucket] = self.sizes.get(bucket, 0) + work_s * gain
+        self.total += work_s * gain
+        self._short = self._faded(now) + work_s
         self._at = now
 
-    def rate(self, now: float) -> float:
-        """Return the slots that the work of the window would fill."""
-        fade = math.exp((self._at - now) / self._window_s)
-        return self._weight * fade / self._window_s
+    def surge(self, fade: float, least_s: float, now: float) -> float:
+        """Return the factor by which the short window is ahead, or one."""
+        short = self._faded(now)
+        factor = short / self._short_s / max(self.total * fade, _LEAST_WORK_S)
+        return factor if short > least_s and factor > _SURGE_FACTOR else 1
+
+    def scale(self, factor: float) -> None:
+        """Multiply the histogram, and drop what has faded."""
+        self.sizes = {
+            bucket: weight * factor
+            for bucket, weight in self.sizes.items()
+            if weight * factor > _LEAST_WORK_S
+        }
+        self.total = sum(self.sizes.values())
+
+    def _faded(self, now: float) -> float:
+        return self._short * math.exp((self._at - now) / self._short_s)
 
 
 def fair_level(
@@ -168,6 +194,14 @@
     return math.inf
 
 
+def _merged(parts: Iterable[dict[int, float]]) -> dict[int, float]:
+    merged: dict[int, float] = {}
+    for sizes in parts:
+        for bucket, rate in sizes.items():
+            merged[bucket] = merged.get(bucket, 0) + rate
+    return merged
+
+
 def _cutoff(sizes: Mapping[int, float], part: float) -> float:
     """Return the position among the buckets below which ``part`` lies."""
     left = part
--- a/src/lentilspool/limits/_pool_state.py
+++ b/src/lentilspool/limits/_pool_state.py
@@ -19,7 +19,7 @@
 class Tuning:
     """Numeric parameters of the default admission policy."""
 
-    window_s: float = 2.0
+    window_s: float = 4.0
     """Window over which offered work is measured, in seconds."""
 
     headroom: float = 1.0
@@ -114,8 +114,18 @@
             return True
         return self.backlog_s <= self._tuning.lend_s + lead_s
 
-    def wait_s(self, due: float, lead_s: float) -> float:
+    def protects(self, team: str) -> bool:
+        """Tell whether the team is below its share of an overloaded pool.
+
+        Sidecars serve its calls before those of the teams that are above.
+        """
+        by_team = self._cutoffs.by_team
+        return bool(by_team) and team not in by_team
+
+    def wait_s(self, team: str, due: float, lead_s: float) -> float:
         """Return the wait of work that arrives after ``lead_s``."""
+        if self.protects(team):
+            return 0
         booked_s = self._book.wait_s(due, self._slots)
         return max(0, max(booked_s, self._reported_s) - lead_s)
 
--- a/src/lentilspool/limits/_team_queue.py
+++ b/src/lentilspool/limits/_team_queue.py
@@ -7,14 +7,18 @@
 from lentilspool.limits import _types
 
 _DEFAULT_SHARE: Final = 1.0
+_CREDIT_CALLS: Final = 4.0
+_MEAN_GAIN: Final = 0.05
 
 
 class TeamQueue:
     """Fair queue over teams, in units of cost.
 
     A team's virtual start time grows by cost over share with each of its
-    calls. A team that was idle starts at the current virtual time, so that
-    it can neither save up its share nor be charged for lent capacity.
+    calls. A team that was idle starts ahead of the current virtual time by
+    at most a few calls of mean cost: its next calls need not wait for one
+    call of every team that is backlogged, but it saves up no more. When the
+    queue runs empty all teams are equal again: nobody was kept waiting.
     """
 
     def __init__(self, shares: Mapping[str, float]) -> None:
@@ -22,6 +26,7 @@
         self._calls: dict[str, list[tuple[float, int, _types.QueuedCall]]] = {}
         self._starts: dict[str, float] = {}
         self._virtual = 0.0
+        self._mean = 0.0
         self._arrivals: dict[int, float] = {}
         self._costs: dict[str, float] = {}
 
@@ -40,14 +45,15 @@
 
     def add(self, call: _types.QueuedCall, now: float) -> None:
         """Add a call to its team's list, ordered by deadline."""
+        self._mean += (call.cost - self._mean) * _MEAN_GAIN
         team = call.team
         if team not in self._calls:
             self._calls[team] = []
             self._costs[team] = 0
         calls = self._calls[team]
         if not calls:
-            held = self._starts.get(team, 0)
-            self._starts[team] = max(held, self._virtual)
+            earliest = self._earliest(team)
+            self._starts[team] = max(self._starts.get(team, earliest), earliest)
         bisect.insort(calls, (call.deadline, call.call_id, call))
         self._costs[team] += call.cost
         self._arrivals[call.call_id] = now
@@ -56,7 +62,7 @@
         """Remove the next call; there must be one."""
         team = min(self._calls, key=lambda name: (self._starts[name], name))
         call = self._calls[team][0][2]
-        self._virtual = self._starts[team]
+        self._virtual = max(self._virtual, self._starts[team])
         self._starts[team] += call.cost / self._share(team)
         self._detach(call)
         self._forget_idle()
@@ -93,6 +99,9 @@
             for team, calls in sorted(self._calls.items())
         }
 
+    def _earliest(self, team: str) -> float:
+        return self._virtual - _CREDIT_CALLS * self._mean / self._share(team)
+
     def _share(self, team: str) -> float:
         return self._shares.get(team, _DEFAULT_SHARE)
 
@@ -106,10 +115,13 @@
             self._costs.pop(call.team)
 
     def _forget_idle(self) -> None:
+        if not self._calls:
+            self._starts.clear()
+            self._virtual = 0
         if len(self._starts) <= 2 * len(self._calls) + 8:
             return
         self._starts = {
             team: start
             for team, start in self._starts.items()
-            if team in self._calls or start > self._virtual
+            if team in self._calls or start > self._earliest(team)
         }
