Add spend pacing and the cost ledger; more credit for sparse teams

Change: credit of eight mean calls, the mean begins at the first cost. Conclusion: APIs for spend stand.

--- a/src/lentilspool/limits/__init__.py
+++ b/src/lentilspool/limits/__init__.py
@@ -15,12 +15,17 @@
     ConcurrencyLimit as ConcurrencyLimit,
 )
 from lentilspool.limits._concurrency import FixedLimit as FixedLimit
+from lentilspool.limits._costs import CostLedger as CostLedger
+from lentilspool.limits._costs import CostLine as CostLine
 from lentilspool.limits._protocols import AdmissionPolicy as AdmissionPolicy
 from lentilspool.limits._protocols import LimitPolicy as LimitPolicy
 from lentilspool.limits._protocols import QueuePolicy as QueuePolicy
 from lentilspool.limits._protocols import SpendPolicy as SpendPolicy
 from lentilspool.limits._service_times import ServiceTime as ServiceTime
 from lentilspool.limits._service_times import ServiceTimes as ServiceTimes
+from lentilspool.limits._spend import Credits as Credits
+from lentilspool.limits._spend import SpendPacer as SpendPacer
+from lentilspool.limits._spend import SpendUnpaced as SpendUnpaced
 from lentilspool.limits._stage_queue import FifoQueue as FifoQueue
 from lentilspool.limits._stage_queue import StageQueue as StageQueue
 from lentilspool.limits._types import Admission as Admission
--- a/src/lentilspool/limits/_team_queue.py
+++ b/src/lentilspool/limits/_team_queue.py
@@ -7,7 +7,7 @@
 from lentilspool.limits import _types
 
 _DEFAULT_SHARE: Final = 1.0
-_CREDIT_CALLS: Final = 4.0
+_CREDIT_CALLS: Final = 8.0
 _MEAN_GAIN: Final = 0.05
 
 
@@ -45,6 +45,7 @@
 
     def add(self, call: _types.QueuedCall, now: float) -> None:
         """Add a call to its team's list, ordered by deadline."""
+        self._mean = self._mean or call.cost
         self._mean += (call.cost - self._mean) * _MEAN_GAIN
         team = call.team
         if team not in self._calls:
