Hold requests that may wait at two entries; take over and hand over

Cause: may_wait was checked and then ignored: a request whose entry died was lost with it. Change: Accepted after a standby in another zone holds a copy; renewals, takeover, transfer before a planned stop, collection through any entry; runs in the class that may wait until the pipeline's wait limit; tokens of unrepeatable stages are had before acceptance. Conclusion: an accepted draft survives the death of its entry.

--- a/src/lentilspool/admission/__init__.py
+++ b/src/lentilspool/admission/__init__.py
@@ -21,6 +21,7 @@
 from lentilspool.admission._hand_off_types import Run as Run
 from lentilspool.admission._hand_off_types import Stop as Stop
 from lentilspool.admission._hand_off_types import Transfer as Transfer
+from lentilspool.admission._held_table import Held as Held
 from lentilspool.admission._held_table import HeldTable as HeldTable
 from lentilspool.admission._key_home import KeyHome as KeyHome
 from lentilspool.admission._key_slots import KeySlots as KeySlots
--- a/src/lentilspool/daemons/_collect.py
+++ b/src/lentilspool/daemons/_collect.py
@@ -5,11 +5,12 @@
 import trio
 
 from lentilspool import admission, kernel, wire
-from lentilspool.daemons import _classify, _directory, _problem
+from lentilspool.daemons import _classify, _directory, _problem, _waiting
 
 _TIMEOUT_S: Final = 5.0
 _POLL_S: Final = 0.05
 _OK: Final = 200
+_WAITING: Final = 'wait~'
 
 
 class Collect:
@@ -19,13 +20,19 @@
     """
 
     def __init__(
-        self, directory: _directory.Directory, signer: admission.TokenSigner
+        self,
+        directory: _directory.Directory,
+        signer: admission.TokenSigner,
+        waiting: _waiting.Waiting,
     ) -> None:
         self._directory = directory
         self._signer = signer
+        self._waiting = waiting
 
     async def answer(self, text: str) -> _problem.Response:
         """Return the response for a token."""
+        if text.startswith(_WAITING):
+            return await self._waiting_answer(text)
         token = self._signer.verify(text)
         if isinstance(token, admission.TokenRefused):
             return _problem.response_of(token.outcome, '')
@@ -39,6 +46,16 @@
             )
         return _response(answer, text, token.request_id)
 
+    async def _waiting_answer(self, text: str) -> _problem.Response:
+        """Return the response for the token of a request that may wait."""
+        found = await self._waiting.collect(text)
+        if not isinstance(found, str):
+            return _problem.response_of(found, '')
+        if found == 'running':
+            return _problem.plain(_OK, {'state': found, 'token': text})
+        reason = kernel.UnknownReason.incarnation_lost
+        return _problem.response_of(kernel.Unknown(text, reason), '')
+
     async def _ask(
         self, text: str, token: admission.AdmissionToken
     ) -> wire.AdmitAnswer | None:
--- a/src/lentilspool/daemons/_entry.py
+++ b/src/lentilspool/daemons/_entry.py
@@ -6,6 +6,7 @@
 import trio
 
 from lentilspool import (
+    admission,
     config,
     kernel,
     limits,
@@ -15,6 +16,7 @@
     wire,
 )
 from lentilspool.daemons import (
+    _accept,
     _attempts,
     _call_server,
     _collect,
@@ -22,6 +24,7 @@
     _daemon,
     _directory,
     _front,
+    _held_calls,
     _hosts,
     _http_server,
     _identity,
@@ -36,6 +39,8 @@
     _submission,
     _suspects,
     _unrepeatable,
+    _waiting,
+    _waiting_runs,
 )
 
 _CONFIG_MESSAGES: Final = (
@@ -99,6 +104,12 @@
         self._published = _published.Published()
         self._suspects = _suspects.Suspects(own.name, self._peers.send, nursery)
         self._runner = self._make_runner()
+        self._waiting = _waiting.Waiting(
+            admission.Peer(own.name, own.zone),
+            _held_calls.HeldCalls(self._peers),
+            _waiting_runs.WaitingRuns(self._configuration, self._runner),
+            nursery,
+        )
 
     def application(self) -> kernel.Application:
         """Return the application with all components."""
@@ -107,15 +118,17 @@
         self._hosts.listen(self._configuration.follow)
         self._hosts.listen(self._directory.follow)
         self._hosts.listen(self._suspects.follow)
+        self._hosts.listen(self._waiting.follow)
+        self._pulse.listen(self._waiting.on_pause)
         self._configuration.listen(self._published.adopt)
         self._configuration.listen(self._directory.adopt)
         self._configuration.listen(self._runner.adopt)
         front = _front.Front(
             _submission.Gate(self._configuration, own.callers, self._signer),
             self._runner,
-            _collect.Collect(self._directory, self._signer),
+            _collect.Collect(self._directory, self._signer, self._waiting),
+            _accept.Accept(self._configuration, self._runner, self._waiting),
             own.callers,
-            self._metrics,
             _status.Status(
                 self._metrics, self._ready, lambda: application.dump()
             ),
@@ -137,6 +150,7 @@
                 'directory': self._directory,
                 'quarantine': self._suspects,
                 'requests': self._runner,
+                'waiting': self._waiting,
                 'server': server,
                 'http': _http_server.HttpServer(
                     front,
@@ -192,8 +206,20 @@
         elif isinstance(message, wire.Suspicions):
             self._suspects.heard(message)
         else:
-            kind = type(message).__name__
-            await connection.send(wire.Refusal(0, f'{kind} is not served'))
+            await connection.send(await self._answer(message, peer))
+
+    async def _answer(self, message: wire.Message, peer: str) -> wire.Message:
+        """Answer a call of another entry about requests that may wait."""
+        match message:
+            case wire.HeldCall():
+                return await self._waiting.serve(message, peer)
+            case wire.RenewCall():
+                return self._waiting.desk.renew(message, peer)
+            case wire.CollectCall():
+                return self._waiting.desk.tell(message)
+            case _:
+                kind = type(message).__name__
+                return wire.Refusal(0, f'{kind} is not served here')
 
     async def _heard(self, link: _link.Link, message: wire.Message) -> None:
         if isinstance(message, _CONFIG_MESSAGES) and link.peer:
--- a/src/lentilspool/daemons/_front.py
+++ b/src/lentilspool/daemons/_front.py
@@ -4,8 +4,9 @@
 
 import trio
 
-from lentilspool import kernel, pipeline, settings, telemetry
+from lentilspool import kernel, pipeline, settings
 from lentilspool.daemons import (
+    _accept,
     _asgi,
     _collect,
     _events,
@@ -39,15 +40,16 @@
         gate: _submission.Gate,
         runner: _runner.Runner,
         collect: _collect.Collect,
+        accept: _accept.Accept,
         limits: settings.CallerLimits,
-        metrics: telemetry.Metrics,
         status: _status.Status,
     ) -> None:
         self._gate = gate
         self._runner = runner
         self._collect = collect
+        self._accept = accept
         self._limits = limits
-        self._metrics = metrics
+        self._metrics = status.metrics
         self._status = status
         self._scopes: dict[str, trio.CancelScope] = {}
         self._refusing = False
@@ -104,9 +106,11 @@
             reply = _reply.Stream(send)
         started = trio.current_time()
         request = submission.request
-        outcome = self._refusal() or await self._watched(
-            submission, reply, receive
-        )
+        outcome: kernel.Outcome | None = self._refusal()
+        if outcome is None and request.may_wait:
+            outcome = await self._accept.accept(submission)
+        elif outcome is None:
+            outcome = await self._watched(submission, reply, receive)
         if outcome is not None:
             await reply.end(outcome, request.request_id)
         self._report(request, outcome, trio.current_time() - started)
--- /dev/null
+++ b/src/lentilspool/daemons/_held_calls.py
@@ -0,0 +1,101 @@
+"""Calls between entries about requests that may wait."""
+
+from typing import Final
+
+import trio
+
+from lentilspool import admission, kernel, wire
+from lentilspool.daemons import _link, _outcome_codec, _peers
+
+_TIMEOUT_S: Final = 1.0
+_POLL_S: Final = 0.02
+_NO_LINK: Final = _link.LinkLost(sent=False)
+
+
+class HeldCalls:
+    """Sends copies, renewals, transfers and questions to other entries.
+
+    A call that is not answered in time counts as lost: its answer is None
+    or False, and the caller decides what follows.
+    """
+
+    def __init__(self, peers: _peers.Peers) -> None:
+        self._peers = peers
+
+    async def copy(self, request: admission.HeldRequest, to: str) -> bool:
+        """Give a standby a copy; return whether it is stored."""
+        answer = await self._call(to, _held_call(request, 'copy', None))
+        return isinstance(answer, wire.HeldAnswer) and answer.stored
+
+    async def transfer(self, move: admission.Transfer) -> bool:
+        """Move a request to another entry; return whether it has it."""
+        call = _held_call(move.request, 'transfer', move.outcome)
+        answer = await self._call(move.to, call)
+        return isinstance(answer, wire.HeldAnswer) and answer.stored
+
+    async def renew(self, renewal: admission.Renew) -> admission.Renewed | None:
+        """Renew leases at a standby; return its answer."""
+
+        def make(call_id: int) -> wire.RenewCall:
+            return wire.RenewCall(
+                call_id,
+                tuple(request_id for request_id, _ in renewal.held),
+                tuple(epoch for _, epoch in renewal.held),
+            )
+
+        answer = await self._call(renewal.to, make)
+        if isinstance(answer, wire.RenewAnswer):
+            return admission.Renewed(answer.taken, answer.missing)
+        return None
+
+    async def collect(
+        self, request_id: str, ask: str
+    ) -> wire.CollectAnswer | None:
+        """Ask an entry for the outcome of a request."""
+        answer = await self._call(
+            ask, lambda call_id: wire.CollectCall(call_id, request_id)
+        )
+        return answer if isinstance(answer, wire.CollectAnswer) else None
+
+    async def _call(
+        self, name: str, make: _link.MakeCall
+    ) -> _link.Answer | None:
+        with trio.move_on_after(_TIMEOUT_S):
+            while True:
+                link = self._peers.reach(name)
+                answer = await link.call(make) if link else _NO_LINK
+                if not isinstance(answer, _link.LinkLost):
+                    return answer
+                await trio.sleep(_POLL_S)
+        return None
+
+
+def _held_call(
+    request: admission.HeldRequest,
+    action: str,
+    outcome: kernel.Outcome | None,
+) -> _link.MakeCall:
+    return lambda call_id: wire.HeldCall(
+        call_id=call_id,
+        action=action,
+        request_id=request.request_id,
+        pipeline=request.pipeline,
+        team=request.team,
+        body=request.body,
+        stages=tuple(stage for stage, _ in request.tokens),
+        tokens=tuple(token for _, token in request.tokens),
+        epoch=request.epoch,
+        outcome=_outcome_codec.encode(outcome) if outcome else None,
+    )
+
+
+def request_of(call: wire.HeldCall) -> admission.HeldRequest:
+    """Return the request that a call carries."""
+    return admission.HeldRequest(
+        request_id=call.request_id,
+        pipeline=call.pipeline,
+        team=call.team,
+        body=call.body,
+        tokens=tuple(zip(call.stages, call.tokens, strict=False)),
+        epoch=call.epoch,
+    )
--- a/src/lentilspool/daemons/_link.py
+++ b/src/lentilspool/daemons/_link.py
@@ -19,7 +19,14 @@
 OnChunk = Callable[[wire.StageChunk], Awaitable[None]]
 Listener = Callable[['Link', wire.Message], Awaitable[None]]
 MakeCall = Callable[[int], wire.Message]
-Answer = wire.StageAnswer | wire.AdmitAnswer | wire.CollectAnswer | wire.Refusal
+Answer = (
+    wire.StageAnswer
+    | wire.AdmitAnswer
+    | wire.HeldAnswer
+    | wire.RenewAnswer
+    | wire.CollectAnswer
+    | wire.Refusal
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/lentilspool/daemons/_peers.py
+++ b/src/lentilspool/daemons/_peers.py
@@ -53,6 +53,14 @@
         if self._accepted.get(name) is connection:
             self._accepted.pop(name)
 
+    def reach(self, name: str) -> _link.Link | None:
+        """Return the connection to a process; open one if there is none."""
+        if name not in self._wanted:
+            self._wanted[name] = trio.current_time()
+            self._refresh()
+        self._wanted[name] = trio.current_time()
+        return self.find(name)
+
     def find(self, name: str) -> _link.Link | None:
         """Return the usable connection that this process opened."""
         address = self._addresses.get(name)
@@ -63,11 +71,7 @@
         connection = self._accepted.get(name)
         if connection is not None and await connection.send(message):
             return
-        if name not in self._wanted:
-            self._wanted[name] = trio.current_time()
-            self._refresh()
-        self._wanted[name] = trio.current_time()
-        link = self.find(name)
+        link = self.reach(name)
         if link is not None:
             await link.send(message)
 
--- a/src/lentilspool/daemons/_reply.py
+++ b/src/lentilspool/daemons/_reply.py
@@ -47,6 +47,21 @@
         await send(self._send, _problem.response_of(outcome, request_id))
 
 
+class Silent:
+    """Sends nothing: the outcome is kept to be collected."""
+
+    @property
+    def emit(self) -> None:
+        """Nobody reads the text."""
+
+    @property
+    def restart(self) -> None:
+        """Nobody reads the text."""
+
+    async def end(self, outcome: kernel.Outcome, request_id: str) -> None:
+        """Send nothing."""
+
+
 class Stream:
     """Answers with server-sent events; the last one carries the outcome."""
 
--- a/src/lentilspool/daemons/_runner.py
+++ b/src/lentilspool/daemons/_runner.py
@@ -67,13 +67,23 @@
         return kernel.NotRun(kernel.NotRunReason.no_endpoint, 1)
 
     async def run(
-        self, submission: _submission.Submission, reply: _reply.Reply
+        self,
+        submission: _submission.Submission,
+        reply: _reply.Reply,
+        may_wait: bool = False,
     ) -> kernel.Outcome:
-        """Run a request to its final outcome."""
+        """Run a request to its final outcome.
+
+        One that may wait passes admission control by, and yields to others
+        in the queues.
+        """
         request = submission.request
         flight = self._make_flight(submission)
         flight.emit = reply.emit
         flight.restart = reply.restart
+        if may_wait:
+            flight.urgency = limits.Urgency.may_wait
+            flight.control = limits.AdmitAll()
         refusal = self._admit(flight)
         if refusal is not None:
             return refusal
--- a/src/lentilspool/daemons/_status.py
+++ b/src/lentilspool/daemons/_status.py
@@ -34,6 +34,11 @@
         elif scope['type'] == 'http':
             await self.serve(scope['path'], send)
 
+    @property
+    def metrics(self) -> telemetry.Metrics:
+        """Metrics of the process."""
+        return self._metrics
+
     async def serve(self, path: str, send: _asgi.Send) -> None:
         """Answer a request for a resource, or say that there is none."""
         match path:
--- a/src/lentilspool/daemons/_submission.py
+++ b/src/lentilspool/daemons/_submission.py
@@ -22,6 +22,9 @@
     request: pipeline.PipelineRequest
     """The request."""
 
+    body: bytes = b''
+    """Request as the caller sent it."""
+
     token: str = ''
     """Admission token of an earlier send; empty if there is none."""
 
@@ -58,7 +61,10 @@
         request = self._check(name, scope, body, document)
         if isinstance(request, pipeline.Invalid):
             return _problem.invalid(request.status, request.detail)
-        return self._with_proof(request, scope)
+        checked = self._with_proof(request, scope)
+        if isinstance(checked, _problem.Response):
+            return checked
+        return dataclasses.replace(checked, body=body)
 
     def _check(
         self,
--- a/src/standins/tests/test_path.py
+++ b/src/standins/tests/test_path.py
@@ -16,6 +16,13 @@
                 {'name': 'generate', 'pool': 'model', 'max_output_tokens': 20},
             ],
         },
+        'draft': {
+            'stages': [
+                {'name': 'encode', 'pool': 'encoders'},
+                {'name': 'generate', 'pool': 'model', 'max_output_tokens': 20},
+            ],
+            'may_wait': True,
+        },
         'deposit': {
             'stages': [
                 {'name': 'deposit', 'pool': 'bookings', 'repeatable': False}
