Empty an engine before its order; follow share, fencing and store limit

Cause: an order would have cut off the calls in flight at its engine; a patch of min_capacity_share, fencing or the store's limit did not reach the rollout, the queue and the slots. Change: EndpointOrders refuses new work from its turn and slot on and sends the order when no call is in flight; want takes pool and policies. The former test of turn and slot is replaced by one that also waits for calls.

--- a/bench/orders.py
+++ b/bench/orders.py
@@ -123,7 +123,9 @@
         self._skew_s = world.rng.uniform(-0.1, 0.1)
         self._paused_until = 0.0
         arm = world.arm
-        mode: config.FencingMode = 'checked' if engine.checks else 'ignored'
+        self._fencing: config.FencingMode = (
+            'checked' if engine.checks or not arm.reads_back else 'ignored'
+        )
         period_s = 5.0 if arm.reads_back else 10.0**9
         schedule = orders.LoadSchedule(
             name, orders.StoreLimits(loads_per_s=_STORE_PER_S)
@@ -132,7 +134,7 @@
         self.orders = orders.EndpointOrders(
             orders.OrderQueue(
                 incarnation,
-                mode if arm.reads_back else 'checked',
+                self._fencing,
                 orders.OrderLimits(
                     read_back_s=period_s, checked_read_back_s=2 * period_s
                 ),
@@ -146,7 +148,9 @@
     def adopt(self, version: int) -> None:
         pool = dataclasses.replace(_POOL, model='m', model_version=str(version))
         if version and self.alive:
-            self.orders.want(version, pool, self._world.queue.now)
+            self.orders.want(
+                version, pool, config.PolicyDocument(), self._world.queue.now
+            )
 
     def pause(self, seconds: float) -> None:
         self._paused_until = self._world.queue.now + seconds
@@ -158,7 +162,7 @@
         if self._paused_until:
             self._paused_until = 0
             self.orders.queue.pause()
-        step = self.orders.step(now, now + self._skew_s)
+        step = self.orders.step(now, now + self._skew_s, in_flight=0)
         if isinstance(step, orders.SendOrder):
             self._world.to_engine(
                 functools.partial(self._engine.take, step.order, self._answered)
--- a/src/lentilspool/orders/_endpoint.py
+++ b/src/lentilspool/orders/_endpoint.py
@@ -17,7 +17,7 @@
     ``rollout.heard``; call ``step`` several times a second, carry out what
     it returns, and hand answers to ``queue``. Send ``progress`` to the
     other sidecars of the pool. While ``busy`` is true the sidecar refuses
-    work, because the engine is out of service.
+    new work; the order is sent when the calls in flight have ended.
     """
 
     def __init__(
@@ -30,6 +30,7 @@
         self._rollout = rollout
         self._schedule = schedule
         self._busy = False
+        self._granted = False
         self._version = 0
         self._target = _types.EngineState()
 
@@ -48,21 +49,41 @@
         """Whether an order is under way."""
         return self._busy
 
-    def want(self, version: int, pool: config.PoolDocument, now: float) -> None:
+    def want(
+        self,
+        version: int,
+        pool: config.PoolDocument,
+        policies: config.PolicyDocument,
+        now: float,
+    ) -> None:
         """Take the pool of a configuration that came into force."""
         target = _target.target_of(pool)
-        if self._queue.want(version, target):
-            self._version = version
-            self._target = target
-            self._rollout.want(version, _rollout.target_digest(target), now)
+        if not self._queue.want(version, target, pool.fencing):
+            return
+        self._version = version
+        self._target = target
+        self._rollout.keep(pool.min_capacity_share)
+        self._rollout.want(version, _rollout.target_digest(target), now)
+        loads_per_s = policies.parameters.get(_target.LOADS_PER_S)
+        if loads_per_s:
+            self._schedule.set_limit(loads_per_s)
+
+    def step(self, now: float, wall: float, in_flight: int) -> _types.Step:
+        """Return what to do now, orders only in turn and in a load slot.
 
-    def step(self, now: float, wall: float) -> _types.Step:
-        """Return what to do now, orders only in turn and in a load slot."""
+        ``now`` is monotonic and ``wall`` wall-clock time, in seconds;
+        ``in_flight`` counts the calls that the engine runs.
+        """
         if self._queue.settled:
             self._busy = False
-        step = self._queue.step(now, self._permitted(now, wall))
-        if isinstance(step, _types.SendOrder):
+            self._granted = False
+        if not self._granted and self._permitted(now, wall):
             self._busy = True
+            self._granted = True
+        may_send = self._granted and not in_flight
+        step = self._queue.step(now, may_send)
+        if isinstance(step, _types.SendOrder):
+            self._granted = False
         return step
 
     def progress(self, name: str) -> _rollout.Progress:
--- a/src/lentilspool/orders/_queue.py
+++ b/src/lentilspool/orders/_queue.py
@@ -70,12 +70,22 @@
         """Whether the engine was last seen in the newest state wanted."""
         return self._observed is not None and self._matches(self._observed)
 
-    def want(self, version: int, target: _types.EngineState) -> bool:
-        """Take the state that a configuration asks for; drop an old wish."""
+    def want(
+        self,
+        version: int,
+        target: _types.EngineState,
+        fencing: config.FencingMode | None = None,
+    ) -> bool:
+        """Take the state that a configuration asks for; drop an old wish.
+
+        ``fencing`` tells whether the engine checks numbers, if it changed.
+        """
         if self._wanted is not None and version < self._wanted[0]:
             _events.OLD_ORDER.log(_log, version=version)
             return False
         self._wanted = (version, target)
+        if fencing is not None:
+            self._checked = fencing == 'checked'
         return True
 
     def need(self, now: float) -> _types.Need | None:
--- a/src/lentilspool/orders/_rollout.py
+++ b/src/lentilspool/orders/_rollout.py
@@ -94,6 +94,12 @@
         for name in self._heard.keys() - set(self._order):
             self._heard.pop(name)
 
+    def keep(self, min_capacity_share: float) -> None:
+        """Change the share of the pool that stays in service."""
+        self._limits = dataclasses.replace(
+            self._limits, min_capacity_share=min_capacity_share
+        )
+
     def want(self, version: int, target: int, now: float) -> None:
         """Take the target of a configuration that came into force."""
         if target != self._since[1]:
--- a/src/lentilspool/orders/_schedule.py
+++ b/src/lentilspool/orders/_schedule.py
@@ -38,6 +38,12 @@
         """Length of a slot in seconds."""
         return 1 / (self._limits.loads_per_s * self._limits.used_share)
 
+    def set_limit(self, loads_per_s: float) -> None:
+        """Change the limit of the store."""
+        self._limits = dataclasses.replace(
+            self._limits, loads_per_s=loads_per_s
+        )
+
     def set_fleet(self, names: tuple[str, ...]) -> None:
         """Take all sidecars whose engines load from the store."""
         ordered = sorted({*names, self._own})
--- a/src/lentilspool/orders/_target.py
+++ b/src/lentilspool/orders/_target.py
@@ -1,8 +1,13 @@
 """State that a configuration asks of a pool's engines."""
 
+from typing import Final
+
 from lentilspool import config
 from lentilspool.orders import _types
 
+LOADS_PER_S: Final = 'weight_store_loads_per_s'
+"""Policy parameter: loads a second that the weight store allows."""
+
 
 def target_of(pool: config.PoolDocument) -> _types.EngineState:
     """Return the state that engines of the pool shall have."""
--- a/src/lentilspool/orders/tests/test_rollout.py
+++ b/src/lentilspool/orders/tests/test_rollout.py
@@ -156,36 +156,60 @@
         assert schedule.take(4)
 
 
+_PARAMETERS = config.PolicyDocument(
+    parameters={'weight_store_loads_per_s': 0.8}
+)
+
+
 class TestEndpointOrders:
-    def test_load_waits_for_turn_and_slot(self) -> None:
+    def _endpoint(self) -> orders.EndpointOrders:
         schedule = orders.LoadSchedule(
-            's0', orders.StoreLimits(loads_per_s=1, used_share=1)
+            's0', orders.StoreLimits(loads_per_s=9, used_share=1)
         )
         schedule.set_fleet(('s0', 's1'))
-        queue = orders.OrderQueue(1, 'ignored', orders.OrderLimits())
+        queue = orders.OrderQueue(1, 'checked', orders.OrderLimits())
         rollout = orders.Rollout('s0', _LIMITS)
-        endpoint = orders.EndpointOrders(queue, rollout, schedule)
-        pool = config.PoolDocument(kind='engine', model='m')
-        endpoint.want(3, pool, 0)
-        step = endpoint.step(0, 0)
-        assert isinstance(step, orders.ReadState)
-        queue.read_back(orders.Readback(step.number, orders.EngineState()), 0)
-        assert isinstance(endpoint.step(4, 4), orders.Wait)
-        step = endpoint.step(11, 11)
+        return orders.EndpointOrders(queue, rollout, schedule)
+
+    def _read(
+        self,
+        endpoint: orders.EndpointOrders,
+        now: float,
+        state: orders.EngineState,
+    ) -> None:
+        step = endpoint.step(now, now, 0)
         assert isinstance(step, orders.ReadState)
-        queue.read_back(orders.Readback(step.number, orders.EngineState()), 12)
-        assert isinstance(endpoint.step(13, 13), orders.Wait)
-        step = endpoint.step(14, 14)
-        assert isinstance(step, orders.SendOrder)
+        endpoint.queue.read_back(orders.Readback(step.number, state), now)
+
+    def test_load_waits_for_turn_slot_and_calls(self) -> None:
+        endpoint = self._endpoint()
+        pool = config.PoolDocument(kind='engine', model='m')
+        endpoint.want(3, pool, _PARAMETERS, 0)
+        self._read(endpoint, 0, orders.EngineState())
+        assert isinstance(endpoint.step(4, 4, 0), orders.Wait)
+        self._read(endpoint, 11.5, orders.EngineState())
+        assert not endpoint.busy
+        assert isinstance(endpoint.step(12.5, 12.5, 2), orders.Wait)
         assert endpoint.busy
         assert endpoint.progress('s0').busy
-        queue.answered(orders.Applied(step.order.fencing), 15)
-        step = endpoint.step(15, 15)
-        assert isinstance(step, orders.ReadState)
-        queue.read_back(
-            orders.Readback(step.number, orders.target_of(pool)), 15
-        )
-        endpoint.step(16, 16)
+        assert isinstance(endpoint.step(14, 14, 1), orders.Wait)
+        step = endpoint.step(15, 15, 0)
+        assert isinstance(step, orders.SendOrder)
+        endpoint.queue.answered(orders.Applied(step.order.fencing), 16)
+        self._read(endpoint, 16, orders.target_of(pool))
+        endpoint.step(17, 17, 0)
         assert not endpoint.busy
         assert endpoint.progress('s0').done
-        assert endpoint.dump(16)['settled']
+        assert endpoint.dump(17)['settled']
+
+    def test_share_and_fencing_follow_the_configuration(self) -> None:
+        endpoint = self._endpoint()
+        endpoint.rollout.set_pool(_NAMES)
+        pool = config.PoolDocument(
+            kind='engine', model='m', min_capacity_share=0.5
+        )
+        endpoint.want(3, pool, _PARAMETERS, 0)
+        assert endpoint.rollout.budget == 6
+        endpoint.want(2, config.PoolDocument(kind='engine'), _PARAMETERS, 0)
+        assert endpoint.rollout.budget == 6
+        assert endpoint.progress('s0').version == 3
