Make the state machine find a start below reachable peers

Change: the rule publishes, lets it spread, spoils the service, then restarts a process beside peers that hold the newest.

--- a/src/lentilspool/config/tests/test_spread_machine.py
+++ b/src/lentilspool/config/tests/test_spread_machine.py
@@ -79,13 +79,19 @@
     def crash(self, name: str) -> None:
         self.fleet.start(name)
 
-    @stateful.rule(name=_NAMES)
-    def restart_beside_reachable_peers(self, name: str) -> None:
+    @stateful.rule(name=_NAMES, cut=st.sets(_NAMES), share=st.floats(0, 1))
+    def restart_beside_reachable_peers(
+        self, name: str, cut: set[str], share: float
+    ) -> None:
         links = self.fleet
+        self._repair()
+        self.publish(0, 'a', 0, stale=False)
+        links.quiet(3)
+        self.spoil_service(share, up=True)
+        links.cut = cut
         links.parcels.clear()
         links.start(name)
         peers = {peer for peer in links.names if links.linked(peer, name)}
-        peers -= links.paused
         best = max(links.holders[peer].number for peer in peers)
         links.quiet(5)
         assert links.ready_at.get(name, best) >= best
