--- a/src/lentilspool/daemons/_daemon.py
+++ b/src/lentilspool/daemons/_daemon.py
@@ -30,6 +30,7 @@
         self._drain_scope = trio.CancelScope()
         self._scope = trio.CancelScope()
         self._application: kernel.Application | None = None
+        self.ended = trio.Event()
 
     @property
     def name(self) -> str:
@@ -65,6 +66,7 @@
                 drained = await self._drain(self._application)
                 await self._application.stop()
                 nursery.cancel_scope.cancel()
+        self.ended.set()
         return drained
 
     async def _drain(self, application: kernel.Application) -> bool:
--- a/src/lentilspool/daemons/_entry.py
+++ b/src/lentilspool/daemons/_entry.py
@@ -160,7 +160,8 @@
                     _server_options(own.callers),
                 ),
                 'front': front,
-            }
+            },
+            hooks=(self._identity.follow_state,),
         )
         return application
 
--- a/src/lentilspool/daemons/_identity.py
+++ b/src/lentilspool/daemons/_identity.py
@@ -67,6 +67,11 @@
         """Take no new work from now on; this is never taken back."""
         self._leaving = True
 
+    def follow_state(self, state: str) -> None:
+        """Leave when the application begins to drain; a life-cycle hook."""
+        if state == 'draining':
+            self.leave()
+
     def hello(self) -> wire.Hello:
         """Return the first message on a connection."""
         return wire.Hello(
--- a/src/lentilspool/daemons/_sidecar.py
+++ b/src/lentilspool/daemons/_sidecar.py
@@ -130,7 +130,8 @@
                 ),
                 'executor': self._executor,
                 'server': server,
-            }
+            },
+            hooks=(self._identity.follow_state,),
         )
         return application
 
