--- a/src/lentilspool/limits/_spend.py
+++ b/src/lentilspool/limits/_spend.py
@@ -9,7 +9,9 @@
 from lentilspool import kernel
 
 _EMPTY: Final[Mapping[str, float]] = types.MappingProxyType({})
-_WINDOW_SHARE: Final = 0.01
+_WINDOW_SHARE: Final = 0.02
+_LAST_SHARE: Final = 0.5
+_RESERVE_SHARE: Final = 0.01
 _MOST_PRESSURE: Final = 4.0
 _LEAST_SLACK: Final = 1e-9
 _register = kernel.registry.register
@@ -40,8 +42,11 @@
 class _Account:
     """One provider's credits, as far as this process knows of them."""
 
-    def __init__(self, credits_held: Credits, window_share: float) -> None:
+    def __init__(
+        self, credits_held: Credits, window_share: float, reserve: float
+    ) -> None:
         self.held = credits_held
+        self._planned = credits_held.amount * (1 - reserve)
         self.spent = 0.0
         length_s = max(credits_held.expires - credits_held.starts, 1)
         self._length_s = length_s
@@ -50,11 +55,15 @@
     def due(self, now: float) -> float:
         """Return the credits that an even pace has spent by now."""
         passed_s = min(max(now - self.held.starts, 0), self._length_s)
-        return self.held.amount * passed_s / self._length_s
+        return self._planned * passed_s / self._length_s
 
-    def slack(self) -> float:
-        """Return the spend that may run ahead of the even pace."""
-        return self.held.amount * self._window_s / self._length_s
+    def slack(self, now: float) -> float:
+        """Return the spend that may run ahead of the even pace.
+
+        It shrinks with what is due until the expiry, so credits last.
+        """
+        ahead = self.held.amount * self._window_s / self._length_s
+        return min(ahead, _LAST_SHARE * (self._planned - self.due(now)))
 
     @property
     def left(self) -> float:
@@ -70,21 +79,27 @@
     are seconds since the epoch. A call is allowed while spend is at most
     ``spend_window`` (a share of the credits) ahead of the even pace, so
     credits last to the date; what is not spent stays due, so a quiet time
-    is made up for later. ``pressure`` is above one for a provider behind
-    its pace: send it what may wait, and prefer it in routing. Tell the
-    pacer what the whole fleet has spent with ``correct`` when known.
+    is made up for later. ``spend_reserve`` (a share) is never planned for:
+    it covers what processes spend that are then replaced. A process that starts at ``joined`` takes it that
+    its part was spent evenly until then; better, it adopts the ``progress``
+    of its peers, since demand is spread over all. ``pressure`` is above one for a provider behind
+    its pace: send it what may wait, and prefer it in routing.
     """
 
     def __init__(
         self,
         amounts: Mapping[str, Credits],
         parameters: Mapping[str, float] = _EMPTY,
+        joined: float = 0,
     ) -> None:
         window = parameters.get('spend_window', _WINDOW_SHARE)
+        reserve = parameters.get('spend_reserve', _RESERVE_SHARE)
         self._accounts = {
-            provider: _Account(held, window)
+            provider: _Account(held, window, reserve)
             for provider, held in amounts.items()
         }
+        for account in self._accounts.values():
+            account.spent = account.due(joined)
 
     def allow(self, provider: str, cost: float, now: float) -> bool:
         """Tell whether the provider's credits may pay for the call."""
@@ -93,7 +108,7 @@
             return True
         if now >= account.held.expires or cost > account.left:
             return False
-        limit = account.due(now) + account.slack()
+        limit = account.due(now) + account.slack(now)
         return account.spent + cost <= limit
 
     def pressure(self, provider: str, now: float) -> float:
@@ -109,7 +124,7 @@
         if now >= account.held.expires or account.left <= 0:
             return 0
         behind = account.due(now) - account.spent
-        pressure = 1 + behind / max(account.slack(), _LEAST_SLACK)
+        pressure = 1 + behind / max(account.slack(now), _LEAST_SLACK)
         return min(max(pressure, 0), _MOST_PRESSURE)
 
     def record(self, provider: str, cost: float, now: float) -> None:
@@ -118,9 +133,19 @@
         if account is not None:
             account.spent += cost
 
-    def correct(self, provider: str, spent: float) -> None:
-        """Replace the recorded spend by a better known figure."""
-        self._accounts[provider].spent = spent
+    def progress(self) -> dict[str, float]:
+        """Return the spent share of each provider's credits."""
+        return {
+            provider: account.spent / max(account.held.amount, _LEAST_SLACK)
+            for provider, account in self._accounts.items()
+        }
+
+    def adopt(self, progress: Mapping[str, float]) -> None:
+        """Take over the progress of peers, after a start without memory."""
+        for provider, share in progress.items():
+            account = self._accounts.get(provider)
+            if account is not None:
+                account.spent = share * account.held.amount
 
     def dump(self, now: float) -> dict[str, object]:
         """Return the state as plain JSON types."""
@@ -144,6 +169,7 @@
         self,
         amounts: Mapping[str, Credits],
         parameters: Mapping[str, float] = _EMPTY,
+        joined: float = 0,
     ) -> None:
         self._amounts = amounts
         self._spent: dict[str, float] = {}
