Start connection waits anew after a pause; test two guards that nothing held

Cause: a pause of the entry made waits look like silence. With the guard switched off on a scratch copy, the cap of ejection and the rule that an old connection judges no endpoint had no test that failed. Ruled out: nothing else; seven other guards switched off each fail a test. Measured: all nine guards switched off in turn now fail a test; with them the package passes.

--- a/src/lentilspool/retries/_connections.py
+++ b/src/lentilspool/retries/_connections.py
@@ -55,7 +55,8 @@
     around each call, ``probed`` when a probe is written, ``progressed``
     when other bytes come in, the answer to a probe among them, and
     ``closed`` when it ends. Ask ``choose`` before writing a request, and
-    ``check`` several times a second; probe what ``to_probe`` names.
+    ``check`` several times a second; probe what ``to_probe`` names. Call
+    ``resumed`` first after a pause of the process.
 
     A request is written only to a connection that made progress a short
     time ago. One that owes an answer and is silent for that long, also
@@ -100,6 +101,14 @@
         """Note that other bytes came in."""
         self._advance(connection, now, calls=0)
 
+    def resumed(self, now: float) -> None:
+        """Start all waits anew after a pause of this process."""
+        for number, held in self._open.items():
+            if held.waiting_since is not None:
+                self._open[number] = dataclasses.replace(
+                    held, waiting_since=now
+                )
+
     def choose(self, now: float) -> Use | Probe | OpenNew:
         """Return the connection for a request that is about to be sent.
 
--- a/src/lentilspool/retries/tests/test_connections.py
+++ b/src/lentilspool/retries/tests/test_connections.py
@@ -45,6 +45,14 @@
         health.answered(1, 10)
         assert not health.to_probe(100)
 
+    def test_a_pause_of_this_process_retires_nothing(self) -> None:
+        health = _health()
+        health.sent(1, 0)
+        health.probed(1, 0.3)
+        health.resumed(9)
+        assert health.check(9.5) == retries.Retired((), False)
+        assert health.check(9.9) == retries.Retired((1,), False)
+
     def test_only_a_connection_opened_later_judges_the_endpoint(self) -> None:
         health = _health()
         health.opened(2, 0)
@@ -57,6 +65,16 @@
         health.probed(3, 1.2)
         assert health.check(2).endpoint_silent
 
+    def test_an_older_connection_found_later_judges_nothing(self) -> None:
+        health = _health()
+        health.opened(2, 0)
+        health.sent(1, 0)
+        health.probed(1, 0)
+        assert health.check(1).connections == (1,)
+        health.sent(2, 1)
+        health.probed(2, 1)
+        assert health.check(2) == retries.Retired((2,), False)
+
     def test_a_fresh_answer_clears_the_endpoint(self) -> None:
         health = _health()
         health.sent(1, 0)
--- a/src/lentilspool/retries/tests/test_ejection.py
+++ b/src/lentilspool/retries/tests/test_ejection.py
@@ -75,6 +75,14 @@
                 )
             assert len(ejection.ejected(0)) <= ejection.cap
 
+    def test_more_failing_endpoints_than_the_cap_stay_in_use(self) -> None:
+        ejection = _pool(10)
+        for _ in range(20):
+            for name in map(str, range(10)):
+                _record(ejection, name, 0, succeeded=name > '3')
+        assert ejection.cap == 3
+        assert len(ejection.ejected(0)) == 3
+
     @hypothesis.settings(derandomize=True, deadline=None)
     @hypothesis.given(
         size=st.integers(0, 12),
