--- a/src/lentilspool/admission/__init__.py
+++ b/src/lentilspool/admission/__init__.py
@@ -1,4 +1,4 @@
-"""At-most-once admission: tokens, ledger and quarantine."""
+"""At most once: tokens, ledger, keys, attempts, quarantine and hand-off."""
 
 from lentilspool.admission._attempts import Accept as Accept
 from lentilspool.admission._attempts import Attempt as Attempt
