Prove configuration and quarantine scenarios on running daemons

Cause: the promises on patches were proved on decision code only. Ruled out: a service that merely forgets (no read happens within the scenario, so the guard was not exercised: it passed with the guard off and was replaced). Change: scenarios of a patch under load, a replaced history, an invalid patch, half of the sidecars cut off and reached again. Conclusion: a version in force does not revert on the daemons either.

--- a/features/steps/delivery_steps.py
+++ b/features/steps/delivery_steps.py
@@ -116,7 +116,7 @@
 def when_sidecar_stops(context, count, name):
     sidecar = context.fleet.places[name].sidecar
     context.answers = context.loop.run(
-        _many_while, context.fleet, count, sidecar.request_stop
+        send_while, context.fleet, count, sidecar.request_stop
     )
 
 
@@ -124,7 +124,7 @@
 def when_entry_stops(context, count, index):
     daemon, _port = context.fleet.entries[f'entry-{index}']
     context.answers = context.loop.run(
-        _many_while, context.fleet, count, daemon.request_stop
+        send_while, context.fleet, count, daemon.request_stop
     )
 
 
@@ -272,7 +272,7 @@
     return [answers[number] for number in range(count)]
 
 
-async def _many_while(fleet, count, action):
+async def send_while(fleet, count, action):
     answers = {}
     async with trio.open_nursery() as nursery:
         for number in range(count):
--- a/src/standins/_platform.py
+++ b/src/standins/_platform.py
@@ -42,6 +42,12 @@
             self._shown = len(self._entries)
             self._wake()
 
+    def rewind(self) -> None:
+        """Forget every entry but the base."""
+        self._entries = []
+        self._shown = 0
+        self._wake()
+
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Serve one call."""
         if scope['type'] == 'lifespan':
