Let entries ask sidecars for the interval of their heartbeats

Cause: sidecars counted only their own connections, so an entry with many leases received more than its budget of bytes. Ruled out: answers in place of all heartbeats; the load would not be told. Change: the entry sends its wish on a connection when it is new or has changed by a tenth; the server takes the longer of both intervals; answers put a heartbeat off to two intervals at most; the notice of leaving lasts for the longest lease granted; Directory.answered renews leases and takes a refusal by a draining sidecar as its notice (not called yet by attempts).

--- a/src/lentilspool/daemons/_call_server.py
+++ b/src/lentilspool/daemons/_call_server.py
@@ -11,7 +11,6 @@
 
 _LOG = logging.getLogger(__name__)
 
-_LONGEST_NOTICE_S: Final = 3.0
 _NOTICE_POLL_S: Final = 0.02
 
 State = Callable[[], tuple[wire.ConfigDigest, membership.Load]]
@@ -113,7 +112,7 @@
         notice = membership.LeavingNotice(
             tuple(self._connections),
             trio.current_time(),
-            membership.NoticeLimits(lease_s=_LONGEST_NOTICE_S),
+            membership.NoticeLimits(lease_s=self._identity.lease_s),
         )
         self._notice = notice
         while not notice.done(trio.current_time()):
@@ -144,6 +143,7 @@
         async with trio.open_nursery() as nursery:
             connection = Connection(name, stream, nursery)
             self._connections[name] = connection
+            self._identity.add(name)
             nursery.start_soon(self._send_heartbeats, connection)
             try:
                 await self._read(connection, stream)
@@ -162,7 +162,14 @@
     async def _send_heartbeats(self, connection: Connection) -> None:
         await connection.send(self._identity.hello())
         while await self._beat(connection.name):
-            await trio.sleep(self._identity.interval_s(connection.name))
+            await self._wait_until_due(connection.name)
+
+    async def _wait_until_due(self, name: str) -> None:
+        """Sleep until the next heartbeat; answers put it off."""
+        wait_s = self._identity.due_at(name) - trio.current_time()
+        while wait_s > 0:
+            await trio.sleep(wait_s)
+            wait_s = self._identity.due_at(name) - trio.current_time()
 
     async def _beat(self, name: str) -> bool:
         connection = self._connections.get(name)
@@ -170,7 +177,6 @@
             return False
         held, load = self._state()
         now = trio.current_time()
-        self._identity.interval_s(name)
         return await connection.send(
             self._identity.heartbeat(name, now, held, load)
         )
@@ -198,16 +204,18 @@
         elif isinstance(message, wire.Cancel):
             connection.cancel(message.call_id)
         elif isinstance(message, wire.Heartbeat):
-            self._acknowledged(connection, message)
+            self._take_heartbeat(connection, message)
         else:
             await self._serve(connection, message)
         return True
 
-    def _acknowledged(
-        self, connection: Connection, echo: wire.Heartbeat
+    def _take_heartbeat(
+        self, connection: Connection, heartbeat: wire.Heartbeat
     ) -> None:
-        """Take back a leaving heartbeat of our own."""
-        if self._notice and echo.process == self._identity.name:
+        """Take back a leaving heartbeat of our own, or a peer's wish."""
+        if heartbeat.process != self._identity.name:
+            self._identity.add(connection.name, _identity.wish_s(heartbeat))
+        elif self._notice:
             self._notice.acknowledge(connection.name)
 
     async def _greet(self, connection: Connection, hello: wire.Hello) -> bool:
--- a/src/lentilspool/daemons/_directory.py
+++ b/src/lentilspool/daemons/_directory.py
@@ -44,13 +44,19 @@
             link_settings,
             self._heard,
             nursery,
-            self._link_changed,
+            self._refresh,
         )
         self._members = membership.Membership(
             membership.Place(identity.name, identity.zone),
             trio.current_time(),
             membership.MembershipLimits(),
         )
+        self._wishes = _identity.Wishes(
+            identity,
+            membership.BeatLimits(
+                min_interval_s=link_settings.heartbeat_interval_s
+            ),
+        )
         self._nursery = nursery
         self._hosts: dict[str, _hosts.Host] = {}
         self._names: dict[_targets.Target, str] = {}
@@ -85,6 +91,20 @@
             self._want()
         return True
 
+    def answered(self, name: str, answer: wire.StageAnswer) -> None:
+        """Renew a sidecar's lease by its answer, or learn that it leaves."""
+        link = self.link(name)
+        if link is None or link.peer is None:
+            return
+        incarnation = link.peer.incarnation
+        draining = kernel.NotRunReason.draining.value
+        if answer.outcome == 'not_run' and answer.reason == draining:
+            self._members.refused_draining(name, incarnation)
+            self._refresh()
+            return
+        now = trio.current_time()
+        self._members.leases.extend(name, incarnation, now)
+
     def name_at(self, target: _targets.Target) -> str | None:
         """Return the sidecar that listens at an address and port."""
         return self._names.get(target)
@@ -148,6 +168,8 @@
         while True:
             now = trio.current_time()
             self._members.beat(now)
+            leases = self._members.leases
+            self._wishes.count(sum(lease.ends_at > now for lease in leases))
             for router in self._routers.values():
                 router.expire(now)
             self._refresh()
@@ -158,6 +180,9 @@
         if not isinstance(message, wire.Heartbeat):
             await self._listener(link, message)
             return
+        wish = self._wishes.ask(link)
+        if wish is not None:
+            await link.send(wish)
         now = trio.current_time()
         answer = self._members.receive(_identity.from_wire(message), now)
         if isinstance(answer, membership.Refused):
@@ -171,12 +196,6 @@
             )
             router.reported(member.name, report, _PRIOR_S, now)
 
-    def _link_changed(self, target: _targets.Target) -> None:
-        name = self._names.get(target)
-        if name is not None:
-            self._members.leases.end(name, trio.current_time())
-            self._refresh()
-
     def _want(self) -> None:
         """Keep connections to the subsets, to spares and to extra sidecars."""
         now = trio.current_time()
@@ -189,8 +208,14 @@
             self._hosts[name].target for name in names if name in self._hosts
         )
 
-    def _refresh(self) -> None:
-        """Give the routers the endpoints that may get work, if they changed."""
+    def _refresh(self, ended: _targets.Target | None = None) -> None:
+        """Give the routers the endpoints that may get work, if they changed.
+
+        ``ended`` is the target of a connection that has ended.
+        """
+        name = self._names.get(ended) if ended else None
+        if name is not None:
+            self._members.leases.end(name, trio.current_time())
         generation = self._members.leases.generation
         if generation == self._generation:
             return
--- a/src/lentilspool/daemons/_identity.py
+++ b/src/lentilspool/daemons/_identity.py
@@ -1,9 +1,14 @@
 """What a process tells others about itself."""
 
 import time
+import weakref
+from typing import Final
 
 from lentilspool import kernel, membership, wire
 
+_MS: Final = 1000
+_WISH_CHANGE: Final = 0.1
+
 
 class Identity(kernel.BaseComponent):
     """Name, place and incarnation of a process, and whether it leaves.
@@ -93,10 +98,34 @@
         beat = self._beat.make(peer, now, load, version, self._leaving)
         return _to_wire(beat, held)
 
-    def interval_s(self, peer: str) -> float:
-        """Return the seconds until the next heartbeat on a connection."""
-        self._beat.add(peer)
-        return self._beat.interval_s(peer)
+    @property
+    def lease_s(self) -> float:
+        """Longest lease granted to a connection, in seconds."""
+        return self._beat.lease_s
+
+    def add(self, peer: str, wish_s: float = 0) -> None:
+        """Add a connection, or change the interval that it asks for."""
+        self._beat.add(peer, wish_s)
+
+    def answered(self, peer: str, now: float) -> None:
+        """Record an answer on a connection: it renews the lease."""
+        self._beat.answered(peer, now)
+
+    def due_at(self, peer: str) -> float:
+        """Return the time of the next heartbeat on a connection."""
+        return self._beat.due_at(peer)
+
+    def wish(self, interval_s: float) -> wire.Heartbeat:
+        """Return the message that asks for an interval of heartbeats."""
+        lease_s = interval_s * membership.BeatLimits().leases_per_interval
+        asking = membership.Heartbeat(
+            process=self._name,
+            incarnation=self._incarnation,
+            sequence=0,
+            leaving=self._leaving,
+            lease_ms=int(lease_s * _MS),
+        )
+        return _to_wire(asking, wire.ConfigDigest(0, ''))
 
     def forget(self, peer: str) -> None:
         """Forget a connection that has ended."""
@@ -113,6 +142,42 @@
         }
 
 
+class Wishes:
+    """Asks peers for heartbeats so seldom that all keep to the budget.
+
+    Call ``count`` when the number of leases changes, and ``ask`` with a
+    connection on which a heartbeat came; send what it returns.
+    """
+
+    def __init__(
+        self, identity: Identity, limits: membership.BeatLimits
+    ) -> None:
+        self._identity = identity
+        self._limits = limits
+        self._interval_s = limits.min_interval_s
+        self._told: weakref.WeakKeyDictionary[object, float] = (
+            weakref.WeakKeyDictionary()
+        )
+
+    def count(self, leases: int) -> None:
+        """Take the number of leases held."""
+        self._interval_s = membership.interval_s(leases, self._limits)
+
+    def ask(self, connection: object) -> wire.Heartbeat | None:
+        """Return the message to send, if the connection needs one."""
+        told_s = self._told.get(connection, 0)
+        if abs(self._interval_s - told_s) <= told_s * _WISH_CHANGE:
+            return None
+        self._told[connection] = self._interval_s
+        return self._identity.wish(self._interval_s)
+
+
+def wish_s(message: wire.Heartbeat) -> float:
+    """Return the interval for which a peer's message asks, in seconds."""
+    each = membership.BeatLimits().leases_per_interval
+    return message.lease_ms / _MS / each
+
+
 def _to_wire(
     beat: membership.Heartbeat, held: wire.ConfigDigest
 ) -> wire.Heartbeat:
--- a/src/lentilspool/daemons/_sidecar.py
+++ b/src/lentilspool/daemons/_sidecar.py
@@ -152,7 +152,7 @@
             case wire.StageCall():
                 connection.start_call(
                     message.call_id,
-                    partial(self._executor.run, message, connection.send),
+                    partial(self._run, connection, message),
                 )
             case wire.AdmitCall():
                 await connection.send(self._once.admit(message))
@@ -167,6 +167,12 @@
                 kind = type(message).__name__
                 await connection.send(wire.Refusal(0, f'{kind} is not served'))
 
+    async def _run(
+        self, connection: _call_server.Connection, call: wire.StageCall
+    ) -> None:
+        await self._executor.run(call, connection.send)
+        self._identity.answered(connection.name, trio.current_time())
+
     async def _heard(self, link: _link.Link, message: wire.Message) -> None:
         if isinstance(message, _CONFIG_MESSAGES) and link.peer:
             await self._configuration.on_message(link.peer.process, message)
--- a/src/lentilspool/membership/_beat.py
+++ b/src/lentilspool/membership/_beat.py
@@ -1,6 +1,7 @@
 """Heartbeats that a process sends, within its budget of bytes."""
 
 import dataclasses
+import math
 from typing import Final
 
 from lentilspool.membership import _member
@@ -30,6 +31,9 @@
     full_every: int = 4
     """Heartbeats from one with all fields to the next."""
 
+    answered_intervals: int = 2
+    """Intervals in which answers may stand for heartbeats."""
+
 
 def interval_s(connections: int, limits: BeatLimits) -> float:
     """Return the seconds between heartbeats that keep to the budget."""
@@ -59,8 +63,8 @@
 
     Give it a full heartbeat that describes the process. ``make`` returns
     the next one for a peer: the first and every few with all fields, the
-    others compact. ``due`` is false while answers to that peer renew the
-    lease by themselves.
+    others compact. Answers to a peer renew the lease by themselves and put
+    its next heartbeat off, but not for long, since heartbeats tell the load.
     """
 
     def __init__(self, template: _member.Heartbeat, limits: BeatLimits) -> None:
@@ -69,6 +73,7 @@
         self._sequence = template.sequence
         self._sent: dict[str, int] = {}
         self._last: dict[str, float] = {}
+        self._made_at: dict[str, float] = {}
         self._wishes: dict[str, float] = {}
 
     @property
@@ -92,7 +97,7 @@
 
     def remove(self, peer: str) -> None:
         """Forget a peer whose connection ended."""
-        for table in (self._sent, self._last, self._wishes):
+        for table in (self._sent, self._last, self._made_at, self._wishes):
             table.pop(peer, None)
 
     def interval_s(self, peer: str) -> float:
@@ -103,12 +108,15 @@
 
     def due(self, now: float) -> tuple[str, ...]:
         """Return the peers that need a heartbeat now."""
-        return tuple(
-            peer
-            for peer in self._sent
-            if peer not in self._last
-            or now - self._last[peer] >= self.interval_s(peer)
-        )
+        return tuple(peer for peer in self._sent if self.due_at(peer) <= now)
+
+    def due_at(self, peer: str) -> float:
+        """Return the time of the next heartbeat to the peer."""
+        if peer not in self._last:
+            return -math.inf
+        interval = self.interval_s(peer)
+        latest = self._limits.answered_intervals * interval
+        return min(self._last[peer] + interval, self._made_at[peer] + latest)
 
     def answered(self, peer: str, now: float) -> None:
         """Record an answer to the peer: it renews the lease as well."""
@@ -127,6 +135,7 @@
         count = self._sent.get(peer, 0)
         self._sent[peer] = count + 1
         self._last[peer] = now
+        self._made_at[peer] = now
         self._sequence += 1
         lease_s = self.interval_s(peer) * self._limits.leases_per_interval
         full = dataclasses.replace(
--- /dev/null
+++ b/src/lentilspool/membership/tests/test_budget.py
@@ -0,0 +1,59 @@
+"""Heartbeats of many connections together keep to the byte budget."""
+
+import pytest
+
+from lentilspool import membership
+
+_LIMITS = membership.BeatLimits(min_interval_s=0.5)
+_SECONDS = 60
+_TICKS_PER_S = 20
+
+
+def _sidecar(name: str) -> membership.Beat:
+    beat = membership.Beat(membership.Heartbeat(name, 1, 0), _LIMITS)
+    beat.add('entry')
+    return beat
+
+
+def _bytes_per_s(beats: list[membership.Beat]) -> float:
+    """Return what one entry receives from its sidecars while idle."""
+    sent = 0
+    for tick in range(_SECONDS * _TICKS_PER_S):
+        now = tick / _TICKS_PER_S
+        for beat in beats:
+            if beat.due(now):
+                beat.make(
+                    'entry', now, membership.Load(), membership.HeldVersion(1)
+                )
+                sent += 1
+    return sent * _LIMITS.bytes_each / _SECONDS
+
+
+class TestBudget:
+    @pytest.mark.parametrize('connections', [3, 24, 60, 100, 160])
+    def test_wishes_keep_the_receiver_within_it(self, connections: int) -> None:
+        beats = [_sidecar(f's{index}') for index in range(connections)]
+        wish_s = membership.interval_s(connections, _LIMITS)
+        for beat in beats:
+            beat.add('entry', wish_s)
+        first = connections * _LIMITS.bytes_each / _SECONDS
+        assert _bytes_per_s(beats) - first <= _LIMITS.budget_bytes_per_s
+
+    def test_few_connections_keep_short_intervals(self) -> None:
+        interval_s = membership.interval_s(4, _LIMITS)
+        assert interval_s == _LIMITS.min_interval_s
+
+
+class TestAnswers:
+    def test_put_heartbeats_off_but_not_for_long(self) -> None:
+        beat = _sidecar('s')
+        made = 0
+        for tick in range(10 * _TICKS_PER_S):
+            now = tick / _TICKS_PER_S
+            if beat.due(now):
+                beat.make(
+                    'entry', now, membership.Load(), membership.HeldVersion(1)
+                )
+                made += 1
+            beat.answered('entry', now)
+        assert made == 10
