Let a new process hear its peers before it asks the service

Cause: a process that held nothing read the service at once; if that was forked, the process served another history than all its peers. Ruled out: preferring peers after the fact (that would be a revert). Change: the first read waits until no peer has shown anything; the test of forks sends the agreeing digest itself instead of waiting for a random one. Conclusion: a fork reaches a new process only if it has no peers.

--- a/src/lentilspool/config/_readiness.py
+++ b/src/lentilspool/config/_readiness.py
@@ -43,6 +43,12 @@
         waits = self._wait_until is not None and not self._ready
         return self._probe_at if waits else math.inf
 
+    def settled(self, now: float) -> bool:
+        """Whether every peer has answered, or the wait is over."""
+        if self._wait_until is None:
+            return False
+        return not self._open or now >= self._wait_until
+
     def begin(self, now: float, peers: Iterable[str]) -> None:
         """Ask these peers anew."""
         self._open = set(peers)
@@ -71,15 +77,16 @@
         self._open.discard(peer)
         self._claims.pop(peer, None)
 
+    def claimed(self, now: float) -> int:
+        """Return the highest number that a peer has shown of late."""
+        return max(
+            (held for held, at in self._claims.values() if now - at < _CLAIM_S),
+            default=0,
+        )
+
     def update(self, now: float, number: int) -> bool:
         """Return whether a process that holds ``number`` may serve."""
         if self._ready or number == 0 or self._wait_until is None:
             return self._ready
-        claimed = max(
-            (held for held, at in self._claims.values() if now - at < _CLAIM_S),
-            default=0,
-        )
-        heard_all = not self._open and bool(self._claims)
-        waited = now >= self._wait_until
-        self._ready = number >= claimed and (heard_all or waited)
+        self._ready = number >= self.claimed(now) and self.settled(now)
         return self._ready
--- a/src/lentilspool/config/_spread.py
+++ b/src/lentilspool/config/_spread.py
@@ -86,7 +86,8 @@
             _messages.Send(peer, digest) for peer in self._digest_peers(now)
         )
         actions.extend(self._exchange.retry(now))
-        actions.extend(self._reading.next_call(now, self._holder.number))
+        if self._holder.number or self._may_begin(now):
+            actions.extend(self._reading.next_call(now, self._holder.number))
         self._readiness.update(now, self._holder.number)
         return actions
 
@@ -134,10 +135,20 @@
             'watched_by': list(self._reading.successors),
         }
 
+    def _may_begin(self, now: float) -> bool:
+        """Tell whether a process that holds nothing may ask the service.
+
+        What peers hold goes first, because the service may be forked.
+        """
+        if not self._has_view:
+            return True
+        unknown = self._readiness.claimed(now) == 0
+        return unknown and self._readiness.settled(now)
+
     def _probes(self, now: float, held: _messages.ConfigDigest) -> _Actions:
         peers = self._readiness.probes(now)
         message: _messages.Message = held
-        if self._readiness.insists and held.number:
+        if self._readiness.insists:
             message = _messages.ConfigPull(held.number, held.digest)
         return [_messages.Send(peer, message) for peer in peers]
 
--- a/src/lentilspool/config/tests/test_spread.py
+++ b/src/lentilspool/config/tests/test_spread.py
@@ -138,5 +138,23 @@
         faults = links.holders['p0'].dump()['faults']
         assert isinstance(faults, dict)
         assert faults['p1']['fault'] == 'forked'
-        links.quiet(5)
+        agreed = config.ConfigDigest(1, links.holders['p1'].digest)
+        links.spreads['p0'].on_message(links.now, 'p1', agreed)
         assert not links.holders['p0'].dump()['faults']
+
+    def test_a_new_process_follows_its_peers_and_not_a_forked_service(
+        self,
+    ) -> None:
+        log = [samples.base(), samples.share(2, 1, 'desk', 2)]
+        forked = [samples.base(), samples.share(2, 1, 'desk', 9)]
+        for seed in range(20):
+            service = fleet.Service(log[0])
+            links = fleet.Fleet(4, service, seed)
+            service.publish(log[1])
+            links.quiet(5)
+            service.log = forked
+            links.start('p0')
+            links.quiet(5)
+            digests = {held.digest for held in links.holders.values()}
+            assert digests == {config.begin(tuple(log)).state.digest}
+            assert links.spreads['p0'].ready
