--- a/bench/herd.py
+++ b/bench/herd.py
@@ -4,7 +4,7 @@
 arrival. ``p99_queue_seconds`` is the 99th percentile of the time from the
 arrival at the entry until the call starts. The bound is one queue before
 all slots, which knows every free slot at once. ``lentilspool`` offers a
-call to several sidecars before it may queue; the arm without offers
+call to sidecars in turn before it may queue; the arm without offers
 sends it where the routing policy says.
 """
 
@@ -62,6 +62,9 @@
             kind = kernel.PluginKind.routing_policy
             find = kernel.registry.find(kind, 'default' if ours else arm)
             self._policies = [find() for _ in range(entries)]
+        self._offering = [
+            routing.OfferPolicy(policy) for policy in self._policies
+        ]
         self._slots = 0
 
     def figures(self, endpoints: int, slots: int) -> dict[str, object]:
@@ -100,7 +103,7 @@
         policy = self._policies[call.entry]
         may_queue = True
         if self._with_offers:
-            offer = routing.OfferPolicy(policy).offer(
+            offer = self._offering[call.entry].offer(
                 request, table.candidates, call.full, now, self._rng
             )
             assert isinstance(offer, routing.Offer)
