Share outcomes with the standby; judge a suspect again after its wait

Cause: found by the reading of the hand-off and quarantine rules against their wiring: a standby ran a finished request again when its owner died, and a suspect that had waited was sent although a second death had been reported meanwhile. Ruled out: collecting only from the owner (it may be gone). Change: the outcome goes to the standby after finish; a stored copy stops work here; a second judgement follows the wait.

--- a/features/steps/waiting_steps.py
+++ b/features/steps/waiting_steps.py
@@ -70,3 +70,10 @@
                 return reply
             assert reply.plain.get('outcome') in {None, 'Unknown'}, reply
             await trio.sleep(POLL_S)
+
+
+@then('the engines have run it once')
+def then_run_once(context):
+    places = context.fleet.places.values()
+    runs = [place.app.completions for place in places if place.pool == 'model']
+    assert sum(runs) == 1, runs
--- a/features/waiting.feature
+++ b/features/waiting.feature
@@ -26,3 +26,10 @@
     When a draft that may wait is sent to entry 0
     And the sidecars of pool "model" are reached again
     Then its answer is collected through entry 0
+
+  Scenario: The entry that holds a finished draft dies
+    When a draft that may wait is sent to entry 0
+    Then its answer is collected through entry 0
+    When entry 0 dies
+    Then its answer is collected through entry 1
+    And the engines have run it once
--- a/src/lentilspool/daemons/_held_calls.py
+++ b/src/lentilspool/daemons/_held_calls.py
@@ -22,9 +22,10 @@
     def __init__(self, peers: _peers.Peers) -> None:
         self._peers = peers
 
-    async def copy(self, request: admission.HeldRequest, to: str) -> bool:
+    async def copy(self, copy: admission.Copy) -> bool:
         """Give a standby a copy; return whether it is stored."""
-        answer = await self._call(to, _held_call(request, 'copy', None))
+        call = _held_call(copy.request, 'copy', copy.outcome)
+        answer = await self._call(copy.to, call)
         return isinstance(answer, wire.HeldAnswer) and answer.stored
 
     async def transfer(self, move: admission.Transfer) -> bool:
--- a/src/lentilspool/daemons/_stages.py
+++ b/src/lentilspool/daemons/_stages.py
@@ -100,12 +100,10 @@
         number: int,
         tried: set[str],
     ) -> kernel.Outcome:
-        judgement = self._suspects.judge(flight.request.digest)
+        judgement = await self._judge(flight.request.digest)
         if isinstance(judgement, admission.Quarantined):
             return judgement.outcome
         alone = isinstance(judgement, admission.RunAlone)
-        if isinstance(judgement, admission.RunAlone):
-            await trio.sleep(judgement.wait_s)
         wanted = self._wanted(flight, frozenset(tried), alone)
         prefix = flight.prefix
         decision = router.choose(wanted, trio.current_time(), prefix)
@@ -121,6 +119,17 @@
         )
         return await self._attempts.run(flight, plan)
 
+    async def _judge(self, digest: str) -> admission.Judgement:
+        """Judge a content; a suspect is judged again after its wait.
+
+        In the meantime another entry may have reported a second death.
+        """
+        judgement = self._suspects.judge(digest)
+        if isinstance(judgement, admission.RunAlone) and judgement.wait_s:
+            await trio.sleep(judgement.wait_s)
+            return self._suspects.judge(digest)
+        return judgement
+
     def _after(
         self,
         flight: _flight.Flight,
--- a/src/lentilspool/daemons/_waiting.py
+++ b/src/lentilspool/daemons/_waiting.py
@@ -100,10 +100,12 @@
         """Store a copy or a transfer of another entry."""
         now = trio.current_time()
         request = _held_calls.request_of(call)
+        outcome = _outcome_codec.decode(call.outcome) if call.outcome else None
         if call.action == 'copy':
-            stored = self._standby.store(request, peer, now)
+            stored = self._standby.store(request, peer, now, outcome)
+            if stored:
+                self._runs.stop(request.request_id)
             return wire.HeldAnswer(call.call_id, stored)
-        outcome = _outcome_codec.decode(call.outcome) if call.outcome else None
         move = admission.Transfer(request, self._me.name, outcome)
         if not self._draining:
             self._carry_out(self._standby.receive(move, self._peers, now))
@@ -172,7 +174,7 @@
 
     async def _copy(self, copy: admission.Copy) -> bool:
         sent_at = trio.current_time()
-        if not await self._calls.copy(copy.request, copy.to):
+        if not await self._calls.copy(copy):
             return False
         request_id = copy.request.request_id
         return self._owner.confirm(request_id, copy.to, sent_at)
@@ -197,6 +199,8 @@
         request_id = request.request_id
         while self._table.get(request_id) is not None:
             if self._owner.finish(request_id, outcome, trio.current_time()):
+                copy = self._owner.share(request_id)
+                self._carry_out((copy,) if copy else ())
                 return
             await trio.sleep(_POLL_S)
 
--- a/src/standins/_engine.py
+++ b/src/standins/_engine.py
@@ -38,6 +38,7 @@
         self.poison = ''
         self.on_poison: Callable[[], None] = _ignore
         self.cancelled = 0
+        self.completions = 0
         self.prefilled_tokens = 0
         self.generated_tokens = 0
 
@@ -87,6 +88,7 @@
             self.on_poison()
             await trio.sleep_forever()
         spoken = _spoken(prompt)
+        self.completions += 1
         slow = scope.get('slow_factor', 1)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watch, receive, nursery.cancel_scope)
