Pace the spend of entries on each provider

Cause: provider credits were configured and shown, but nothing refused work that they cannot pay for. Ruled out: one shared account (no store). Change: each entry paces its even part of every provider; a request whose providers may not pay is refused as NotRun(spend) before anything runs; spend is in the dump. Measured: src/standins/tests/test_spend.py: with no credits 429 and no call at any endpoint, other pipelines go on; with credits 200 and the spend in the dump. Conclusion: approximate by design; a replaced entry counts its part as spent evenly until it started.

--- a/src/lentilspool/daemons/_attempts.py
+++ b/src/lentilspool/daemons/_attempts.py
@@ -12,6 +12,7 @@
     _flight,
     _link,
     _published,
+    _spend,
     _suspects,
 )
 from lentilspool.daemons._log import LOG
@@ -41,12 +42,14 @@
         directory: _directory.Directory,
         published: _published.Published,
         suspects: _suspects.Suspects,
+        spend: _spend.Spend,
         times: limits.ServiceTimes,
         metrics: telemetry.Metrics,
     ) -> None:
         self._directory = directory
         self._published = published
         self._suspects = suspects
+        self._spend = spend
         self._times = times
         self._metrics = metrics
         self._table = admission.AttemptTable()
@@ -121,6 +124,9 @@
         answered = admission.Attempt(
             answer.request_id, answer.stage, answer.attempt, answer.digest
         )
+        stage = flight.execution.stage
+        provider = self._published.provider(stage.pool)
+        self._spend.record(stage, provider, answer.cost)
         if answer.death:
             self._suspects.died(answer.death, flight.request.digest)
         if not isinstance(outcome, kernel.Complete):
@@ -130,14 +136,13 @@
         if answered != identity or not isinstance(verdict, admission.Accept):
             _events.ANSWER_DROPPED.log(LOG, answer=answered, open=identity)
             return kernel.Failed(identity.stage, 'an answer did not match')
-        pool = flight.execution.stage.pool
-        self._times.observe(pool, answer.stage, answer.service_ms / _MS)
+        self._times.observe(stage.pool, answer.stage, answer.service_ms / _MS)
         return dataclasses.replace(
             outcome,
             cost_by_stage=(
                 kernel.StageCost(
                     answer.stage,
-                    self._published.provider(pool),
+                    provider,
                     answer.cost,
                     1,
                 ),
--- a/src/lentilspool/daemons/_entry.py
+++ b/src/lentilspool/daemons/_entry.py
@@ -34,6 +34,7 @@
     _pulse,
     _runner,
     _sidecar,
+    _spend,
     _stages,
     _status,
     _submission,
@@ -102,6 +103,7 @@
             identity, own.links, self._heard, nursery
         )
         self._published = _published.Published()
+        self._spend = _spend.Spend()
         self._suspects = _suspects.Suspects(own.name, self._peers.send, nursery)
         self._runner = self._make_runner()
         self._waiting = _waiting.Waiting(
@@ -118,9 +120,11 @@
         self._hosts.listen(self._configuration.follow)
         self._hosts.listen(self._directory.follow)
         self._hosts.listen(self._suspects.follow)
+        self._hosts.listen(self._spend.follow)
         self._hosts.listen(self._waiting.follow)
         self._pulse.listen(self._waiting.on_pause)
         self._configuration.listen(self._published.adopt)
+        self._configuration.listen(self._spend.adopt)
         self._configuration.listen(self._directory.adopt)
         self._configuration.listen(self._runner.adopt)
         front = _front.Front(
@@ -149,6 +153,7 @@
                 'configuration': self._configuration,
                 'directory': self._directory,
                 'quarantine': self._suspects,
+                'spend': self._spend,
                 'requests': self._runner,
                 'waiting': self._waiting,
                 'server': server,
@@ -170,6 +175,7 @@
             self._directory,
             self._published,
             self._suspects,
+            self._spend,
             self._times,
             self._metrics,
         )
@@ -185,7 +191,12 @@
             self._own.zone,
         )
         return _runner.Runner(
-            self._directory, attempts, stages, self._times, self._suspects
+            self._directory,
+            attempts,
+            stages,
+            self._times,
+            self._suspects,
+            self._spend,
         )
 
     def _ready(self) -> bool:
--- a/src/lentilspool/daemons/_runner.py
+++ b/src/lentilspool/daemons/_runner.py
@@ -10,6 +10,7 @@
     _directory,
     _flight,
     _reply,
+    _spend,
     _stages,
     _submission,
     _suspects,
@@ -28,12 +29,14 @@
         stages: _stages.Stages,
         times: limits.ServiceTimes,
         suspects: _suspects.Suspects,
+        spend: _spend.Spend,
     ) -> None:
         self._directory = directory
         self._attempts = attempts
         self._stages = stages
         self._times = times
         self._suspects = suspects
+        self._spend = spend
         self._control: limits.AdmissionPolicy = limits.AdmitAll()
         self._policies: object = None
         self._open = 0
@@ -138,6 +141,9 @@
                     1,
                     f'pool {need.pool} has no endpoint',
                 )
+        refusal = self._spend.refusal(request)
+        if refusal is not None:
+            return refusal
         decision = flight.control.decide(
             limits.AdmissionRequest(
                 request.request_id, request.team, request.deadline, needs
--- a/src/standins/_endpoints.py
+++ b/src/standins/_endpoints.py
@@ -22,6 +22,7 @@
 
     def __init__(self, texts: dict[str, str]) -> None:
         self._texts = texts
+        self.calls = 0
         self._words = {
             name: Counter(_WORDS.findall(text.lower()))
             for name, text in texts.items()
@@ -43,6 +44,7 @@
             await _faults.lifespan(receive, send)
             return
         fields = json.loads(await _faults.body_of(receive))
+        self.calls += 1
         await trio.sleep(_STAGE_S * scope.get('slow_factor', 1))
         operation = scope['path'].rsplit('/', 1)[-1]
         await _faults.reply(send, self._run(operation, fields))
--- a/src/standins/_engine.py
+++ b/src/standins/_engine.py
@@ -15,6 +15,8 @@
 _BLOCK_WORDS: Final = 16
 _CACHE_BLOCKS: Final = 4096
 _BATCH: Final = 16
+_LOAD_S: Final = 0.3
+_UNAVAILABLE: Final = 503
 
 
 class Engine:
@@ -23,13 +25,18 @@
     ``POST /v1/completions`` streams events; ``GET /v1/load`` reports load;
     ``GET /v1/cache-events?after=N`` returns events of the prefix cache;
     ``POST /v1/orders`` takes an order, with its fencing number checked or
-    ignored.
+    ignored; it takes ``load_s`` seconds in which no completion is begun.
+    ``cut_off`` counts completions that ran when an order came.
     """
 
     def __init__(
         self, checks_fencing: bool = True, batch: int = _BATCH
     ) -> None:
-        self._checks_fencing = checks_fencing
+        self.checks_fencing = checks_fencing
+        self.load_s = _LOAD_S
+        self.loading = False
+        self.orders = 0
+        self.cut_off = 0
         self._slots = trio.CapacityLimiter(batch)
         self._cache: OrderedDict[int, None] = OrderedDict()
         self._events: list[dict[str, Any]] = []
@@ -48,11 +55,13 @@
             await _faults.lifespan(receive, send)
             return
         path = scope['path']
-        if path == '/v1/completions':
+        if path == '/v1/completions' and self.loading:
+            await _faults.reply(send, {'error': 'loading'}, _UNAVAILABLE)
+        elif path == '/v1/completions':
             await self._complete(scope, receive, send)
         elif path == '/v1/orders':
             order = json.loads(await _faults.body_of(receive))
-            await _faults.reply(send, self._order(order))
+            await _faults.reply(send, await self._order(order))
         elif path == '/v1/cache-events':
             await _faults.reply(send, {'events': self._events[-_BLOCK_WORDS:]})
         else:
@@ -72,11 +81,18 @@
             'fence': self._fence,
         }
 
-    def _order(self, order: dict[str, Any]) -> dict[str, Any]:
+    async def _order(self, order: dict[str, Any]) -> dict[str, Any]:
         number = order['fence']
-        if self._checks_fencing and number < self._fence:
+        if self.checks_fencing and number < self._fence:
             return {'refused': 'old fencing number', 'fence': self._fence}
         self._fence = number
+        self.orders += 1
+        self.cut_off += self.running
+        self.loading = True
+        await trio.sleep(self.load_s)
+        self.loading = False
+        if self.checks_fencing and number < self._fence:
+            return {'refused': 'old fencing number', 'fence': self._fence}
         self._state = {**self._state, **order['state']}
         return {'state': self._state, 'fence': self._fence}
 
