--- a/src/lentilspool/limits/_offered.py
+++ b/src/lentilspool/limits/_offered.py
@@ -12,7 +12,9 @@
 _LEAST_AGE_S: Final = 0.05
 _DEFAULT_SHARE: Final = 1.0
 _TOLERANCE: Final = 1.25
-_ALLOWED_REQUESTS: Final = 4.0
+_ALLOWED_REQUESTS: Final = 4.5
+_LEAST_ALLOWED: Final = 1.0
+_ALLOWANCE_SLOPE: Final = 0.25
 _MEAN_GAIN: Final = 0.02
 _SURGE_SHARE: Final = 0.25
 _SURGE_FACTOR: Final = 1.3
@@ -105,13 +107,25 @@
     ) -> dict[str, float]:
         """Return the parts, in slots, of the teams that offer more."""
         level = fair_level(rates, shares, slots)
-        allowance = self._mean_s * _ALLOWED_REQUESTS / self._window_s
+        parts = {
+            team: level * shares.get(team, _DEFAULT_SHARE) for team in rates
+        }
         return {
-            team: level * shares.get(team, _DEFAULT_SHARE)
-            for team, rate in rates.items()
-            if rate - allowance > level * shares.get(team, _DEFAULT_SHARE)
+            team: part
+            for team, part in parts.items()
+            if rates[team] > part + self._allowance(part)
         }
 
+    def _allowance(self, part: float) -> float:
+        """Return the slots that a team may offer above its part.
+
+        A part that holds few requests in the window needs most: there a
+        few arrivals by chance look like a high rate.
+        """
+        one_request = max(self._mean_s, _LEAST_WORK_S) / self._window_s
+        requests = _ALLOWED_REQUESTS - _ALLOWANCE_SLOPE * part / one_request
+        return one_request * max(_LEAST_ALLOWED, requests)
+
     def _sizes(self, team: str, rate: float) -> dict[int, float]:
         """Return the slots that a team's work of each size would fill."""
         held = self._teams[team]
