--- a/src/standins/_engine.py
+++ b/src/standins/_engine.py
@@ -61,7 +61,7 @@
             await self._complete(scope, receive, send)
         elif path == '/v1/orders':
             order = json.loads(await _faults.body_of(receive))
-            await _faults.reply(send, await self._order(order))
+            await _faults.reply(send, await self.take_order(order))
         elif path == '/v1/cache-events':
             await _faults.reply(send, {'events': self._events[-_BLOCK_WORDS:]})
         else:
@@ -72,16 +72,13 @@
         """Completions that run now."""
         return int(self._slots.borrowed_tokens)
 
-    def _load(self) -> dict[str, Any]:
-        return {
-            'running': self._slots.borrowed_tokens,
-            'waiting': self._slots.statistics().tasks_waiting,
-            'batch': self._slots.total_tokens,
-            'state': self._state,
-            'fence': self._fence,
-        }
+    @property
+    def state(self) -> dict[str, Any]:
+        """What the engine holds, by the orders that it carried out."""
+        return self._state
 
-    async def _order(self, order: dict[str, Any]) -> dict[str, Any]:
+    async def take_order(self, order: dict[str, Any]) -> dict[str, Any]:
+        """Carry out an order and return the answer to it."""
         number = order['fence']
         if self.checks_fencing and number < self._fence:
             return {'refused': 'old fencing number', 'fence': self._fence}
@@ -96,6 +93,15 @@
         self._state = {**self._state, **order['state']}
         return {'state': self._state, 'fence': self._fence}
 
+    def _load(self) -> dict[str, Any]:
+        return {
+            'running': self._slots.borrowed_tokens,
+            'waiting': self._slots.statistics().tasks_waiting,
+            'batch': self._slots.total_tokens,
+            'state': self._state,
+            'fence': self._fence,
+        }
+
     async def _complete(self, scope: Any, receive: Any, send: Any) -> None:
         call = json.loads(await _faults.body_of(receive))
         prompt = call['prompt']
--- a/src/standins/_fleet.py
+++ b/src/standins/_fleet.py
@@ -189,6 +189,10 @@
         """Send a GET request to an entry."""
         return await self._request('GET', entry, path, b'', {})
 
+    async def delete(self, entry: str, path: str) -> Reply:
+        """Send a DELETE request to an entry."""
+        return await self._request('DELETE', entry, path, b'', {})
+
     async def post(
         self,
         entry: str,
