Find the knee of an endpoint that was congested from the start

Ruled out: a baseline that rises by 1% a window (creeps up under load). Change: ServiceTime.floor_s, a start of 8, a probe at half the limit one window in 128. Conclusion: the sidecar must pass floor_s, not mean_s, in LatencySample.

--- a/src/lentilspool/limits/_concurrency.py
+++ b/src/lentilspool/limits/_concurrency.py
@@ -11,7 +11,10 @@
 _WINDOW: Final = 16
 _TOLERANCE: Final = 1.5
 _LEAST_GRADIENT: Final = 0.5
-_BASELINE_DRIFT: Final = 1.01
+_BASELINE_DRIFT: Final = 1.001
+_START: Final = 8.0
+_PROBE_WINDOWS: Final = 128
+_PROBE_FACTOR: Final = 0.5
 _FAILURE_FACTOR: Final = 0.7
 _BUSY_SHARE: Final = 0.5
 _LEAST: Final = 1e-6
@@ -27,9 +30,10 @@
 
     Latency is taken as a multiple of what calls of that size usually
     take, so that a run of large calls does not look like congestion. The
-    limit falls while a window's mean is above ``limit_tolerance`` times
+    limit begins at ``limit_start`` and falls while a window's mean is above ``limit_tolerance`` times
     the baseline, and otherwise grows by its square root, but only while
-    at least half of it is in use.
+    at least half of it is in use. Every 128 windows one window runs at half
+    the limit, so that the baseline is seen again under steady load.
     """
 
     def __init__(
@@ -37,7 +41,10 @@
     ) -> None:
         self._capacity = max(1, capacity)
         self._tolerance = parameters.get('limit_tolerance', _TOLERANCE)
-        self._limit = float(self._capacity)
+        start = parameters.get('limit_start', _START)
+        self._limit = float(min(max(1, start), self._capacity))
+        self._kept = self._limit
+        self._windows = 0
         self._baseline = math.inf
         self._ratios: list[float] = []
         self._in_flight = 0
@@ -74,6 +81,16 @@
         self._ratios.clear()
         self._in_flight = 0
         self._baseline = min(self._baseline * _BASELINE_DRIFT, mean)
+        self._windows += 1
+        if self._windows % _PROBE_WINDOWS == 0:
+            self._kept = self._limit
+            self._set(self._limit * _PROBE_FACTOR)
+        elif self._windows % _PROBE_WINDOWS == 1 and self._windows > 1:
+            self._set(self._kept)
+        else:
+            self._adapt(mean, busy=busy)
+
+    def _adapt(self, mean: float, *, busy: bool) -> None:
         gradient = min(1, self._tolerance * self._baseline / mean)
         if gradient < 1:
             self._set(self._limit * max(_LEAST_GRADIENT, gradient))
--- a/src/lentilspool/limits/_service_times.py
+++ b/src/lentilspool/limits/_service_times.py
@@ -11,6 +11,7 @@
 _AGEING_COUNT: Final = 256
 _TRUSTED_COUNT: Final = 8
 _REFRESH_COUNT: Final = 16
+_FLOOR_DRIFT: Final = 1.001
 _HIGH: Final = 0.9
 _LOW: Final = 0.1
 _LEAST_S: Final = 1e-6
@@ -30,6 +31,9 @@
     high_s: float
     """High quantile (0.9), in seconds."""
 
+    floor_s: float
+    """Mean without congestion: the lowest of 16 calls in a row so far."""
+
 
 class TimeSketch:
     """Log-bucketed histogram of durations that forgets by halving.
@@ -42,6 +46,8 @@
         self._total = 0.0
         self._sum_s = 0.0
         self._seen = 0
+        self._window_sum_s = 0.0
+        self._floor_s = math.inf
         self._estimate: ServiceTime | None = None
 
     @property
@@ -62,6 +68,9 @@
         self._total += 1
         self._sum_s += duration_s
         self._seen += 1
+        self._window_sum_s += duration_s
+        if self._seen % _REFRESH_COUNT == 0:
+            self._end_window()
         if self._total >= _AGEING_COUNT:
             self._halve()
         if self._seen == _TRUSTED_COUNT or self._seen % _REFRESH_COUNT == 0:
@@ -76,6 +85,12 @@
                 return float(_BUCKET_RATIO**bucket)
         return float(_BUCKET_RATIO ** max(self._counts, default=0))
 
+    def _end_window(self) -> None:
+        """Lower the floor to the window's mean; it rises only slowly."""
+        mean_s = self._window_sum_s / _REFRESH_COUNT
+        self._floor_s = min(self._floor_s * _FLOOR_DRIFT, mean_s)
+        self._window_sum_s = 0
+
     def _halve(self) -> None:
         kept = {
             bucket: count / 2
@@ -87,10 +102,12 @@
         self._total = sum(kept.values())
 
     def _compute(self) -> ServiceTime:
+        mean_s = self._sum_s / self._total
         return ServiceTime(
-            mean_s=self._sum_s / self._total,
+            mean_s=mean_s,
             low_s=self.quantile_s(_LOW),
             high_s=self.quantile_s(_HIGH),
+            floor_s=min(self._floor_s, mean_s),
         )
 
 
@@ -119,9 +136,12 @@
         sketch = self._sketches.get((pool, stage))
         held = sketch.estimate if sketch else None
         if held is None:
-            return ServiceTime(prior_s, prior_s, prior_s)
+            return ServiceTime(prior_s, prior_s, prior_s, prior_s)
         return ServiceTime(
-            held.mean_s * size, held.low_s * size, held.high_s * size
+            mean_s=held.mean_s * size,
+            low_s=held.low_s * size,
+            high_s=held.high_s * size,
+            floor_s=held.floor_s * size,
         )
 
     def need(
--- a/src/lentilspool/limits/_types.py
+++ b/src/lentilspool/limits/_types.py
@@ -164,7 +164,7 @@
     """Time from start to end at the endpoint, in seconds."""
 
     expected_s: float
-    """Mean service time of calls of its size, in seconds."""
+    """Service time of calls of its size without congestion, in seconds."""
 
     in_flight: int
     """Calls in flight at the endpoint when this one started."""
