Tell entries at once that an endpoint is down; refuse before spending

The sidecar refused each call as not_ready, but its heartbeat still offered its full limit, so admission control counted the slots. Ruled out: ejection (its cap keeps the last endpoint of a pool in use, rightly). Change: a sidecar whose endpoint refuses connections reports limit 0 and probes four times a second; routers leave such endpoints out of choice and load. A scenario holds it: with every engine dead, nothing is encoded.

--- a/features/failures.feature
+++ b/features/failures.feature
@@ -32,3 +32,9 @@
     When 20 day plans are sent
     Then every request is complete
     And the cut sidecars get work again after they are reached
+
+  Scenario: A stage without any endpoint wastes no work of the others
+    Given every endpoint of pool "model" has died and was noticed
+    When 20 day plans are sent
+    Then every request is refused as not run
+    And the encoders have run nothing
--- a/features/steps/failure_steps.py
+++ b/features/steps/failure_steps.py
@@ -191,3 +191,35 @@
             if wanted <= names:
                 return
             await trio.sleep(POLL_S)
+
+
+@given('every endpoint of pool "{pool}" has died and was noticed')
+def given_pool_dead(context, pool):
+    for place in context.fleet.places.values():
+        if place.pool == pool:
+            context.loop.call(place.kill_endpoint)
+    for _ in range(4):
+        context.loop.run(
+            context.fleet.request, 'day-plan', 'brides', {'text': 'a'}
+        )
+    context.loop.run(trio.sleep, 1)
+    context.encoded = context.loop.call(_encoded, context)
+
+
+@then('every request is refused as not run')
+def then_all_not_run(context):
+    outcomes = {reply.plain['outcome'] for reply in context.answers}
+    assert outcomes == {'NotRun'}, outcomes
+
+
+@then('the encoders have run nothing')
+def then_nothing_encoded(context):
+    assert context.loop.call(_encoded, context) == context.encoded
+
+
+def _encoded(context):
+    return sum(
+        place.app.calls
+        for place in context.fleet.places.values()
+        if place.pool == 'encoders'
+    )
--- a/src/lentilspool/daemons/_endpoint.py
+++ b/src/lentilspool/daemons/_endpoint.py
@@ -3,6 +3,7 @@
 import dataclasses
 from collections.abc import Awaitable, Callable
 from typing import Any, Final
+from urllib import parse
 
 import trio
 
@@ -15,6 +16,8 @@
 )
 from lentilspool.daemons._log import LOG
 
+_PROBE_S: Final = 0.25
+_HTTP_PORT: Final = 80
 _EXPIRED: Final = kernel.NotRun(kernel.NotRunReason.expired_token)
 
 Reply = Callable[[wire.Message], Awaitable[bool]]
@@ -43,7 +46,9 @@
         identity: _identity.Identity,
         url: str,
         configuration: _configuration.Configuration,
+        nursery: trio.Nursery,
     ) -> None:
+        self._nursery = nursery
         self._name = f'{identity.name}/{identity.incarnation}'
         self._pool = identity.pool
         self._url = url
@@ -110,6 +115,7 @@
             self._slots.free()
         service_s = trio.current_time() - started
         self._learn(call, answer, service_s, in_flight)
+        self._note_reach(answer)
         return Ran(answer, service_s, self._death(answer))
 
     async def aclose(self) -> None:
@@ -126,6 +132,20 @@
             'service_times': self._times.dump(),
         }
 
+    def _note_reach(self, answer: dialects.EndpointAnswer) -> None:
+        """Report the endpoint as down until a connection can be opened."""
+        down = isinstance(answer, dialects.Refused) and answer.unreachable
+        if down and self._slots.reachable:
+            self._slots.reachable = False
+            self._nursery.start_soon(self._probe)
+
+    async def _probe(self) -> None:
+        _events.ENDPOINT_DOWN.log(LOG, url=self._url)
+        while not await _can_connect(self._url):
+            await trio.sleep(_PROBE_S)
+        self._slots.reachable = True
+        _events.ENDPOINT_UP.log(LOG, url=self._url)
+
     def _death(self, answer: dialects.EndpointAnswer) -> str:
         """Return the name of the death that broke a call's connection.
 
@@ -164,6 +184,20 @@
         )
 
 
+async def _can_connect(url: str) -> bool:
+    """Tell whether a connection to the endpoint can be opened."""
+    parts = parse.urlsplit(url)
+    port = parts.port or _HTTP_PORT
+    with trio.move_on_after(_PROBE_S):
+        try:
+            stream = await trio.open_tcp_stream(parts.hostname or '', port)
+        except OSError:
+            return False
+        await stream.aclose()
+        return True
+    return False
+
+
 def _endpoint_call(
     call: wire.StageCall, timeout_s: float
 ) -> dialects.EndpointCall:
--- a/src/lentilspool/daemons/_events.py
+++ b/src/lentilspool/daemons/_events.py
@@ -28,6 +28,12 @@
 CALL_ENDED: Final = _declare(
     504, logging.DEBUG, 'A call to the endpoint has ended.'
 )
+ENDPOINT_DOWN: Final = _declare(
+    506, logging.WARNING, 'The endpoint refuses connections; it gets no work.'
+)
+ENDPOINT_UP: Final = _declare(
+    507, logging.INFO, 'The endpoint takes connections again.'
+)
 CALLER_GONE: Final = _declare(
     505, logging.INFO, 'A response could not be delivered to its caller.'
 )
--- a/src/lentilspool/daemons/_sidecar.py
+++ b/src/lentilspool/daemons/_sidecar.py
@@ -82,7 +82,7 @@
             nursery,
         )
         self._endpoint = _endpoint.Endpoint(
-            identity, own.endpoint_url, self._configuration
+            identity, own.endpoint_url, self._configuration, nursery
         )
         self._once = _once.Once(
             identity,
--- a/src/lentilspool/daemons/_slots.py
+++ b/src/lentilspool/daemons/_slots.py
@@ -33,6 +33,7 @@
         self._running = 0
         self._last_id = 0
         self._policies: object = None
+        self.reachable = True
 
     @property
     def running(self) -> int:
@@ -46,8 +47,8 @@
 
     @property
     def limit(self) -> int:
-        """Calls that may be at the endpoint together."""
-        return self._limit.limit
+        """Calls that may be at the endpoint together; 0 if it is down."""
+        return self._limit.limit if self.reachable else 0
 
     def adopt(self, document: config.Document, pool: str) -> None:
         """Take the policies of a new configuration; waiting calls stay."""
--- a/src/lentilspool/pipeline/_pool_router.py
+++ b/src/lentilspool/pipeline/_pool_router.py
@@ -20,7 +20,7 @@
     """Calls that wait at the sidecar, of all entries."""
 
     limit: int
-    """Calls that the sidecar lets run together."""
+    """Calls that the sidecar lets run together; 0 if the endpoint is down."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -74,6 +74,7 @@
         self._backoff = retries.Backoff()
         self._index = routing.PrefixIndex()
         self._waits_s: dict[str, float] = {}
+        self._down: set[str] = set()
 
     @property
     def candidates(self) -> Sequence[routing.Candidate]:
@@ -106,6 +107,7 @@
         held = self._table.find(name)
         if held is None:
             return
+        self._set_down(name, report.limit == 0)
         work = report.in_flight + report.queued
         self._waits_s[name] = expected_s * report.queued / max(1, report.limit)
         self._table.reported(
@@ -118,7 +120,11 @@
     def load(self, entries: int) -> limits.PoolLoad:
         """Return the pool's load for admission control."""
         seen = self._table.candidates
-        usable = [held for held in seen if not held.ejected]
+        usable = [
+            held
+            for held in seen
+            if not held.ejected and held.name not in self._down
+        ]
         waits = [self._waits_s.get(held.name, 0) for held in usable]
         return limits.PoolLoad(
             slots=sum(held.capacity * held.weight for held in usable),
@@ -146,14 +152,16 @@
         is chosen is expected to hold them from now on.
         """
         self._judge(now)
-        wanted = request
+        wanted = dataclasses.replace(
+            request, excluded=request.excluded | self._down
+        )
         if prefix and self._document.kind == 'engine':
             wanted = dataclasses.replace(
-                request, cached_tokens=self._cached_tokens(prefix, now)
+                wanted, cached_tokens=self._cached_tokens(prefix, now)
             )
         decision = self._ask(wanted, now)
-        if isinstance(decision, routing.NoEndpoint) and wanted.excluded:
-            again = dataclasses.replace(wanted, excluded=frozenset())
+        if isinstance(decision, routing.NoEndpoint) and request.excluded:
+            again = dataclasses.replace(wanted, excluded=frozenset(self._down))
             decision = self._ask(again, now)
         if prefix and isinstance(decision, routing.Choice):
             self._index.routed(decision.endpoint, prefix, now)
@@ -166,6 +174,8 @@
     def ended(self, end: AttemptEnd, now: float) -> None:
         """Take in the end of an attempt that was counted as started."""
         self._table.ended(end.endpoint)
+        if end.unreachable:
+            self._set_down(end.endpoint, True)
         if end.refused and not end.unreachable:
             return
         self._ejection.record(
@@ -193,6 +203,7 @@
             'retry_budget': round(self._budget.balance, 2),
             'success_share': round(self._breaker.success_share, 3),
             'cached_prefix_blocks': self._index.size,
+            'down': sorted(self._down),
             'ejected': list(self._ejection.ejected(now)),
             'endpoints': {
                 held.name: {
@@ -206,6 +217,13 @@
             },
         }
 
+    def _set_down(self, name: str, down: bool) -> None:
+        """Note whether an endpoint takes no calls, until its next report."""
+        if down:
+            self._down.add(name)
+        else:
+            self._down.discard(name)
+
     def _ask(
         self, request: routing.RoutingRequest, now: float
     ) -> routing.Decision:
