Book work in few buckets with totals

Ruled out: fewer buckets alone (long deadlines have many). Change: totals answer where load is low; buckets widen with the distance; one pass over sorted times.

--- a/src/lentilspool/limits/_admission.py
+++ b/src/lentilspool/limits/_admission.py
@@ -49,7 +49,7 @@
         if favoured:
             found = self._refusal(request, dues, finish, now)
             if found is None:
-                self._bookings.add(request, dues)
+                self._bookings.add(request, dues, now)
                 self._counts['admitted'] += 1
                 return _types.Admit(finish, dues)
             refusal = found
--- a/src/lentilspool/limits/_bookings.py
+++ b/src/lentilspool/limits/_bookings.py
@@ -22,6 +22,9 @@
     dues: tuple[_types.StageDue, ...]
     """Due time of each remaining stage."""
 
+    buckets: tuple[float, ...]
+    """Bucket of each remaining stage in the book of its pool."""
+
 
 class Bookings:
     """Books every remaining stage of admitted requests at its pool."""
@@ -52,32 +55,39 @@
         self,
         request: _types.AdmissionRequest,
         dues: tuple[_types.StageDue, ...],
+        now: float,
     ) -> None:
         """Book all stages of an admitted request."""
-        booking = Booking(request, request.needs, dues)
-        self._bookings[request.request_id] = booking
-        for need, due in zip(request.needs, dues):
-            self._pools[need.pool].book.add(need.expected_s, due.due)
+        buckets = tuple(
+            self._pools[need.pool].book.add(need.expected_s, due.due, now)
+            for need, due in zip(request.needs, dues)
+        )
+        self._bookings[request.request_id] = Booking(
+            request, request.needs, dues, buckets
+        )
 
     def end_stage(self, request_id: str, stage: str) -> None:
         """Release the work of the next stage, if it is this one."""
         booking = self._bookings.get(request_id)
         if booking is None or booking.remaining[0].stage != stage:
             return
-        self._release(booking.remaining[0], booking.dues[0])
+        self._release(booking.remaining[0], booking.buckets[0])
         if len(booking.remaining) == 1:
             self._bookings.pop(request_id)
             return
         self._bookings[request_id] = dataclasses.replace(
-            booking, remaining=booking.remaining[1:], dues=booking.dues[1:]
+            booking,
+            remaining=booking.remaining[1:],
+            dues=booking.dues[1:],
+            buckets=booking.buckets[1:],
         )
 
     def remove(self, request_id: str) -> None:
         """Release what a request still holds, if anything."""
         booking = self._bookings.pop(request_id, None)
         if booking is not None:
-            for need, due in zip(booking.remaining, booking.dues):
-                self._release(need, due)
+            for need, bucket in zip(booking.remaining, booking.buckets):
+                self._release(need, bucket)
 
     def finish(
         self,
@@ -110,5 +120,5 @@
             name: pool.dump(now) for name, pool in sorted(self._pools.items())
         }
 
-    def _release(self, need: _types.StageNeed, due: _types.StageDue) -> None:
-        self._pools[need.pool].book.release(need.expected_s, due.due)
+    def _release(self, need: _types.StageNeed, bucket: float) -> None:
+        self._pools[need.pool].book.release(need.expected_s, bucket)
