--- /dev/null
+++ b/src/lentilspool/pipeline/tests/test_pool_router.py
@@ -0,0 +1,116 @@
+"""Tests of one pool as an entry sees it."""
+
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lentilspool import config, kernel, pipeline, retries, routing
+
+POOL = config.PoolDocument(kind='engine', max_in_flight=4)
+NAMES = ('a', 'b', 'c')
+REQUEST = routing.RoutingRequest(pool='p', zone='z')
+
+
+def make_router(names: tuple[str, ...] = NAMES) -> pipeline.PoolRouter:
+    router = pipeline.PoolRouter('p', POOL, 0.1, random.Random(1))
+    router.replace((name, 'z') for name in names)
+    return router
+
+
+def report(limit: int, queued: int = 0) -> pipeline.LoadReport:
+    return pipeline.LoadReport(in_flight=0, queued=queued, limit=limit)
+
+
+def chosen(
+    router: pipeline.PoolRouter,
+    request: routing.RoutingRequest,
+    prefix: tuple[int, ...] = (),
+) -> str:
+    decision = router.choose(request, 0, prefix)
+    return decision.endpoint if isinstance(decision, routing.Choice) else ''
+
+
+class TestChoose:
+    def test_tried_endpoints_come_last(self) -> None:
+        router = make_router(('a', 'b'))
+        tried = routing.RoutingRequest(excluded=frozenset('a'))
+        assert chosen(router, tried) == 'b'
+
+    def test_a_tried_endpoint_is_better_than_none(self) -> None:
+        router = make_router(('a',))
+        tried = routing.RoutingRequest(excluded=frozenset('a'))
+        assert isinstance(router.choose(tried, 0), routing.Choice)
+
+    def test_an_endpoint_that_is_down_is_never_chosen(self) -> None:
+        router = make_router(('a',))
+        router.reported('a', report(limit=0), 0.1, 0)
+        assert isinstance(router.choose(REQUEST, 0), routing.NoEndpoint)
+        assert router.load(1).slots == 0
+        router.reported('a', report(limit=4), 0.1, 1)
+        assert isinstance(router.choose(REQUEST, 1), routing.Choice)
+
+    def test_an_unreachable_endpoint_is_down_until_its_report(self) -> None:
+        router = make_router(('a', 'b'))
+        router.started('a')
+        router.ended(
+            pipeline.AttemptEnd(
+                'a', 0.1, False, refused=True, unreachable=True
+            ),
+            0,
+        )
+        names = [chosen(router, REQUEST) for _ in range(20)]
+        assert set(names) == {'b'}
+
+    def test_a_prompt_follows_its_prefix(self) -> None:
+        router = make_router()
+        prefix = pipeline.block_hashes('words ' * 2000)
+        first = chosen(router, REQUEST, prefix)
+        again = [chosen(router, REQUEST, prefix) for _ in range(5)]
+        assert set(again) == {first}
+
+
+class TestLoad:
+    @pytest.mark.parametrize(
+        ('limits', 'slots'), [((4, 4, 4), 12), ((2, 0, 4), 6), ((0, 0, 0), 0)]
+    )
+    def test_slots_are_those_of_living_endpoints(
+        self, limits: tuple[int, ...], slots: int
+    ) -> None:
+        router = make_router()
+        for name, limit in zip(NAMES, limits, strict=True):
+            router.reported(name, report(limit), 0.1, 0)
+        assert router.load(2).slots == slots
+
+    def test_the_shortest_wait_counts(self) -> None:
+        router = make_router(('a', 'b'))
+        router.reported('a', report(limit=2, queued=10), 0.1, 0)
+        router.reported('b', report(limit=2, queued=4), 0.1, 0)
+        assert router.load(1).wait_s == pytest.approx(0.2)
+
+
+class TestRetries:
+    def test_all_calls_of_a_dead_endpoint_are_tried_again(self) -> None:
+        router = make_router()
+        steps = [self._after(router) for _ in range(POOL.max_in_flight)]
+        assert all(isinstance(step, retries.Retry) for step in steps)
+        assert isinstance(self._after(router), retries.GiveUp)
+
+    def _after(self, router: pipeline.PoolRouter) -> retries.NextStep:
+        lost = kernel.Unknown('', kernel.UnknownReason.connection_lost)
+        return router.after(
+            retries.Attempt(lost, 's', True, 1, remaining_s=5, expected_s=0.1),
+            0,
+        )
+
+
+class TestPrefix:
+    @settings(derandomize=True, deadline=None, max_examples=50)
+    @given(st.text(max_size=3000), st.text(max_size=300))
+    def test_a_longer_prompt_keeps_its_blocks(
+        self, begin: str, end: str
+    ) -> None:
+        shorter = pipeline.block_hashes(begin)
+        longer = pipeline.block_hashes(begin + end)
+        assert longer[: len(shorter)] == shorter
