Tell when the sidecar's queue will have been served

Cause: a dropped call's retry_after_s was queued cost over the bound, the mean cost of a call, not a time. Calls whose cost is not known yet (zero) were served by the team's name. Change: a fading rate of the cost that was started; a least cost.

--- a/src/lentilspool/limits/_stage_queue.py
+++ b/src/lentilspool/limits/_stage_queue.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 from lentilspool import kernel
-from lentilspool.limits import _team_queue, _types
+from lentilspool.limits import _drain_rate, _team_queue, _types
 
 _AGEING_S: Final = 5.0
 _STARTS_PER_AGED: Final = 8
@@ -39,6 +39,7 @@
         self._waiting = _team_queue.TeamQueue(shares)
         self._starts = 0
         self._dropped = 0
+        self._rate = _drain_rate.DrainRate()
 
     def __len__(self) -> int:
         return len(self._urgent) + len(self._waiting)
@@ -58,7 +59,7 @@
     ) -> tuple[_types.Dropped, ...]:
         """Add a call; returns the calls that had to go, maybe this one."""
         if _hopeless(call, now):
-            return (self._drop(call, kernel.NotRunReason.deadline),)
+            return (self._drop(call, kernel.NotRunReason.deadline, now),)
         self._queue_of(call).add(call, now)
         if len(self) <= self._bound:
             return ()
@@ -66,17 +67,19 @@
         if call.urgency is _types.Urgency.may_wait:
             fullest = self._waiting
         victim = fullest.push_out()
-        return (self._drop(victim, kernel.NotRunReason.overloaded),)
+        return (self._drop(victim, kernel.NotRunReason.overloaded, now),)
 
     def take(self, now: float) -> _types.Taken:
         """Remove and return the next call that can end on time."""
         dropped: list[_types.Dropped] = []
         call = self._next(now)
         while call is not None and _hopeless(call, now):
-            dropped.append(self._drop(call, kernel.NotRunReason.deadline))
+            reason = kernel.NotRunReason.deadline
+            dropped.append(self._drop(call, reason, now))
             call = self._next(now)
         if call is not None:
             self._count_start(call)
+            self._rate.add(call.cost, now)
         return _types.Taken(call, tuple(dropped))
 
     def remove(self, call_id: int) -> bool:
@@ -112,11 +115,14 @@
             self._starts = 0
 
     def _drop(
-        self, call: _types.QueuedCall, reason: kernel.NotRunReason
+        self,
+        call: _types.QueuedCall,
+        reason: kernel.NotRunReason,
+        now: float,
     ) -> _types.Dropped:
         self._dropped += 1
-        wait_s = self.cost / self._bound
-        refusal = kernel.NotRun(reason, retry_after_s=max(0.1, wait_s))
+        wait_s = self._rate.wait_s(self.cost, now)
+        refusal = kernel.NotRun(reason, retry_after_s=wait_s)
         return _types.Dropped(call, refusal)
 
 
--- a/src/lentilspool/limits/_team_queue.py
+++ b/src/lentilspool/limits/_team_queue.py
@@ -9,6 +9,7 @@
 _DEFAULT_SHARE: Final = 1.0
 _CREDIT_CALLS: Final = 8.0
 _MEAN_GAIN: Final = 0.05
+_LEAST_COST: Final = 1e-6
 
 
 class TeamQueue:
@@ -64,7 +65,8 @@
         team = min(self._calls, key=lambda name: (self._starts[name], name))
         call = self._calls[team][0][2]
         self._virtual = max(self._virtual, self._starts[team])
-        self._starts[team] += call.cost / self._share(team)
+        cost = max(call.cost, _LEAST_COST)
+        self._starts[team] += cost / self._share(team)
         self._detach(call)
         self._forget_idle()
         return call
--- a/src/lentilspool/limits/tests/test_stage_queue.py
+++ b/src/lentilspool/limits/tests/test_stage_queue.py
@@ -55,6 +55,13 @@
         first = drain(queue)[16:56]
         assert sum(call_id % 2 == 0 for call_id in first) == expected
 
+    def test_calls_of_unknown_cost_are_shared_by_count(self) -> None:
+        queue = limits.StageQueue(100)
+        for call_id in range(40):
+            queue.offer(call(call_id, 'ab'[call_id % 2], cost=0), 0)
+        first = drain(queue)[:20]
+        assert sum(call_id % 2 for call_id in first) == 10
+
     def test_deadline_class_goes_first(self) -> None:
         queue = limits.StageQueue(8)
         queue.offer(call(0, urgency=WAIT), 0)
@@ -95,6 +102,17 @@
         assert dropped.call.team == 'flood'
         assert dropped.outcome.reason is kernel.NotRunReason.overloaded
 
+    def test_refusal_tells_when_the_queue_will_have_been_served(self) -> None:
+        queue = limits.StageQueue(60)
+        for call_id in range(60):
+            queue.offer(call(call_id), 0)
+        for tick in range(40):
+            queue.take(now=float(tick))
+            queue.offer(call(100 + tick), float(tick))
+        dropped = queue.offer(call(999), 40)[0]
+        wait_s = dropped.outcome.retry_after_s
+        assert wait_s and 50 <= wait_s <= 60
+
     def test_full_queue_drops_calls_that_may_wait_first(self) -> None:
         queue = limits.StageQueue(1)
         queue.offer(call(0, urgency=WAIT), 0)
