Pull from the next source sooner; no idle loop while peers are asked

Cause: a reader that holds nothing asks its peers first, and its `due` was in the past meanwhile, so a daemon would have ticked without a pause. Ruled out: a larger bucket (192 kB: 2.7 to 3.5 s, but more bytes). Change: `due` leaves the service out while peers are asked; a pull without an answer is repeated elsewhere after 0.3 s, not 0.5 s.

--- a/src/lentilspool/config/_pulls.py
+++ b/src/lentilspool/config/_pulls.py
@@ -5,7 +5,7 @@
 
 from lentilspool.config import _messages
 
-_TIMEOUT_S: Final = 0.5
+_TIMEOUT_S: Final = 0.3
 _MAX_SOURCES: Final = 8
 
 
--- a/src/lentilspool/config/_spread.py
+++ b/src/lentilspool/config/_spread.py
@@ -64,7 +64,7 @@
     def due(self) -> float:
         """Time until which ``tick`` has nothing to do."""
         times = [self._digest_at, self._exchange.due, self._readiness.due]
-        if self._reading.chosen:
+        if self._reading.chosen and not self._asks_peers_first():
             times.append(self._reading.due)
         return min(times)
 
@@ -86,7 +86,7 @@
             _messages.Send(peer, digest) for peer in self._digest_peers(now)
         )
         actions.extend(self._exchange.retry(now))
-        if self._holder.number or self._may_begin(now):
+        if not self._asks_peers_first() or self._may_begin(now):
             actions.extend(self._reading.next_call(now, self._holder.number))
         self._readiness.update(now, self._holder.number)
         return actions
@@ -135,6 +135,9 @@
             'watched_by': list(self._reading.successors),
         }
 
+    def _asks_peers_first(self) -> bool:
+        return self._has_view and not self._holder.number
+
     def _may_begin(self, now: float) -> bool:
         """Tell whether a process that holds nothing may ask the service.
 
--- a/src/lentilspool/config/tests/test_spread.py
+++ b/src/lentilspool/config/tests/test_spread.py
@@ -158,3 +158,11 @@
             digests = {held.digest for held in links.holders.values()}
             assert digests == {config.begin(tuple(log)).state.digest}
             assert links.spreads['p0'].ready
+
+
+class TestDue:
+    def test_is_not_at_once_while_peers_are_asked(self) -> None:
+        spread = _spread(_MEMBERS[0])
+        spread.follow(0, config.View(_MEMBERS[:3]))
+        spread.tick(0)
+        assert spread.due * 10 > 1
