--- a/bench/routing.py
+++ b/bench/routing.py
@@ -10,7 +10,6 @@
 which prompts an entry has sent.
 """
 
-import collections
 import dataclasses
 import functools
 import random
@@ -18,14 +17,10 @@
 import zlib
 from collections.abc import Callable, Iterator
 
-from bench import _events
+from bench import _events, _prefix_engine
 from lentilspool import kernel, routing
 
-_BLOCK_TOKENS = 64
-_PREFILL_S = 0.0002
 _DECODE_S = 0.2
-_BATCH = 8
-_CACHE_BLOCKS = 600
 _TICK_S = 0.25
 _RELAYED = 'lentilspool_relayed'
 _RELAY_S = 0.5
@@ -33,14 +28,6 @@
 _BASELINES = ('random', 'round_robin', 'least_outstanding', 'two_choices')
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Call:
-    at_s: float
-    entry: int
-    blocks: tuple[int, ...]
-    decode_s: float
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Shape:
     seed: int
@@ -52,13 +39,15 @@
 
 def _calls(
     shape: _Shape, load: float, duration_s: float, prefixes: int
-) -> list[_Call]:
+) -> list[_prefix_engine.Call]:
     rng = random.Random(shape.seed)
     lengths = [rng.randint(8, 32) for _ in range(max(prefixes, 1))]
     shares = [1 / (rank + 1) for rank in range(max(prefixes, 1))]
     own = 4 if prefixes else 20
-    typical_s = _DECODE_S + _PREFILL_S * _BLOCK_TOKENS * 12
-    rate = load * shape.endpoints * _BATCH / typical_s
+    typical_s = (
+        _DECODE_S + _prefix_engine.PREFILL_S * _prefix_engine.BLOCK_TOKENS * 12
+    )
+    rate = load * shape.endpoints * _prefix_engine.BATCH / typical_s
     calls = []
     now = 0.0
     while now < duration_s:
@@ -69,61 +58,12 @@
         tail = [rng.getrandbits(60) for _ in range(rng.randint(1, 2 * own))]
         entry = rng.randrange(shape.entries)
         decode_s = rng.expovariate(1 / _DECODE_S)
-        calls.append(_Call(now, entry, tuple(head + tail), decode_s))
+        calls.append(
+            _prefix_engine.Call(now, entry, tuple(head + tail), decode_s)
+        )
     return calls
 
 
-class _Engine:
-    """A batch limit, a queue in order of arrival and a cache of blocks."""
-
-    def __init__(self, name: str, queue: _events.EventQueue) -> None:
-        self.name = name
-        self.prefilled = 0
-        self.ends: list[float] = []
-        self.waiting: collections.deque[tuple[_Call, Callable[[], None]]]
-        self.waiting = collections.deque()
-        self.cache: collections.OrderedDict[int, None]
-        self.cache = collections.OrderedDict()
-        self.stored: list[int] = []
-        self.evicted: list[int] = []
-        self._queue = queue
-
-    def send(self, call: _Call, done: Callable[[], None]) -> None:
-        self.waiting.append((call, done))
-        self._fill()
-
-    def depth(self, blocks: tuple[int, ...]) -> int:
-        for depth, block in enumerate(blocks):
-            if block not in self.cache:
-                return depth
-        return len(blocks)
-
-    def _fill(self) -> None:
-        while self.waiting and len(self.ends) < _BATCH:
-            call, done = self.waiting.popleft()
-            uncached = len(call.blocks) - self.depth(call.blocks)
-            self.prefilled += uncached * _BLOCK_TOKENS
-            self._keep(call.blocks)
-            service_s = call.decode_s + uncached * _BLOCK_TOKENS * _PREFILL_S
-            self.ends.append(self._queue.now + service_s)
-            self._queue.after(service_s, functools.partial(self._end, done))
-
-    def _end(self, done: Callable[[], None]) -> None:
-        self.ends.remove(min(self.ends))
-        done()
-        self._fill()
-
-    def _keep(self, blocks: tuple[int, ...]) -> None:
-        for block in blocks:
-            if block not in self.cache:
-                self.stored.append(block)
-            self.cache[block] = None
-        for block in reversed(blocks):
-            self.cache.move_to_end(block)
-        while len(self.cache) > _CACHE_BLOCKS:
-            self.evicted.append(self.cache.popitem(last=False)[0])
-
-
 class _Entry:
     """What one entry knows, and its policy."""
 
@@ -133,18 +73,21 @@
         self.index = routing.PrefixIndex() if name == 'default' else None
         self.table = routing.EndpointTable()
         self.table.replace(
-            routing.Candidate(name=str(number), capacity=_BATCH)
+            routing.Candidate(name=str(number), capacity=_prefix_engine.BATCH)
             for number in range(shape.endpoints)
         )
 
-    def choose(self, call: _Call, now: float, rng: random.Random) -> int:
+    def choose(
+        self, call: _prefix_engine.Call, now: float, rng: random.Random
+    ) -> int:
         depths = self.index.depths(call.blocks, now) if self.index else {}
         request = routing.RoutingRequest(
             service_s=_DECODE_S,
-            prompt_tokens=len(call.blocks) * _BLOCK_TOKENS,
+            prompt_tokens=len(call.blocks) * _prefix_engine.BLOCK_TOKENS,
             prefix_key=zlib.crc32(b'%d' % call.blocks[0]),
             cached_tokens={
-                name: depth * _BLOCK_TOKENS for name, depth in depths.items()
+                name: depth * _prefix_engine.BLOCK_TOKENS
+                for name, depth in depths.items()
             },
         )
         choice = self.policy.choose(request, self.table.candidates, now, rng)
@@ -157,13 +100,15 @@
 class _Run:
     """One arm: the calls of the plan, sent where the arm decides."""
 
-    def __init__(self, shape: _Shape, calls: list[_Call], arm: str) -> None:
+    def __init__(
+        self, shape: _Shape, calls: list[_prefix_engine.Call], arm: str
+    ) -> None:
         self._shape = shape
         self._calls = calls
         self._queue = _events.EventQueue()
         self._rng = random.Random(shape.seed + 1)
         self._engines = [
-            _Engine(str(number), self._queue)
+            _prefix_engine.Engine(str(number), self._queue)
             for number in range(shape.endpoints)
         ]
         self._lags = [self._rng.uniform(0, shape.lag) for _ in self._engines]
@@ -196,7 +141,7 @@
             'p99_seconds': round(cut[98], 4),
         }
 
-    def _send(self, call: _Call) -> None:
+    def _send(self, call: _prefix_engine.Call) -> None:
         now = self._queue.now
         if self._entries:
             entry = self._entries[call.entry]
@@ -217,7 +162,7 @@
 
         self._engines[chosen].send(call, done)
 
-    def _relay(self, call: _Call, chosen: int) -> None:
+    def _relay(self, call: _prefix_engine.Call, chosen: int) -> None:
         """Tell the other entries of a prompt, as the sidecar could."""
         due_s = self._queue.now + _RELAY_S
         for number, entry in enumerate(self._entries):
@@ -227,25 +172,13 @@
                     due_s, functools.partial(routed, call.blocks, due_s)
                 )
 
-    def _best(self, call: _Call, now: float) -> int:
-        def score(engine: _Engine) -> float:
-            ends = sorted(engine.ends)
-            wait_s = 0.0
-            if len(ends) == _BATCH:
-                ahead = sum(
-                    queued.decode_s
-                    + _PREFILL_S
-                    * _BLOCK_TOKENS
-                    * (len(queued.blocks) - engine.depth(queued.blocks))
-                    for queued, _ in engine.waiting
-                )
-                wait_s = ends[0] - now + ahead / _BATCH
-            uncached = len(call.blocks) - engine.depth(call.blocks)
-            prefill_s = uncached * _BLOCK_TOKENS * _PREFILL_S
-            busy = len(ends) / _BATCH * _PREFILL_S
-            return wait_s + prefill_s * self._weight + busy
-
-        return int(min(self._engines, key=score).name)
+    def _best(self, call: _prefix_engine.Call, now: float) -> int:
+        return min(
+            range(len(self._engines)),
+            key=lambda number: self._engines[number].cost_s(
+                call, now, self._weight
+            ),
+        )
 
     def _publish(self) -> None:
         for number, engine in enumerate(self._engines):
--- a/bench/slow.py
+++ b/bench/slow.py
@@ -11,27 +11,21 @@
 
 import collections
 import dataclasses
-import functools
 import random
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 
-from bench import _events
+from bench import _events, _failing_endpoint
 from lentilspool import kernel, retries, routing
 
 _STAGES = ('encode', 'retrieve', 'rerank', 'generate')
 _FAULTS = ('slow', 'fail')
 _ARMS = ('lentilspool', 'three_attempts', 'unlimited_retries', 'no_retry')
-_SERVICE_S = 0.2
-_ERROR_S = 0.05
-_SLOTS = 4
-_MAX_QUEUED = 64
 _ATTEMPT_S = 1.25
 _DEADLINE_S = 5.0
 _FAULT_AT_S = 10.0
 _FAULT_S = 30.0
 _AFTER_S = 30.0
 _WINDOW_S = 2.0
-_SLOWDOWN = 10
 
 
 @dataclasses.dataclass(slots=True)
@@ -43,62 +37,6 @@
     tried: frozenset[str] = frozenset()
 
 
-@dataclasses.dataclass(slots=True)
-class _Job:
-    done: Callable[[bool], None]
-    open: bool = True
-
-
-class _Endpoint:
-    """A queue in order of arrival before a few slots."""
-
-    def __init__(self, queue: _events.EventQueue, rng: random.Random) -> None:
-        self.slow = False
-        self.fails = False
-        self._queue = queue
-        self._rng = rng
-        self._running = 0
-        self._waiting: collections.deque[_Job] = collections.deque()
-
-    def offer(self, job: _Job) -> bool:
-        if len(self._waiting) >= _MAX_QUEUED:
-            return False
-        self._waiting.append(job)
-        self._fill()
-        return True
-
-    def cancel(self, job: _Job) -> None:
-        job.open = False
-        if job in self._waiting:
-            self._waiting.remove(job)
-        else:
-            self._running -= 1
-            self._fill()
-
-    def _fill(self) -> None:
-        while self._waiting and self._running < _SLOTS:
-            job = self._waiting.popleft()
-            self._running += 1
-            service_s = self._rng.gammavariate(4, _SERVICE_S / 4)
-            if self.slow:
-                service_s *= _SLOWDOWN
-            if self.fails:
-                service_s = _ERROR_S
-            failed = self.fails
-            self._queue.after(
-                service_s,
-                functools.partial(self._end, job, failed),
-            )
-
-    def _end(self, job: _Job, failed: bool) -> None:
-        if not job.open:
-            return
-        job.open = False
-        self._running -= 1
-        job.done(not failed)
-        self._fill()
-
-
 class _Pool:
     """What one entry keeps for one pool."""
 
@@ -109,9 +47,10 @@
         self.table = routing.EndpointTable()
         names = [str(number) for number in range(endpoints)]
         self.table.replace(
-            routing.Candidate(name=name, capacity=_SLOTS) for name in names
+            routing.Candidate(name=name, capacity=_failing_endpoint.SLOTS)
+            for name in names
         )
-        self.budget = retries.RetryBudget(reserve=2 * _SLOTS)
+        self.budget = retries.RetryBudget(reserve=2 * _failing_endpoint.SLOTS)
         self.breaker = retries.PoolBreaker()
         self.ejection = retries.OutlierEjection()
         self.ejection.retain(names)
@@ -128,14 +67,22 @@
         self._rng = random.Random(seed)
         self._queue = _events.EventQueue()
         self._endpoints = [
-            [_Endpoint(self._queue, self._rng) for _ in range(endpoints)]
+            [
+                _failing_endpoint.Endpoint(self._queue, self._rng)
+                for _ in range(endpoints)
+            ]
             for _ in _STAGES
         ]
         self._pools = [
             [_Pool(endpoints, self._ours) for _ in _STAGES]
             for _ in range(entries)
         ]
-        self._rate = load * endpoints * _SLOTS / _SERVICE_S
+        self._rate = (
+            load
+            * endpoints
+            * _failing_endpoint.SLOTS
+            / _failing_endpoint.SERVICE_S
+        )
         self._arrived: collections.Counter[int] = collections.Counter()
         self._on_time: collections.Counter[int] = collections.Counter()
         self._reached = 0
@@ -200,7 +147,7 @@
         self._count(request, now)
         choice = pool.policy.choose(
             routing.RoutingRequest(
-                service_s=_SERVICE_S, excluded=request.tried
+                service_s=_failing_endpoint.SERVICE_S, excluded=request.tried
             ),
             pool.table.candidates,
             now,
@@ -212,7 +159,7 @@
             return
         request.tried |= {choice.endpoint}
         endpoint = self._endpoints[request.stage][int(choice.endpoint)]
-        job = _Job(
+        job = _failing_endpoint.Job(
             lambda succeeded: self._ended(
                 request, choice.endpoint, now, succeeded
             )
@@ -288,7 +235,7 @@
                     repeatable=True,
                     number=request.attempts,
                     remaining_s=remaining_s,
-                    expected_s=_SERVICE_S,
+                    expected_s=_failing_endpoint.SERVICE_S,
                     other_endpoints=untried,
                 ),
                 pool.budget,
@@ -309,7 +256,9 @@
         self._queue.after(delay_s, lambda: self._attempt(request))
 
 
-def _set(hit: list[_Endpoint], fault: str, *, on: bool) -> None:
+def _set(
+    hit: list[_failing_endpoint.Endpoint], fault: str, *, on: bool
+) -> None:
     for endpoint in hit:
         if fault == 'slow':
             endpoint.slow = on
@@ -351,6 +300,6 @@
 
 def _bound(fault: str, scope: str, endpoints: int, load: float) -> float:
     hit = 1 / endpoints if scope == 'endpoint' else 1.0
-    works = 1 / _SLOWDOWN if fault == 'slow' else 0.0
+    works = 1 / _failing_endpoint.SLOWDOWN if fault == 'slow' else 0.0
     left = (1 - hit + hit * works) / load + _DEADLINE_S / _FAULT_S
     return round(min(left, 1), 4)
