Tell only the verdicts of ejection that may have changed

Ruled out: judging on a timer (an ejection would be seen late). Conclusion: the entry should call changes in place of its loop.

--- a/bench/slow.py
+++ b/bench/slow.py
@@ -201,12 +201,9 @@
                 now=now,
                 rng=self._rng,
             )
-            for candidate in pool.table.candidates:
-                verdict = pool.ejection.verdict(candidate.name, now)
+            for changed, verdict in pool.ejection.changes(now).items():
                 pool.table.judged(
-                    candidate.name,
-                    ejected=verdict.ejected,
-                    weight=verdict.weight,
+                    changed, ejected=verdict.ejected, weight=verdict.weight
                 )
         if not succeeded:
             failed = kernel.Failed(_STAGES[request.stage], 'error')
--- a/src/lentilspool/retries/_ejection.py
+++ b/src/lentilspool/retries/_ejection.py
@@ -46,7 +46,7 @@
     """Judges the endpoints of one pool by their failures and latency.
 
     Call ``retain`` with the pool's endpoints when they change, ``record``
-    after each attempt, and ``verdict`` to read the state. An endpoint is
+    after each attempt, and ``verdict`` or ``changes`` to read the state. An endpoint is
     judged against the median of its pool, so that a failure or slowness
     of the whole pool ejects nobody; at most a share of the pool, or one
     endpoint, is ejected at a time.
@@ -55,6 +55,7 @@
     def __init__(self, max_share: float = 0.3) -> None:
         self._max_share = max_share
         self._pool: dict[str, _Health] = {}
+        self._unsettled: tuple[str, ...] = ()
 
     @property
     def cap(self) -> int:
@@ -85,6 +86,19 @@
         weight = _SLOW_START_WEIGHT + (1 - _SLOW_START_WEIGHT) * ramp
         return Verdict(ejected=False, weight=weight)
 
+    def changes(self, now: float) -> dict[str, Verdict]:
+        """Return the verdicts that may differ since the last call.
+
+        These are endpoints that are ejected or in slow start, and once
+        more those that have come back to their full weight. All others
+        have their full weight.
+        """
+        verdicts = {name: self.verdict(name, now) for name in self._unsettled}
+        self._unsettled = tuple(
+            name for name, verdict in verdicts.items() if verdict.weight < 1
+        )
+        return verdicts
+
     def record(
         self,
         name: str,
@@ -109,6 +123,8 @@
         if len(self.ejected(now)) >= self.cap:
             return False
         self._pool[name] = _eject(health, now, rng)
+        if name not in self._unsettled:
+            self._unsettled += (name,)
         return True
 
     def _is_outlier(self, health: _Health, now: float) -> bool:
--- a/src/lentilspool/retries/tests/test_ejection.py
+++ b/src/lentilspool/retries/tests/test_ejection.py
@@ -43,6 +43,18 @@
         assert weights[0] * 3 < 1
         assert weights[-1] == 1
 
+    def test_changes_tell_all_until_the_full_weight_was_told(self) -> None:
+        ejection = _pool(5)
+        assert not ejection.changes(0)
+        for _ in range(5):
+            _record(ejection, '0', 0, succeeded=False)
+        for now, ejected in ((0, True), (1, False), (9, False)):
+            told = ejection.changes(now)
+            assert told == {'0': ejection.verdict('0', now)}
+            assert told['0'].ejected == ejected
+        assert told['0'].weight == 1
+        assert not ejection.changes(10)
+
     def test_a_second_failure_ejects_for_longer(self) -> None:
         ejection = _pool(5)
         for _ in range(10):
