Give orders to engines from the sidecar and roll them through the pool

Cause: the queue, the turns and the load slots were not used by any daemon. Ruled out: all members telling each other all the time (29 messages a second for a sidecar in a pool of 59, at rest); sending the order while calls run. Change: component orders in the sidecar: steps, reads, pauses, a later incarnation, progress between sidecars while one has an order to give; new calls are refused as not_ready and the limit is told as 0 while busy; empty engines wait for no turn; digests of targets are signed, since the message overflowed otherwise; a failed read is tried again after 1 s. order_settle_s is a policy parameter. Measured: behave features/orders.feature, 6 scenarios over a real fleet.

--- a/features/steps/orders_steps.py
+++ b/features/steps/orders_steps.py
@@ -1,5 +1,7 @@
 """Steps about orders to engines."""
 
+import itertools
+
 import trio
 from behave import given, then, when
 
@@ -7,7 +9,8 @@
 
 LIMIT_S = 60
 POLL_S = 0.02
-SPACING_S = 0.1
+SPACING_S = 0.03
+WORDS = 60
 ENGINES = 'model'
 
 
@@ -19,7 +22,7 @@
                     {
                         'name': 'generate',
                         'pool': ENGINES,
-                        'max_output_tokens': 10,
+                        'max_output_tokens': WORDS,
                     }
                 ]
             }
@@ -160,7 +163,8 @@
 
 async def _ask(fleet, replies, nursery):
     async def one(number):
-        fields = {'text': f'question {number} of the bride in Ljubljana'}
+        words = itertools.repeat(f'bride-{number}', WORDS)
+        fields = {'text': ' '.join(words)}
         replies.append(await fleet.request('answer', 'brides', fields))
 
     for number in range(int(LIMIT_S / SPACING_S)):
--- a/src/lentilspool/daemons/_call_server.py
+++ b/src/lentilspool/daemons/_call_server.py
@@ -106,13 +106,18 @@
         listeners = await trio.open_tcp_listeners(port, host=address)
         self._nursery.start_soon(self._accept, listeners)
 
+    def announce(self) -> None:
+        """Send a heartbeat on every connection, because the load changed."""
+        for name in self._connections:
+            self._nursery.start_soon(self._beat, name)
+
     async def drain(self) -> None:
         """Tell every peer that the process leaves, until each has said so."""
         self._identity.leave()
         notice = membership.LeavingNotice(
             tuple(self._connections),
             trio.current_time(),
-            membership.NoticeLimits(lease_s=self._identity.lease_s),
+            membership.NoticeLimits(lease_s=self._identity.beat.lease_s),
         )
         self._notice = notice
         while not notice.done(trio.current_time()):
@@ -143,7 +148,7 @@
         async with trio.open_nursery() as nursery:
             connection = Connection(name, stream, nursery)
             self._connections[name] = connection
-            self._identity.add(name)
+            self._identity.beat.add(name)
             nursery.start_soon(self._send_heartbeats, connection)
             try:
                 await self._read(connection, stream)
@@ -154,7 +159,7 @@
 
     def _end(self, connection: Connection) -> None:
         self._connections.pop(connection.name, None)
-        self._identity.forget(connection.name)
+        self._identity.beat.remove(connection.name)
         if self._notice:
             self._notice.acknowledge(connection.name)
         connection.end()
@@ -166,10 +171,10 @@
 
     async def _wait_until_due(self, name: str) -> None:
         """Sleep until the next heartbeat; answers put it off."""
-        wait_s = self._identity.due_at(name) - trio.current_time()
+        wait_s = self._identity.beat.due_at(name) - trio.current_time()
         while wait_s > 0:
             await trio.sleep(wait_s)
-            wait_s = self._identity.due_at(name) - trio.current_time()
+            wait_s = self._identity.beat.due_at(name) - trio.current_time()
 
     async def _beat(self, name: str) -> bool:
         connection = self._connections.get(name)
@@ -214,8 +219,12 @@
     ) -> None:
         """Take back a leaving heartbeat of our own, or a peer's wish."""
         if heartbeat.process != self._identity.name:
-            self._identity.add(connection.name, _identity.wish_s(heartbeat))
-        elif self._notice:
+            self._identity.beat.add(
+                connection.name, _identity.wish_s(heartbeat)
+            )
+            return
+        self._identity.supersede(heartbeat.incarnation)
+        if self._notice:
             self._notice.acknowledge(connection.name)
 
     async def _greet(self, connection: Connection, hello: wire.Hello) -> bool:
--- a/src/lentilspool/daemons/_directory.py
+++ b/src/lentilspool/daemons/_directory.py
@@ -1,5 +1,6 @@
 """Endpoints known to an entry: connections to sidecars, and their health."""
 
+import dataclasses
 import random
 from collections.abc import Iterable
 from typing import Final
@@ -186,6 +187,9 @@
         now = trio.current_time()
         answer = self._members.receive(_identity.from_wire(message), now)
         if isinstance(answer, membership.Refused):
+            correction = _correction(self._members.leases, message, now)
+            if correction is not None:
+                await link.send(correction)
             return
         self._refresh()
         member = answer.member
@@ -236,3 +240,13 @@
         role=membership.Role(host.role),
         state=membership.HostState(host.state),
     )
+
+
+def _correction(
+    leases: membership.LeaseTable, message: wire.Heartbeat, now: float
+) -> wire.Heartbeat | None:
+    """Return what tells an old incarnation which one is at work."""
+    later = leases.live(message.process, now)
+    if later is None or later.incarnation <= message.incarnation:
+        return None
+    return dataclasses.replace(message, incarnation=later.incarnation)
--- a/src/lentilspool/daemons/_executor.py
+++ b/src/lentilspool/daemons/_executor.py
@@ -1,5 +1,6 @@
 """Stage calls of entries, from arrival at the sidecar to their answer."""
 
+from collections.abc import Callable
 from typing import Final
 
 import trio
@@ -10,21 +11,29 @@
 _MS: Final = 1000
 _QUIET_S: Final = 0.5
 _POLL_S: Final = 0.02
+_BUSY: Final = kernel.NotRun(kernel.NotRunReason.not_ready, 1)
 _DRAINING: Final = kernel.NotRun(kernel.NotRunReason.draining)
 
 
 class Executor(kernel.BaseComponent):
-    """Takes stage calls, runs them on the endpoint and replies."""
+    """Takes stage calls, runs them on the endpoint and replies.
+
+    While ``busy`` says so, calls without a token are refused, so that the
+    endpoint runs empty. Calls with a token go to the ledger all the same,
+    because only the ledger may say that one did not run.
+    """
 
     def __init__(
         self,
         identity: _identity.Identity,
         endpoint: _endpoint.Endpoint,
         once: _once.Once,
+        busy: Callable[[], bool],
     ) -> None:
         self._identity = identity
         self._endpoint = endpoint
         self._once = once
+        self._emptying = busy
         self._open = 0
         self._last_call = trio.current_time()
 
@@ -66,6 +75,8 @@
         ran = _endpoint.Ran(_DRAINING)
         if call.token:
             outcome = await self._once.run(call)
+        elif self._emptying() and not self._identity.leaving:
+            outcome = _BUSY
         elif not self._identity.leaving:
             ran = await self._repeatable(call, reply)
             outcome = self._outcome(call, ran.answer)
--- a/src/lentilspool/daemons/_identity.py
+++ b/src/lentilspool/daemons/_identity.py
@@ -30,6 +30,7 @@
         self._pool = pool
         self._incarnation = time.time_ns()
         self._leaving = False
+        self._superseded = False
         address, port = listen
         described = membership.Heartbeat(
             process=name,
@@ -68,6 +69,20 @@
         """Whether the process takes no new work."""
         return self._leaving
 
+    @property
+    def beat(self) -> membership.Beat:
+        """When heartbeats are due, for each connection by its name."""
+        return self._beat
+
+    @property
+    def superseded(self) -> bool:
+        """Whether a later incarnation of this process is at work."""
+        return self._superseded
+
+    def supersede(self, incarnation: int) -> None:
+        """Take what a peer knows of the incarnations of this process."""
+        self._superseded = self._superseded or incarnation > self._incarnation
+
     def leave(self) -> None:
         """Take no new work from now on; this is never taken back."""
         self._leaving = True
@@ -98,23 +113,6 @@
         beat = self._beat.make(peer, now, load, version, self._leaving)
         return _to_wire(beat, held)
 
-    @property
-    def lease_s(self) -> float:
-        """Longest lease granted to a connection, in seconds."""
-        return self._beat.lease_s
-
-    def add(self, peer: str, wish_s: float = 0) -> None:
-        """Add a connection, or change the interval that it asks for."""
-        self._beat.add(peer, wish_s)
-
-    def answered(self, peer: str, now: float) -> None:
-        """Record an answer on a connection: it renews the lease."""
-        self._beat.answered(peer, now)
-
-    def due_at(self, peer: str) -> float:
-        """Return the time of the next heartbeat on a connection."""
-        return self._beat.due_at(peer)
-
     def wish(self, interval_s: float) -> wire.Heartbeat:
         """Return the message that asks for an interval of heartbeats."""
         lease_s = interval_s * membership.BeatLimits().leases_per_interval
@@ -127,10 +125,6 @@
         )
         return _to_wire(asking, wire.ConfigDigest(0, ''))
 
-    def forget(self, peer: str) -> None:
-        """Forget a connection that has ended."""
-        self._beat.remove(peer)
-
     def dump(self) -> dict[str, object]:
         """Return the state as plain JSON types."""
         return {
@@ -139,6 +133,7 @@
             'pool': self._pool,
             'incarnation': self._incarnation,
             'leaving': self._leaving,
+            'superseded': self._superseded,
         }
 
 
--- a/src/lentilspool/daemons/_sidecar.py
+++ b/src/lentilspool/daemons/_sidecar.py
@@ -25,6 +25,7 @@
     _identity,
     _link,
     _once,
+    _orders,
     _peers,
     _pulse,
     _status,
@@ -96,7 +97,17 @@
             nursery,
         )
         self._executor = _executor.Executor(
-            identity, self._endpoint, self._once
+            identity,
+            self._endpoint,
+            self._once,
+            lambda: self._orders.busy,
+        )
+        self._orders = _orders.Orders(
+            identity,
+            own.endpoint_url,
+            self._calls,
+            self._peers.send,
+            nursery,
         )
 
     def application(self) -> kernel.Application:
@@ -106,6 +117,9 @@
         self._hosts.listen(self._configuration.follow)
         self._configuration.listen(self._endpoint.adopt)
         self._configuration.listen(self._adopt_slots)
+        self._configuration.listen(self._orders.adopt)
+        self._hosts.listen(self._orders.follow)
+        self._pulse.listen(self._orders.pause)
         server = _call_server.CallServer(
             (own.address, own.port),
             self._identity,
@@ -114,6 +128,7 @@
             self._serve,
             self._nursery,
         )
+        self._orders.changed = server.announce
         status = _status.Status(
             telemetry.Metrics(),
             lambda: self._configuration.ready and not self._identity.leaving,
@@ -128,6 +143,7 @@
                 'http': _http_server.HttpServer(
                     status, own.address, own.http_port, self._nursery
                 ),
+                'orders': self._orders,
                 'executor': self._executor,
                 'server': server,
             },
@@ -139,9 +155,14 @@
         own = self._own
         self._once.adopt(state, f'{own.address}:{own.port}')
 
+    def _calls(self) -> int:
+        slots = self._endpoint.slots
+        return slots.running + slots.queued
+
     def _state(self) -> tuple[wire.ConfigDigest, membership.Load]:
         slots = self._endpoint.slots
-        load = membership.Load(slots.running, slots.queued, slots.limit)
+        limit = 0 if self._orders.busy else slots.limit
+        load = membership.Load(slots.running, slots.queued, limit)
         return self._configuration.held, load
 
     async def _serve(
@@ -161,6 +182,8 @@
                 connection.when_ended(
                     partial(self._peers.closed, peer, connection)
                 )
+            case wire.OrderProgress():
+                await self._orders.heard(peer, message)
             case _ if isinstance(message, _CONFIG_MESSAGES):
                 await self._configuration.on_message(peer, message)
             case _:
@@ -171,10 +194,14 @@
         self, connection: _call_server.Connection, call: wire.StageCall
     ) -> None:
         await self._executor.run(call, connection.send)
-        self._identity.answered(connection.name, trio.current_time())
+        self._identity.beat.answered(connection.name, trio.current_time())
 
     async def _heard(self, link: _link.Link, message: wire.Message) -> None:
-        if isinstance(message, _CONFIG_MESSAGES) and link.peer:
+        if link.peer is None:
+            return
+        if isinstance(message, wire.OrderProgress):
+            await self._orders.heard(link.peer.process, message)
+        elif isinstance(message, _CONFIG_MESSAGES):
             await self._configuration.on_message(link.peer.process, message)
 
 
--- a/src/lentilspool/dialects/_engine.py
+++ b/src/lentilspool/dialects/_engine.py
@@ -2,17 +2,19 @@
 
 import dataclasses
 import json
-from typing import Final
+from typing import Any, Final
 
 import httpcore
 
-from lentilspool import kernel, pipeline
+from lentilspool import kernel, orders, pipeline
 from lentilspool.dialects import _http, _types
 
 _DATA: Final = b'data: '
 _DONE: Final = b'[DONE]'
 _TOKENS_PER_UNIT: Final = 1000
 _PATH: Final = '/v1/completions'
+_ORDER_TIMEOUT_S: Final = 30
+_READ_TIMEOUT_S: Final = 2
 
 
 @kernel.registry.register(kernel.PluginKind.endpoint_dialect, 'engine')
@@ -42,6 +44,78 @@
         await self._client.aclose()
 
 
+class EngineOrders:
+    """Gives orders to an engine and reads its state."""
+
+    def __init__(self, client: _http.HttpClient) -> None:
+        self._client = client
+
+    async def order(self, order: orders.Order) -> orders.EngineAnswer:
+        """Give one order and return what the engine answers."""
+        body = {
+            'fence': dataclasses.astuple(order.fencing),
+            'state': dataclasses.asdict(order.target),
+        }
+        call = _types.EndpointCall(
+            operation='orders',
+            body=json.dumps(body).encode(),
+            max_output_tokens=0,
+            priority=0,
+            timeout_s=_ORDER_TIMEOUT_S,
+        )
+        response = await self._client.post('/v1/orders', call)
+        if not isinstance(response, tuple):
+            return orders.NotApplied(order.fencing, response.reason)
+        return _order_answer(order.fencing, *response)
+
+    async def read(self, number: int, checked: bool) -> orders.Readback | None:
+        """Return the engine's state for a read, or None if it is not had.
+
+        ``checked`` tells whether the engine checks fencing numbers.
+        """
+        plain = await self._client.get_json('/v1/load', _READ_TIMEOUT_S)
+        if plain is None:
+            return None
+        try:
+            held = _fence(plain['fence']) if checked else None
+            return orders.Readback(number, _state(plain['state']), held)
+        except (KeyError, TypeError, ValueError):
+            return None
+
+    async def aclose(self) -> None:
+        """Close every connection."""
+        await self._client.aclose()
+
+
+def _order_answer(
+    fencing: orders.FencingNumber, status: int, body: bytes
+) -> orders.EngineAnswer:
+    if status >= _http.BAD_REQUEST:
+        shown = body.decode(errors='replace')
+        return orders.NotApplied(fencing, f'status {status}: {shown}')
+    try:
+        plain = json.loads(body)
+        held = _fence(plain.get('fence'))
+    except (AttributeError, TypeError, ValueError) as error:
+        return orders.NotApplied(fencing, _http.describe(error))
+    if 'refused' in plain and held is not None:
+        return orders.RefusedOld(fencing, held)
+    return orders.Applied(fencing)
+
+
+def _fence(plain: Any) -> orders.FencingNumber | None:
+    return orders.FencingNumber(*map(int, plain)) if plain else None
+
+
+def _state(plain: dict[str, Any]) -> orders.EngineState:
+    return orders.EngineState(
+        model=str(plain.get('model', '')),
+        model_version=str(plain.get('model_version', '')),
+        adapters=tuple(sorted(plain.get('adapters', ()))),
+        role=str(plain.get('role', '')),
+    )
+
+
 def _completion(call: _types.EndpointCall) -> bytes:
     """Return the body of a completion request for a stage's input."""
     fields = json.loads(call.body)
--- a/src/lentilspool/orders/_endpoint.py
+++ b/src/lentilspool/orders/_endpoint.py
@@ -64,6 +64,9 @@
         self._target = target
         self._rollout.keep(pool.min_capacity_share)
         self._rollout.want(version, _rollout.target_digest(target), now)
+        settle_s = policies.parameters.get(_target.SETTLE_S)
+        if settle_s:
+            self._rollout.settle(settle_s)
         loads_per_s = policies.parameters.get(_target.LOADS_PER_S)
         if loads_per_s:
             self._schedule.set_limit(loads_per_s)
@@ -113,6 +116,7 @@
         need = self._queue.need(now)
         if need is None:
             return False
-        if not self._busy and not self._rollout.turn(now).allowed:
+        in_service = not self._busy and not need.empty
+        if in_service and not self._rollout.turn(now).allowed:
             return False
         return not need.loads or self._schedule.take(wall)
--- a/src/lentilspool/orders/_queue.py
+++ b/src/lentilspool/orders/_queue.py
@@ -25,6 +25,9 @@
     checked_read_back_s: float = 30.0
     """Time between two reads of an engine that checks numbers."""
 
+    retry_s: float = 1.0
+    """Time after a read that failed until the next one."""
+
 
 class OrderQueue:
     """Brings one engine to the newest state wanted, and keeps it there.
@@ -96,7 +99,10 @@
             return None
         if not self._may_send(now):
             return None
-        return _types.Need(_loads(self._observed, self._wanted[1]))
+        return _types.Need(
+            _loads(self._observed, self._wanted[1]),
+            empty=not self._observed.model,
+        )
 
     def step(self, now: float, permitted: bool = True) -> _types.Step:
         """Return what to do now; calling it commits to the step.
@@ -111,7 +117,7 @@
             return self._read(now)
         if permitted and self._wanted is not None and self._may_send(now):
             return self._send(self._wanted, self._observed, now)
-        due_at = self._read_at + self._period_s()
+        due_at = self._read_at + _period_s(self._checked, self._limits)
         return self._read(now) if due_at <= now else _types.Wait(due_at)
 
     def answered(self, answer: _types.EngineAnswer, now: float) -> None:
@@ -146,6 +152,11 @@
         if readback.held is not None:
             self._learn(readback.held)
 
+    def unread(self, number: int, now: float) -> None:
+        """Record that a read failed, so that it is tried again soon."""
+        if number == self._reads and self._order is None:
+            self._open_until = now + self._limits.retry_s
+
     def pause(self) -> None:
         """Send nothing more until the engine has been read."""
         self._observed = None
@@ -157,11 +168,6 @@
         self._superseded = True
         _events.SUPERSEDED.log(_log, incarnation=self._incarnation)
 
-    def _period_s(self) -> float:
-        if self._checked:
-            return self._limits.checked_read_back_s
-        return self._limits.read_back_s
-
     def _matches(self, state: _types.EngineState) -> bool:
         return self._wanted is not None and state == self._wanted[1]
 
@@ -220,6 +226,10 @@
             self._incarnation = held.incarnation + 1
 
 
+def _period_s(checked: bool, limits: OrderLimits) -> float:
+    return limits.checked_read_back_s if checked else limits.read_back_s
+
+
 def _loads(observed: _types.EngineState, target: _types.EngineState) -> bool:
     """Tell whether the engine must fetch weights to reach the target."""
     same_model = (observed.model, observed.model_version) == (
--- a/src/lentilspool/orders/_rollout.py
+++ b/src/lentilspool/orders/_rollout.py
@@ -55,8 +55,12 @@
 
 
 def target_digest(target: _types.EngineState) -> int:
-    """Return a digest by which members compare their targets."""
-    return xxhash.xxh3_64_intdigest(repr(target).encode())
+    """Return a digest by which members compare their targets.
+
+    It is a signed number of 64 bits, as messages carry it.
+    """
+    digest = xxhash.xxh3_64_digest(repr(target).encode())
+    return int.from_bytes(digest, 'big', signed=True)
 
 
 class Rollout:
@@ -100,6 +104,10 @@
             self._limits, min_capacity_share=min_capacity_share
         )
 
+    def settle(self, settle_s: float) -> None:
+        """Change the time from a new target until the first order."""
+        self._limits = dataclasses.replace(self._limits, settle_s=settle_s)
+
     def want(self, version: int, target: int, now: float) -> None:
         """Take the target of a configuration that came into force."""
         if target != self._since[1]:
--- a/src/lentilspool/orders/_types.py
+++ b/src/lentilspool/orders/_types.py
@@ -103,6 +103,9 @@
     loads: bool
     """Whether the engine would fetch weights to carry it out."""
 
+    empty: bool = False
+    """Whether the engine holds no model, so it gives no capacity."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SendOrder:
