--- a/src/lentilspool/orders/tests/test_queue.py
+++ b/src/lentilspool/orders/tests/test_queue.py
@@ -58,6 +58,14 @@
         queue.answered(orders.Applied(order.fencing), 1)
         assert queue.settled
 
+    def test_failed_read_is_tried_again_soon(self) -> None:
+        queue = _queue()
+        step = queue.step(0)
+        assert isinstance(step, orders.ReadState)
+        queue.unread(step.number, 2)
+        assert isinstance(queue.step(2.5), orders.Wait)
+        assert isinstance(queue.step(3), orders.ReadState)
+
     def test_old_wish_is_dropped(self) -> None:
         queue = _queue()
         assert queue.want(3, _NEW)
