Offer calls before they may queue; wake up less at rest

(3) the ejection verdicts of all endpoints were read for each choice. Ruled out: hypercorn and the host list (few calls in the profile). Change: a call carries may_queue; a sidecar without a free slot refuses it with the time it would have waited, and the entry offers it further before it queues. Connections that are no longer wanted are closed by an event. Changed verdicts only.

--- a/src/lentilspool/daemons/_attempts.py
+++ b/src/lentilspool/daemons/_attempts.py
@@ -30,9 +30,12 @@
     number: int
     """Number of the attempt within its stage, from one."""
 
-    later_s: float
+    later_s: float = 0
     """Least time of all later stages, in seconds."""
 
+    may_queue: bool = True
+    """Whether the call may wait for its turn, or is refused instead."""
+
 
 class Attempts:
     """Sends attempts and lets through only the answers that match them."""
@@ -68,7 +71,12 @@
         of the attempt; the spend of any other is counted all the same.
         """
         stage_input = flight.execution.stage_input()
-        call = flight.stage_call(stage_input, plan.number, plan.later_s)
+        call = flight.stage_call(stage_input, plan.number)
+        call = dataclasses.replace(
+            call,
+            later_ms=int(plan.later_s * _MS),
+            may_queue=plan.may_queue,
+        )
         identity = admission.Attempt(
             call.request_id, call.stage, call.attempt, call.digest
         )
--- a/src/lentilspool/daemons/_flight.py
+++ b/src/lentilspool/daemons/_flight.py
@@ -48,6 +48,9 @@
     urgency: limits.Urgency = limits.Urgency.deadline
     """Class of its calls in queues."""
 
+    sends: int = 0
+    """Attempts that were sent, of all stages."""
+
     streamed: bool = False
     """Whether text of the current attempt was passed on."""
 
@@ -89,7 +92,7 @@
         )
 
     def stage_call(
-        self, stage_input: pipeline.StageInput, attempt: int, later_s: float
+        self, stage_input: pipeline.StageInput, attempt: int
     ) -> wire.StageCall:
         """Return the message for one attempt; the link sets its number."""
         stage = stage_input.stage
@@ -110,7 +113,8 @@
             priority=1 if may_wait else 0,
             operation=stage.operation or stage.name,
             max_output_tokens=stage.max_output_tokens,
-            later_ms=int(later_s * _MS),
+            later_ms=0,
+            may_queue=True,
             token=self.token or None,
             traceparent=self.request.traceparent or None,
         )
--- a/src/lentilspool/daemons/_slots.py
+++ b/src/lentilspool/daemons/_slots.py
@@ -9,6 +9,7 @@
 
 _MS = 1000
 _MAY_WAIT = 1
+_LEAST_WAIT_S = 0.001
 
 
 @dataclasses.dataclass(slots=True)
@@ -74,7 +75,14 @@
     async def take(
         self, call: wire.StageCall, pool: str
     ) -> kernel.NotRun | None:
-        """Wait for a turn; return a refusal if there will be none."""
+        """Wait for a turn; return a refusal if there will be none.
+
+        A call that may not queue is refused unless its turn is now; the
+        refusal tells how long it would have waited.
+        """
+        if not call.may_queue and self._is_full():
+            reason = kernel.NotRunReason.overloaded
+            return kernel.NotRun(reason, self._wait_s(call, pool))
         waiting = _Waiting(self._queued_call(call, pool), trio.Event())
         self._waiting[waiting.call.call_id] = waiting
         self._offer(waiting)
@@ -103,6 +111,15 @@
             'limit': self._limit.dump(),
         }
 
+    def _is_full(self) -> bool:
+        return self._running >= self._limit.limit or bool(self._waiting)
+
+    def _wait_s(self, call: wire.StageCall, pool: str) -> float:
+        """Return the expected seconds until a new call would start."""
+        expected = self._times.estimate(pool, call.stage, 0)
+        work_s = self._queue.cost + expected.mean_s
+        return max(work_s / self._limit.limit, _LEAST_WAIT_S)
+
     def _queued_call(
         self, call: wire.StageCall, pool: str
     ) -> limits.QueuedCall:
--- a/src/lentilspool/daemons/_stages.py
+++ b/src/lentilspool/daemons/_stages.py
@@ -82,7 +82,7 @@
             )
         while True:
             number += 1
-            outcome = await self._attempt(flight, router, number, tried)
+            outcome = await self._attempt(flight, router, tried)
             if isinstance(outcome, kernel.Complete):
                 return outcome
             step = self._after(flight, router, number, outcome, tried)
@@ -97,7 +97,6 @@
         self,
         flight: _flight.Flight,
         router: pipeline.PoolRouter,
-        number: int,
         tried: set[str],
     ) -> kernel.Outcome:
         judgement = await self._judge(flight.request.digest)
@@ -105,17 +104,29 @@
             return judgement.outcome
         alone = isinstance(judgement, admission.RunAlone)
         wanted = self._wanted(flight, frozenset(tried), alone)
-        prefix = flight.prefix
-        decision = router.choose(wanted, trio.current_time(), prefix)
-        if isinstance(decision, routing.NoEndpoint):
-            return kernel.NotRun(
-                kernel.NotRunReason.no_endpoint,
-                decision.retry_after_s,
-                decision.reason,
-            )
-        tried.add(decision.endpoint)
+        full: tuple[routing.FullEndpoint, ...] = ()
+        while True:
+            now = trio.current_time()
+            offer = router.offer(wanted, full, now, flight.prefix)
+            if isinstance(offer, routing.NoEndpoint):
+                return _no_endpoint(offer)
+            outcome = await self._send(flight, offer)
+            if offer.may_queue or not _is_full(outcome):
+                tried.add(offer.endpoint)
+                return outcome
+            wait_s = getattr(outcome, 'retry_after_s', None) or 0
+            refusal = routing.FullEndpoint(offer.endpoint, wait_s)
+            full = (*full, refusal)
+
+    async def _send(
+        self, flight: _flight.Flight, offer: routing.Offer
+    ) -> kernel.Outcome:
+        flight.sends += 1
         plan = _attempts.AttemptPlan(
-            decision.endpoint, number, self._later_s(flight)
+            offer.endpoint,
+            flight.sends,
+            self._later_s(flight),
+            may_queue=offer.may_queue,
         )
         return await self._attempts.run(flight, plan)
 
@@ -194,3 +205,20 @@
     def _no_pool(self) -> kernel.NotRun:
         reason = kernel.NotRunReason.no_endpoint
         return kernel.NotRun(reason, _NO_POOL_RETRY_S, 'the pool is unknown')
+
+
+def _no_endpoint(decision: routing.NoEndpoint) -> kernel.NotRun:
+    return kernel.NotRun(
+        kernel.NotRunReason.no_endpoint,
+        decision.retry_after_s,
+        decision.reason,
+    )
+
+
+def _is_full(outcome: kernel.Outcome) -> bool:
+    """Tell whether a sidecar refused a call that may not wait."""
+    match outcome:
+        case kernel.NotRun(reason=kernel.NotRunReason.overloaded):
+            return True
+        case _:
+            return False
--- a/src/lentilspool/daemons/_targets.py
+++ b/src/lentilspool/daemons/_targets.py
@@ -14,6 +14,7 @@
 
 _MIN_PAUSE_S: Final = 0.05
 _MAX_PAUSE_S: Final = 1.0
+_RETIRE_POLL_S: Final = 0.1
 
 
 class Targets:
@@ -39,7 +40,8 @@
         self._changed = changed
         self._links: dict[Target, _link.Link] = {}
         self._wanted: set[Target] = set()
-        self._kept: set[Target] = set()
+        self._scopes: dict[Target, trio.CancelScope] = {}
+        self._retiring: set[Target] = set()
         self._rng = random.Random(hello.incarnation)
 
     @property
@@ -59,39 +61,38 @@
     def want(self, targets: Iterable[Target]) -> None:
         """Replace the set of targets."""
         self._wanted = set(targets)
-        for target in self._wanted - self._kept:
-            self._kept.add(target)
+        for target in self._wanted - self._scopes.keys():
+            self._scopes[target] = trio.CancelScope()
             self._nursery.start_soon(self._keep, target)
-
-    async def broadcast(self, message: wire.Message) -> None:
-        """Send a message on every usable connection."""
-        for link in tuple(self.usable.values()):
-            await link.send(message)
+        for unwanted in self._scopes.keys() - self._wanted - self._retiring:
+            self._retiring.add(unwanted)
+            self._nursery.start_soon(self._retire, unwanted)
 
     async def _keep(self, target: Target) -> None:
-        pause_s = _MIN_PAUSE_S
-        while target in self._wanted:
-            link = _link.Link(
-                target, self._hello, self._settings, self._listener
-            )
-            self._links[target] = link
-            opened = trio.current_time()
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._close_unwanted, target, link, nursery)
-                await link.run()
-                nursery.cancel_scope.cancel()
-            if self._changed:
-                self._changed(target)
-            if trio.current_time() - opened > _MAX_PAUSE_S:
-                pause_s = _MIN_PAUSE_S
-            await trio.sleep(pause_s * self._rng.uniform(0.5, 1))
-            pause_s = min(2 * pause_s, _MAX_PAUSE_S)
+        with self._scopes[target]:
+            pause_s = _MIN_PAUSE_S
+            while True:
+                opened = trio.current_time()
+                await self._run_link(target)
+                if trio.current_time() - opened > _MAX_PAUSE_S:
+                    pause_s = _MIN_PAUSE_S
+                await trio.sleep(pause_s * self._rng.uniform(0.5, 1))
+                pause_s = min(2 * pause_s, _MAX_PAUSE_S)
         self._links.pop(target, None)
-        self._kept.discard(target)
+        self._scopes.pop(target, None)
 
-    async def _close_unwanted(
-        self, target: Target, link: _link.Link, nursery: trio.Nursery
-    ) -> None:
-        while target in self._wanted or link.open_calls:
-            await trio.sleep(self._settings.heartbeat_interval_s)
-        nursery.cancel_scope.cancel()
+    async def _run_link(self, target: Target) -> None:
+        link = _link.Link(target, self._hello, self._settings, self._listener)
+        self._links[target] = link
+        await link.run()
+        if self._changed:
+            self._changed(target)
+
+    async def _retire(self, target: Target) -> None:
+        """Close a connection once its open calls have ended."""
+        link = self._links.get(target)
+        while link and link.open_calls and target not in self._wanted:
+            await trio.sleep(_RETIRE_POLL_S)
+        self._retiring.discard(target)
+        if target not in self._wanted:
+            self._scopes[target].cancel()
--- a/src/lentilspool/daemons/_unrepeatable.py
+++ b/src/lentilspool/daemons/_unrepeatable.py
@@ -64,10 +64,10 @@
         tried: set[str] = set()
         refusal = kernel.NotRun(kernel.NotRunReason.no_endpoint, 1)
         for _ in range(_MAX_ISSUE_TRIES):
-            decision = router.choose(
-                routing.RoutingRequest(pool=pool, excluded=frozenset(tried)),
-                trio.current_time(),
+            wanted = routing.RoutingRequest(
+                pool=pool, excluded=frozenset(tried)
             )
+            decision = router.offer(wanted, (), trio.current_time())
             if isinstance(decision, routing.NoEndpoint):
                 return refusal
             tried.add(decision.endpoint)
@@ -131,7 +131,7 @@
             if lost is not None:
                 return kernel.Unknown(flight.token, lost)
             number += 1
-            plan = _attempts.AttemptPlan(token.endpoint, number, 0)
+            plan = _attempts.AttemptPlan(token.endpoint, number)
             outcome = await self._attempts.run(flight, plan)
             if not _is_unsettled(outcome):
                 return _with_token(outcome, flight.token)
--- a/src/lentilspool/pipeline/_pool_router.py
+++ b/src/lentilspool/pipeline/_pool_router.py
@@ -47,7 +47,7 @@
     """Chooses endpoints of one pool and learns from each attempt.
 
     Call ``replace`` when the members of the pool change and ``reported``
-    for each heartbeat. For each attempt call ``choose``, ``started`` and
+    for each heartbeat. For each attempt call ``offer``, ``started`` and
     ``ended``; after one without an answer, ``after`` decides what follows.
     """
 
@@ -64,7 +64,7 @@
         policy: Any = kernel.registry.find(
             kernel.PluginKind.routing_policy, document.routing
         )
-        self._policy: routing.RoutingPolicy = policy()
+        self._offers = routing.OfferPolicy(policy())
         self._table = routing.EndpointTable()
         self._ejection = retries.OutlierEjection()
         self._breaker = retries.PoolBreaker()
@@ -140,32 +140,29 @@
         """Tell whether a first attempt may be sent to the pool."""
         return self._breaker.admit(now, self._rng)
 
-    def choose(
+    def offer(
         self,
         request: routing.RoutingRequest,
+        full: tuple[routing.FullEndpoint, ...],
         now: float,
         prefix: Sequence[int] = (),
-    ) -> routing.Decision:
-        """Choose an endpoint; tried ones only if there is no other.
+    ) -> routing.Offer | routing.NoEndpoint:
+        """Choose an endpoint for a call; tried ones only if there is no other.
 
-        ``prefix`` has the hashes of the prompt's blocks; the endpoint that
-        is chosen is expected to hold them from now on.
+        ``full`` has the endpoints that refused the call since it would have
+        had to wait. ``prefix`` has the hashes of the prompt's blocks; the
+        endpoint that is chosen is expected to hold them from now on.
         """
         self._judge(now)
-        wanted = dataclasses.replace(
-            request, excluded=request.excluded | self._down
-        )
-        if prefix and self._document.kind == 'engine':
-            wanted = dataclasses.replace(
-                wanted, cached_tokens=self._cached_tokens(prefix, now)
-            )
-        decision = self._ask(wanted, now)
-        if isinstance(decision, routing.NoEndpoint) and request.excluded:
-            again = dataclasses.replace(wanted, excluded=frozenset(self._down))
-            decision = self._ask(again, now)
-        if prefix and isinstance(decision, routing.Choice):
-            self._index.routed(decision.endpoint, prefix, now)
-        return decision
+        wanted = self._completed(request, now, prefix)
+        offer = self._offer(wanted, full, now)
+        if isinstance(offer, routing.NoEndpoint) and request.excluded:
+            down = frozenset(self._down)
+            again = dataclasses.replace(wanted, excluded=down)
+            offer = self._offer(again, full, now)
+        if prefix and isinstance(offer, routing.Offer):
+            self._index.routed(offer.endpoint, prefix, now)
+        return offer
 
     def started(self, name: str) -> None:
         """Count an attempt that is sent to an endpoint."""
@@ -224,11 +221,30 @@
         else:
             self._down.discard(name)
 
-    def _ask(
-        self, request: routing.RoutingRequest, now: float
-    ) -> routing.Decision:
-        return self._policy.choose(
-            request, self._table.candidates, now, self._rng
+    def _offer(
+        self,
+        request: routing.RoutingRequest,
+        full: tuple[routing.FullEndpoint, ...],
+        now: float,
+    ) -> routing.Offer | routing.NoEndpoint:
+        candidates = self._table.candidates
+        return self._offers.offer(request, candidates, full, now, self._rng)
+
+    def _completed(
+        self,
+        request: routing.RoutingRequest,
+        now: float,
+        prefix: Sequence[int],
+    ) -> routing.RoutingRequest:
+        """Return the request with what the entry knows of the endpoints."""
+        excluded = request.excluded | self._down
+        if not prefix or self._document.kind != 'engine':
+            return dataclasses.replace(request, excluded=excluded)
+        return dataclasses.replace(
+            request,
+            excluded=excluded,
+            cached_tokens=self._cached_tokens(prefix, now),
+            prefix_key=prefix[0],
         )
 
     def _cached_tokens(
@@ -239,8 +255,7 @@
         return {name: depth * tokens for name, depth in depths.items()}
 
     def _judge(self, now: float) -> None:
-        for candidate in tuple(self._table.candidates):
-            verdict = self._ejection.verdict(candidate.name, now)
+        for name, verdict in self._ejection.changes(now).items():
             self._table.judged(
-                candidate.name, ejected=verdict.ejected, weight=verdict.weight
+                name, ejected=verdict.ejected, weight=verdict.weight
             )
--- a/src/lentilspool/pipeline/tests/test_examples.py
+++ b/src/lentilspool/pipeline/tests/test_examples.py
@@ -37,5 +37,6 @@
         pool = config.PoolDocument(kind='stage', routing='nearest')
         router = pipeline.PoolRouter('p', pool, 0.1, random.Random(1))
         router.replace([('far', 'zone-b'), ('near', 'zone-a')])
-        choice = router.choose(routing.RoutingRequest(zone='zone-a'), 0)
-        assert choice == routing.Choice('near')
+        request = routing.RoutingRequest(zone='zone-a')
+        offer = router.offer(request, (), 0)
+        assert offer == routing.Offer('near', may_queue=False)
--- a/src/lentilspool/pipeline/tests/test_pool_router.py
+++ b/src/lentilspool/pipeline/tests/test_pool_router.py
@@ -28,8 +28,8 @@
     request: routing.RoutingRequest,
     prefix: tuple[int, ...] = (),
 ) -> str:
-    decision = router.choose(request, 0, prefix)
-    return decision.endpoint if isinstance(decision, routing.Choice) else ''
+    offer = router.offer(request, (), 0, prefix)
+    return offer.endpoint if isinstance(offer, routing.Offer) else ''
 
 
 class TestChoose:
@@ -41,25 +41,23 @@
     def test_a_tried_endpoint_is_better_than_none(self) -> None:
         router = make_router(('a',))
         tried = routing.RoutingRequest(excluded=frozenset('a'))
-        assert isinstance(router.choose(tried, 0), routing.Choice)
+        assert isinstance(router.offer(tried, (), 0), routing.Offer)
 
     def test_an_endpoint_that_is_down_is_never_chosen(self) -> None:
         router = make_router(('a',))
         router.reported('a', report(limit=0), 0.1, 0)
-        assert isinstance(router.choose(REQUEST, 0), routing.NoEndpoint)
+        assert isinstance(router.offer(REQUEST, (), 0), routing.NoEndpoint)
         assert router.load(1).slots == 0
         router.reported('a', report(limit=4), 0.1, 1)
-        assert isinstance(router.choose(REQUEST, 1), routing.Choice)
+        assert isinstance(router.offer(REQUEST, (), 1), routing.Offer)
 
     def test_an_unreachable_endpoint_is_down_until_its_report(self) -> None:
         router = make_router(('a', 'b'))
         router.started('a')
-        router.ended(
-            pipeline.AttemptEnd(
-                'a', 0.1, False, refused=True, unreachable=True
-            ),
-            0,
+        end = pipeline.AttemptEnd(
+            'a', 0.1, False, refused=True, unreachable=True
         )
+        router.ended(end, 0)
         names = [chosen(router, REQUEST) for _ in range(20)]
         assert set(names) == {'b'}
 
@@ -71,10 +69,33 @@
         assert set(again) == {first}
 
 
+class TestOffers:
+    def test_a_full_endpoint_is_followed_by_another(self) -> None:
+        router = make_router(('a', 'b'))
+        router.offer(REQUEST, (), 0)
+        full = (routing.FullEndpoint('a', 0.5),)
+        offer = router.offer(REQUEST, full, 0)
+        assert offer == routing.Offer('b', may_queue=False)
+
+    def test_a_call_queues_where_the_wait_is_shortest(self) -> None:
+        router = make_router(('a', 'b'))
+        full = (
+            routing.FullEndpoint('a', 0.5),
+            routing.FullEndpoint('b', 0.1),
+        )
+        offer = router.offer(REQUEST, full, 0)
+        assert offer == routing.Offer('b', may_queue=True)
+
+
+LIMITS = (
+    ((4, 4, 4), 12),
+    ((2, 0, 4), 6),
+    ((0, 0, 0), 0),
+)
+
+
 class TestLoad:
-    @pytest.mark.parametrize(
-        ('limits', 'slots'), [((4, 4, 4), 12), ((2, 0, 4), 6), ((0, 0, 0), 0)]
-    )
+    @pytest.mark.parametrize(('limits', 'slots'), LIMITS)
     def test_slots_are_those_of_living_endpoints(
         self, limits: tuple[int, ...], slots: int
     ) -> None:
--- a/src/lentilspool/wire/_calls.py
+++ b/src/lentilspool/wire/_calls.py
@@ -72,6 +72,9 @@
     later_ms: int
     """Milliseconds that all later stages are expected to take at least."""
 
+    may_queue: bool
+    """Whether the call may wait for its turn, or is refused instead."""
+
     token: str | None = None
     """Admission token, for a stage that is not repeatable."""
 
--- a/src/lentilspool/wire/lentilspool.thrift
+++ b/src/lentilspool/wire/lentilspool.thrift
@@ -30,6 +30,7 @@
   17: required string operation
   18: required i32 max_output_tokens
   19: required i32 later_ms
+  20: required bool may_queue
 }
 
 struct StageChunk {
