Keep watches short, so that a lost answer costs seconds

Ruled out: the order of takeover (the readers were alive and chosen). Change: a watch waits 3 s, its answer is given up 1 s later; a process without any view still waits 30 s, since the whole fleet may do so.

--- a/bench/_config_fleet.py
+++ b/bench/_config_fleet.py
@@ -114,6 +114,15 @@
             if after < self.service.shown:
                 self._end_watch(name, after)
 
+    def stop_service(self) -> None:
+        """Stop the service; every open watch fails."""
+        self.service.up = False
+        waiting = tuple(self._waiting)
+        self._waiting.clear()
+        for name in waiting:
+            self.spreads[name].on_service_failure(self.queue.now)
+            self._schedule(name)
+
     def run(self, seconds: float) -> None:
         """Let virtual time pass."""
         self.queue.run(self.queue.now + seconds)
@@ -195,7 +204,7 @@
         elif isinstance(action, config.ReadService):
             self._answer(name, self.service.after(action.after))
         elif action.after < self.service.shown:
-            self._end_watch(name, action.after)
+            self._answer(name, True)
         else:
             self._waiting[name] = action.after
             self.queue.after(
@@ -203,8 +212,8 @@
             )
 
     def _end_watch(self, name: str, after: int) -> None:
-        if self._waiting.get(name, after) == after:
-            self._waiting.pop(name, None)
+        if self._waiting.get(name) == after:
+            self._waiting.pop(name)
             self._answer(name, after < self.service.shown)
 
     def _answer(self, name: str, answer: tuple[bytes, ...] | bool) -> None:
--- a/bench/config.py
+++ b/bench/config.py
@@ -165,7 +165,7 @@
 
 
 def _service_down(trial: _Trial, patches: int) -> Figures:
-    trial.fleet.service.up = False
+    trial.fleet.stop_service()
     return _missed_hour(trial)
 
 
--- a/src/lentilspool/config/_reading.py
+++ b/src/lentilspool/config/_reading.py
@@ -51,7 +51,9 @@
 
     def follow(self, now: float, view: _view.View) -> None:
         """Take a view of the live processes."""
-        self._view_due = None
+        if self._view_due is not None:
+            self._view_due = None
+            self._chosen = False
         self._readers.follow(now, view)
         self.choose(now)
 
@@ -74,8 +76,8 @@
             _events.READER_STOPPED.log(_LOGGER)
             return
         _events.READER_STARTED.log(_LOGGER)
-        if self._view_due is not None:
-            self._service.delay(now, _LONE_DELAY_S)
+        is_lone = self._view_due is not None
+        self._service.begin(now, _LONE_DELAY_S if is_lone else 0)
 
     def next_call(self, now: float, number: int) -> _Actions:
         """Return the call that is due, if any."""
--- a/src/lentilspool/config/_service.py
+++ b/src/lentilspool/config/_service.py
@@ -5,11 +5,12 @@
 
 from lentilspool.config import _messages
 
-_WAIT_S: Final = 30.0
+_WAIT_S: Final = 3.0
+_LONE_WAIT_S: Final = 30.0
 _CALL_SPACING_S: Final = 1.0
 _RETRY_S: Final = 0.75
 _VERIFY_S: Final = 60.0
-_CALL_TIMEOUT_S: Final = 5.0
+_CALL_TIMEOUT_S: Final = 1.0
 
 
 class ServiceCalls:
@@ -26,6 +27,7 @@
         self._not_before = 0.0
         self._verify_at = 0.0
         self._failures = 0
+        self._wait_s = _WAIT_S
 
     @property
     def due(self) -> float:
@@ -45,8 +47,8 @@
         if now >= self._verify_at:
             self._open_until = now + _CALL_TIMEOUT_S
             return [_messages.ReadService(max(0, number - 1))]
-        self._open_until = now + _WAIT_S + _CALL_TIMEOUT_S
-        return [_messages.WatchService(number, _WAIT_S)]
+        self._open_until = now + self._wait_s + _CALL_TIMEOUT_S
+        return [_messages.WatchService(number, self._wait_s)]
 
     def read_ended(self, now: float) -> None:
         """Record the answer of a read; a watch comes next."""
@@ -69,6 +71,11 @@
         self._verify_at = now
         self._not_before = now + self._rng.uniform(_RETRY_S / 2, _RETRY_S)
 
-    def delay(self, now: float, longest_s: float) -> None:
-        """Make no call for a random part of ``longest_s`` seconds."""
-        self._not_before = now + self._rng.uniform(0, longest_s)
+    def begin(self, now: float, delay_s: float) -> None:
+        """Begin to read; with a delay, calls are few, for a fleet of readers.
+
+        The first call comes after a random part of the delay. Without one, a
+        watch is short, because its answer can be lost.
+        """
+        self._wait_s = _LONE_WAIT_S if delay_s else _WAIT_S
+        self._not_before = now + self._rng.uniform(0, delay_s)
--- a/src/lentilspool/config/tests/test_spread.py
+++ b/src/lentilspool/config/tests/test_spread.py
@@ -96,6 +96,18 @@
         assert 10 <= count <= 30
 
 
+class TestLostWatch:
+    def test_a_lost_answer_of_a_watch_costs_seconds(self) -> None:
+        links = fleet.Fleet(3, fleet.Service(samples.base()))
+        links.quiet(5)
+        links.cut = set(links.names)
+        links.service.publish(samples.share(2, 1, 'desk', 2))
+        links.quiet(1)
+        links.cut = set()
+        links.quiet(5)
+        assert {held.number for held in links.holders.values()} == {2}
+
+
 class TestLargeEntries:
     def test_is_announced_and_each_source_sends_three_copies(self) -> None:
         holder = config.Holder()
