--- a/bench/spend.py
+++ b/bench/spend.py
@@ -7,7 +7,6 @@
 evenly, know only their own spend, and are replaced now and then.
 """
 
-import collections
 import dataclasses
 import math
 import random
@@ -15,147 +14,23 @@
 from collections.abc import Iterator
 from typing import Final
 
+from bench import _providers
 from lentilspool import limits
 
 _HOUR_S: Final = 3600.0
 _DAY_S: Final = 24 * _HOUR_S
 _TICK_S: Final = 600.0
 _DAYS: Final = 30
-_SOON_S: Final = 2 * _HOUR_S
 _WAITING_SHARE: Final = 0.4
 _FAST_SHARE: Final = 0.15
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Provider:
-    name: str
-    """Name of the provider."""
-
-    price: float
-    """Credits for one unit of work."""
-
-    fast: bool
-    """Whether its endpoints serve requests that need a fast one."""
-
-    part: float
-    """Work that its credits pay for, as a part of the expected demand."""
-
-    days: int
-    """Days until its credits expire."""
-
-
 _PROVIDERS: Final = (
-    _Provider('fast', 2, fast=True, part=0.3, days=12),
-    _Provider('cheap', 1, fast=False, part=0.4, days=_DAYS),
+    _providers.Provider('fast', 2, fast=True, part=0.3, days=12),
+    _providers.Provider('cheap', 1, fast=False, part=0.4, days=_DAYS),
 )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Request:
-    arrival: float
-    """Time of arrival, in seconds."""
-
-    work: float
-    """Units of work."""
-
-    needs_fast: bool
-    """Whether only a fast endpoint is in time."""
-
-    due: float
-    """Time until which it may be started, in seconds."""
-
-
-@dataclasses.dataclass(slots=True)
-class _Fleet:
-    """What is true of the providers, which entries cannot see."""
-
-    left: dict[str, float]
-    """Credits that are left."""
-
-    own_room: float = 0
-    """Work that own endpoints can still take in this period."""
-
-    met: int = 0
-    """Requests served in time."""
-
-    emptied: dict[str, float] = dataclasses.field(default_factory=dict)
-    """Time at which a provider had no credits left, in seconds."""
-
-
-class _Entry:
-    """One entry: its pacer, and the requests that wait at it."""
-
-    def __init__(
-        self,
-        pacer: limits.SpendPolicy,
-        fleet: _Fleet,
-        order: tuple[_Provider, ...],
-    ) -> None:
-        self.pacer = pacer
-        self.waiting: collections.deque[_Request] = collections.deque()
-        self._fleet = fleet
-        self._order = order
-
-    def arrive(self, request: _Request, now: float) -> None:
-        """Serve a request, let it wait, or refuse it."""
-        if request.due > now and not self._wanted(now):
-            self.waiting.append(request)
-        else:
-            self._serve(request, now)
-
-    def work_off(self, now: float) -> None:
-        """Serve waiting requests that are wanted or soon due."""
-        kept: collections.deque[_Request] = collections.deque()
-        while self.waiting:
-            request = self.waiting.popleft()
-            soon = request.due - now < _SOON_S
-            served = (soon or self._wanted(now)) and self._serve(request, now)
-            if not served and request.due > now:
-                kept.append(request)
-        self.waiting = kept
-
-    def _wanted(self, now: float) -> bool:
-        return any(
-            self.pacer.pressure(provider.name, now) > 1
-            for provider in self._order
-        )
-
-    def _serve(self, request: _Request, now: float) -> bool:
-        """Try the provider under most pressure first, then own endpoints."""
-        ranked = sorted(
-            self._order,
-            key=lambda one: -self.pacer.pressure(one.name, now),
-        )
-        behind = [
-            one for one in ranked if self.pacer.pressure(one.name, now) >= 1
-        ]
-        ahead = [one for one in ranked if one not in behind]
-        for provider in behind:
-            if self._charge(provider, request, now):
-                return True
-        if self._fleet.own_room >= request.work:
-            self._fleet.own_room -= request.work
-            self._fleet.met += 1
-            return True
-        return any(self._charge(one, request, now) for one in ahead)
-
-    def _charge(
-        self, provider: _Provider, request: _Request, now: float
-    ) -> bool:
-        cost = request.work * provider.price
-        if request.needs_fast and not provider.fast:
-            return False
-        if not self.pacer.allow(provider.name, cost, now):
-            return False
-        if self._fleet.left[provider.name] < cost:
-            self._fleet.emptied.setdefault(provider.name, now)
-            return False
-        self._fleet.left[provider.name] -= cost
-        self._fleet.met += 1
-        self.pacer.record(provider.name, cost, now)
-        return True
-
-
 def run(
     *,
     seed: int = 1,
@@ -180,13 +55,13 @@
         for one in _PROVIDERS
     }
     by_price = tuple(sorted(_PROVIDERS, key=lambda one: one.price))
-    arms: tuple[tuple[str, bool, tuple[_Provider, ...]], ...] = (
+    arms: tuple[tuple[str, bool, tuple[_providers.Provider, ...]], ...] = (
         ('unpaced', False, _PROVIDERS),
         ('cheapest_first', False, by_price),
         ('lentilspool', True, _PROVIDERS),
     )
     for name, paced, order in arms:
-        fleet = _Fleet(dict(amounts))
+        fleet = _providers.Fleet(dict(amounts))
         trial = _Trial(fleet, amounts, entries, order, paced, parameters)
         trial.run(requests, rate / 3, restarts, random.Random(seed))
         yield {
@@ -198,9 +73,9 @@
         }
 
 
-def _demand(rate: float, rng: random.Random) -> list[_Request]:
+def _demand(rate: float, rng: random.Random) -> list[_providers.Request]:
     """Return arrivals with a daily cycle around ``rate`` an hour."""
-    requests: list[_Request] = []
+    requests: list[_providers.Request] = []
     now = 0.0
     while now < _DAYS * _DAY_S:
         hour = math.sin(2 * math.pi * now / _DAY_S)
@@ -209,13 +84,13 @@
         needs_fast = not waits and rng.random() < _FAST_SHARE
         work = rng.lognormvariate(-0.125, 0.5)
         due = now + _DAY_S if waits else now
-        requests.append(_Request(now, work, needs_fast, due))
+        requests.append(_providers.Request(now, work, needs_fast, due))
     return requests
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Trial:
-    fleet: _Fleet
+    fleet: _providers.Fleet
     """What is true of the providers."""
 
     amounts: dict[str, float]
@@ -224,7 +99,7 @@
     entries: int
     """Entries that split the credits."""
 
-    order: tuple[_Provider, ...]
+    order: tuple[_providers.Provider, ...]
     """Providers, the preferred first."""
 
     paced: bool
@@ -235,14 +110,14 @@
 
     def run(
         self,
-        requests: list[_Request],
+        requests: list[_providers.Request],
         own_rate: float,
         restarts: float,
         rng: random.Random,
     ) -> None:
         """Serve the requests; ``own_rate`` is own work for an hour."""
         entries = [
-            _Entry(self._pacer(0), self.fleet, self.order)
+            _providers.Entry(self._pacer(0), self.fleet, self.order)
             for _ in range(self.entries)
         ]
         tick = 0.0
@@ -256,7 +131,7 @@
 
     def _tick(
         self,
-        entries: list[_Entry],
+        entries: list[_providers.Entry],
         now: float,
         chance: float,
         rng: random.Random,
@@ -281,7 +156,9 @@
         return kind(held, self.parameters, now)
 
 
-def _mean_progress(entries: list[_Entry], leaving: _Entry) -> dict[str, float]:
+def _mean_progress(
+    entries: list[_providers.Entry], leaving: _providers.Entry
+) -> dict[str, float]:
     """Return the mean progress of all entries but one; none if alone."""
     known = [
         entry.pacer.progress()
@@ -296,7 +173,7 @@
 
 
 def _figures(
-    fleet: _Fleet, amounts: dict[str, float], requests: int
+    fleet: _providers.Fleet, amounts: dict[str, float], requests: int
 ) -> dict[str, object]:
     figures: dict[str, object] = {}
     unused: list[float] = []
