--- a/src/lentilspool/daemons/_front.py
+++ b/src/lentilspool/daemons/_front.py
@@ -1,5 +1,6 @@
 """HTTP towards callers."""
 
+from collections.abc import Awaitable, Callable
 from typing import Final
 
 import trio
@@ -26,6 +27,11 @@
 _ACCEPTED: Final = 202
 _NOT_FOUND: Final = 404
 
+Serve = Callable[
+    [_submission.Submission, _asgi.Scope, _asgi.Receive, _asgi.Send],
+    Awaitable[None],
+]
+
 
 class Front(kernel.BaseComponent):
     """ASGI application of an entry.
@@ -76,12 +82,12 @@
         self, scope: _asgi.Scope, receive: _asgi.Receive, send: _asgi.Send
     ) -> None:
         path = scope['path']
-        name, _, what = path.removeprefix(_PIPELINES).partition('/')
+        what = path.removeprefix(_PIPELINES).partition('/')[-1]
         match (scope['method'], path.startswith(_PIPELINES), what):
             case ('POST', True, 'requests'):
-                await self._submit(name, scope, receive, send)
+                await self._read(scope, receive, send, self._submit)
             case ('POST', True, 'tokens'):
-                await self._issue(name, scope, receive, send)
+                await self._read(scope, receive, send, self._issue)
             case ('GET', False, _) if path.startswith(_REQUESTS):
                 token = path.removeprefix(_REQUESTS)
                 await _reply.send(send, await self._collect.answer(token))
@@ -90,17 +96,28 @@
             case _:
                 await self._status.serve(path, send)
 
-    async def _submit(
+    async def _read(
         self,
-        name: str,
         scope: _asgi.Scope,
         receive: _asgi.Receive,
         send: _asgi.Send,
+        serve: Serve,
     ) -> None:
+        """Read a request for a pipeline and serve it, or send its refusal."""
+        name = scope['path'].removeprefix(_PIPELINES).partition('/')[0]
         submission = await self._gate.read(name, scope, receive)
         if isinstance(submission, _problem.Response):
             await _reply.send(send, submission)
-            return
+        else:
+            await serve(submission, scope, receive, send)
+
+    async def _submit(
+        self,
+        submission: _submission.Submission,
+        scope: _asgi.Scope,
+        receive: _asgi.Receive,
+        send: _asgi.Send,
+    ) -> None:
         reply: _reply.Reply = _reply.Whole(send)
         if _reply.STREAM in _asgi.header(scope, 'accept'):
             reply = _reply.Stream(send)
@@ -117,15 +134,11 @@
 
     async def _issue(
         self,
-        name: str,
+        submission: _submission.Submission,
         scope: _asgi.Scope,
         receive: _asgi.Receive,
         send: _asgi.Send,
     ) -> None:
-        submission = await self._gate.read(name, scope, receive)
-        if isinstance(submission, _problem.Response):
-            await _reply.send(send, submission)
-            return
         request_id = submission.request.request_id
         issued = self._refusal() or await self._runner.issue(submission)
         if isinstance(issued, str):
--- a/src/lentilspool/dialects/_http.py
+++ b/src/lentilspool/dialects/_http.py
@@ -114,6 +114,16 @@
     return _types.EndpointFailed(reason, final=status < _SERVER_ERROR)
 
 
+def answered(
+    response: tuple[int, bytes] | _types.Refused | _types.EndpointFailed,
+) -> _types.EndpointAnswer:
+    """Return what the response to a call of one unit means."""
+    if not isinstance(response, tuple):
+        return response
+    status, body = response
+    return refusal(status, body) or _types.Answered(body, units=1)
+
+
 def _timeouts(timeout_s: float) -> dict[str, float]:
     return {
         'connect': min(timeout_s, 1),
--- a/src/lentilspool/dialects/_service.py
+++ b/src/lentilspool/dialects/_service.py
@@ -3,34 +3,24 @@
 from typing import Final
 
 from lentilspool import kernel
-from lentilspool.dialects import _http, _types
+from lentilspool.dialects import _http, _stage, _types
 
 _SERVER_ERROR: Final = 500
 
 
 @kernel.registry.register(kernel.PluginKind.endpoint_dialect, 'service')
-class ServiceDialect:
+class ServiceDialect(_stage.StageDialect):
     """Posts a JSON object to ``/v1/OPERATION``.
 
     A service's status 503 does not prove that nothing ran, so every status
     from 500 counts as a failure of a call that was sent.
     """
 
-    def __init__(self, client: _http.HttpClient) -> None:
-        self._client = client
-
     async def call(
         self, call: _types.EndpointCall, emit: _types.Emit
     ) -> _types.EndpointAnswer:
         """Run one call; nothing is emitted."""
         response = await self._client.post(f'/v1/{call.operation}', call)
-        if not isinstance(response, tuple):
-            return response
-        status, body = response
-        if status >= _SERVER_ERROR:
-            return _types.EndpointFailed(f'status {status}')
-        return _http.refusal(status, body) or _types.Answered(body, units=1)
-
-    async def aclose(self) -> None:
-        """Close every connection."""
-        await self._client.aclose()
+        if isinstance(response, tuple) and response[0] >= _SERVER_ERROR:
+            return _types.EndpointFailed(f'status {response[0]}')
+        return _http.answered(response)
--- a/src/lentilspool/dialects/_stage.py
+++ b/src/lentilspool/dialects/_stage.py
@@ -16,10 +16,7 @@
     ) -> _types.EndpointAnswer:
         """Run one call; nothing is emitted."""
         response = await self._client.post(f'/v1/{call.operation}', call)
-        if not isinstance(response, tuple):
-            return response
-        status, body = response
-        return _http.refusal(status, body) or _types.Answered(body, units=1)
+        return _http.answered(response)
 
     async def aclose(self) -> None:
         """Close every connection."""
--- a/src/lentilspool/programs/sidecar.py
+++ b/src/lentilspool/programs/sidecar.py
@@ -1,39 +1,17 @@
 """``lentilspool-sidecar``: the sidecar daemon as a process."""
 
-import dataclasses
 import sys
 
 from lentilspool import settings as settings_package
-from lentilspool.programs import _command
+from lentilspool.programs import _command, _daemon_command
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Serve:
-    """Runs the daemon, or only checks its settings."""
+def command(
+    settings: str, check_settings: bool = False
+) -> _daemon_command.Serve:
+    """Stand beside one endpoint and be the only way to it.
 
-    checked: settings_package.SidecarSettings
-    """Settings, already checked."""
-
-    only_check: bool
-    """Whether to end before anything is started."""
-
-    def run(self) -> int:
-        """Run until the process is told to stop."""
-        if self.only_check:
-            sys.stdout.write('settings are valid\n')
-            return 0
-        # Imported here, so that checking settings stays light.
-        from lentilspool import daemons
-        from lentilspool.programs import _serve
-
-        daemon = daemons.sidecar(self.checked)
-        return _serve.serve(daemon, self.checked.log_level)
-
-
-def command(settings: str, check_settings: bool = False) -> Serve:
-    """Stands beside one endpoint and is the only way to it.
-
-    Example: lentilspool-sidecar --settings examples/settings/sidecar.jsonc
+    Example: lentilspool-sidecar --settings examples/settings/sidecar-model.jsonc
 
     Args:
         settings: File of settings, JSON with comments.
@@ -42,7 +20,7 @@
     checked = settings_package.load_file(
         settings, settings_package.SidecarSettings
     )
-    return Serve(checked, check_settings)
+    return _daemon_command.Serve(checked, check_settings)
 
 
 def main() -> None:
