Judge connections by probes; let a slow caller hold up nobody

Cause: found by reading the link. (1) Silence was judged by heartbeats alone: their interval grows with the number of connections up to 10 s, and a silent connection would then be used for many seconds. (2) A chunk was passed to the caller inside the connection's reader: a caller that does not read would have stopped every call on that connection. Ruled out: faster heartbeats (bytes), a task for each chunk (order). Not measured: the time to avoid a silent connection on the daemons, and memory with slow callers.

--- a/src/lentilspool/daemons/_attempts.py
+++ b/src/lentilspool/daemons/_attempts.py
@@ -1,10 +1,19 @@
 """Single attempts of stages, over connections to sidecars."""
 
 import dataclasses
+import math
 
 import trio
 
-from lentilspool import admission, kernel, limits, pipeline, telemetry, wire
+from lentilspool import (
+    admission,
+    dialects,
+    kernel,
+    limits,
+    pipeline,
+    telemetry,
+    wire,
+)
 from lentilspool.daemons import (
     _classify,
     _directory,
@@ -37,6 +46,38 @@
     """Whether the call may wait for its turn, or is refused instead."""
 
 
+class _Pieces:
+    """Streamed text on its way to a caller.
+
+    It is kept until the caller takes it, so that a slow caller holds up
+    nobody else on the connection; the length of an answer bounds it.
+    """
+
+    def __init__(self) -> None:
+        self._assembler = admission.StreamAssembler()
+        channel = trio.open_memory_channel[str](math.inf)
+        self._send = channel[0]
+        self._receive = channel[1]
+
+    def add(self, chunk: wire.StageChunk) -> None:
+        """Take a chunk; text is released in order."""
+        pieces = self._assembler.add(chunk.sequence, chunk.text)
+        if isinstance(pieces, admission.Pieces) and pieces.text:
+            self._send.send_nowait(pieces.text)
+
+    def end(self) -> None:
+        """Take no more chunks."""
+        self._send.close()
+
+    async def pass_on(
+        self, flight: _flight.Flight, emit: dialects.Emit
+    ) -> None:
+        """Pass text on until the end."""
+        async for text in self._receive:
+            flight.streamed = True
+            await emit(text)
+
+
 class Attempts:
     """Sends attempts and lets through only the answers that match them."""
 
@@ -106,18 +147,16 @@
         link = self._directory.link(endpoint)
         if link is None:
             return _link.LinkLost(sent=False)
-        assembler = admission.StreamAssembler()
-
-        async def on_chunk(chunk: wire.StageChunk) -> None:
-            pieces = assembler.add(chunk.sequence, chunk.text)
-            if flight.emit and isinstance(pieces, admission.Pieces):
-                flight.streamed = True
-                await flight.emit(pieces.text)
-
-        return await link.call(
-            lambda call_id: dataclasses.replace(call, call_id=call_id),
-            on_chunk,
-        )
+        pieces = _Pieces()
+        async with trio.open_nursery() as nursery:
+            if flight.emit is not None:
+                nursery.start_soon(pieces.pass_on, flight, flight.emit)
+            answer = await link.call(
+                lambda call_id: dataclasses.replace(call, call_id=call_id),
+                pieces.add,
+            )
+            pieces.end()
+        return answer
 
     def _judge(
         self,
--- a/src/lentilspool/daemons/_call_server.py
+++ b/src/lentilspool/daemons/_call_server.py
@@ -200,18 +200,21 @@
         self, connection: Connection, message: wire.Message | wire.Malformed
     ) -> bool:
         """Handle one message; False ends the connection."""
-        if isinstance(message, wire.Malformed):
-            self._malformed += 1
-            _events.MALFORMED.log(_LOG, reason=message.reason)
-            await connection.send(wire.Refusal(0, message.reason))
-        elif isinstance(message, wire.Hello):
-            return await self._greet(connection, message)
-        elif isinstance(message, wire.Cancel):
-            connection.cancel(message.call_id)
-        elif isinstance(message, wire.Heartbeat):
-            self._take_heartbeat(connection, message)
-        else:
-            await self._serve(connection, message)
+        match message:
+            case wire.Malformed(reason=reason):
+                self._malformed += 1
+                _events.MALFORMED.log(_LOG, reason=reason)
+                await connection.send(wire.Refusal(0, reason))
+            case wire.Hello():
+                return await self._greet(connection, message)
+            case wire.Cancel(call_id=call_id):
+                connection.cancel(call_id)
+            case wire.Probe():
+                await connection.send(message)
+            case wire.Heartbeat():
+                self._take_heartbeat(connection, message)
+            case _:
+                await self._serve(connection, message)
         return True
 
     def _take_heartbeat(
--- a/src/lentilspool/daemons/_events.py
+++ b/src/lentilspool/daemons/_events.py
@@ -38,6 +38,9 @@
     505, logging.INFO, 'A response could not be delivered to its caller.'
 )
 LINK_OPENED: Final = _declare(801, logging.INFO, 'A connection was opened.')
+LINK_SILENT: Final = _declare(
+    804, logging.WARNING, 'A connection answered neither call nor probe.'
+)
 LINK_CLOSED: Final = _declare(802, logging.INFO, 'A connection has ended.')
 MALFORMED: Final = _declare(
     803, logging.WARNING, 'A malformed or unexpected message was refused.'
--- a/src/lentilspool/daemons/_link.py
+++ b/src/lentilspool/daemons/_link.py
@@ -8,15 +8,14 @@
 import trio
 
 from lentilspool import settings, wire
-from lentilspool.daemons import _events
+from lentilspool.daemons import _events, _link_health
 
 _LOG = logging.getLogger(__name__)
 
 _MS: Final = 1000
 _SILENT_SHARE: Final = 0.75
-_FRESH_SHARE: Final = 0.75
 
-OnChunk = Callable[[wire.StageChunk], Awaitable[None]]
+OnChunk = Callable[[wire.StageChunk], None]
 Listener = Callable[['Link', wire.Message], Awaitable[None]]
 MakeCall = Callable[[int], wire.Message]
 Answer = (
@@ -49,8 +48,9 @@
 
     Run ``run`` in a nursery. ``call`` sends one call and waits for its
     answer; messages that answer no call go to the listener. A connection
-    on which nothing arrives for most of a lease is closed, and its open
-    calls end with ``LinkLost``.
+    that owes an answer and is silent, also to a probe, is closed at once,
+    and one on which nothing arrives for most of a lease as well; their
+    open calls end with ``LinkLost``.
     """
 
     def __init__(
@@ -69,20 +69,14 @@
         self._last_call_id = 0
         self._closed = False
         self._silence_s = link_settings.lease_s
-        self._progress_at = trio.current_time()
+        self._health: _link_health.LinkHealth | None = None
+        self._scope = trio.CancelScope()
         self.peer: wire.Hello | None = None
 
     @property
     def usable(self) -> bool:
-        """Whether new calls may be sent.
-
-        Nothing is sent on a connection that has been quiet for longer than
-        its peer's heartbeats explain.
-        """
-        if self._stream is None or self._closed:
-            return False
-        quiet_s = trio.current_time() - self._progress_at
-        return quiet_s <= self._silence_s * _FRESH_SHARE
+        """Whether the connection stands."""
+        return self._stream is not None and not self._closed
 
     @property
     def open_calls(self) -> int:
@@ -93,26 +87,41 @@
         """Connect and read until the connection ends."""
         raw = await self._connect()
         if raw is None:
-            self._end('not connected')
+            self._end()
             return
         stream = wire.MessageStream(raw, self._settings.max_frame_bytes)
+        health = _link_health.LinkHealth(self._probe)
+        self._health = health
         try:
-            await self._read(stream)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._watch, health)
+                with self._scope:
+                    await self._read(stream, health)
+                nursery.cancel_scope.cancel()
         finally:
-            self._end('closed')
+            self._end()
             await stream.aclose()
 
     async def call(
         self, make: MakeCall, on_chunk: OnChunk | None = None
     ) -> Answer | LinkLost:
-        """Send a call and return its answer."""
+        """Send a call and return its answer.
+
+        Nothing is written to a connection on which nothing has come in for
+        a while, unless it answers a probe first.
+        """
         stream = self._stream
-        if stream is None or self._closed:
+        health = self._health
+        if stream is None or health is None or self._closed:
+            return LinkLost(sent=False)
+        if not await health.fresh():
+            self._scope.cancel()
             return LinkLost(sent=False)
         self._last_call_id += 1
         call_id = self._last_call_id
         pending = _Pending(on_chunk, trio.Event())
         self._pending[call_id] = pending
+        health.sent()
         try:
             await stream.send(make(call_id))
             await pending.done.wait()
@@ -121,6 +130,7 @@
             raise
         finally:
             self._pending.pop(call_id, None)
+            health.answered()
         return pending.answer or LinkLost(sent=True)
 
     async def send(self, message: wire.Message) -> bool:
@@ -138,7 +148,17 @@
                 return None
         return None
 
-    async def _read(self, stream: wire.MessageStream) -> None:
+    async def _probe(self) -> None:
+        await self.send(wire.Probe(self._last_call_id))
+
+    async def _watch(self, health: _link_health.LinkHealth) -> None:
+        await health.watch()
+        _events.LINK_SILENT.log(_LOG, target=self._target)
+        self._scope.cancel()
+
+    async def _read(
+        self, stream: wire.MessageStream, health: _link_health.LinkHealth
+    ) -> None:
         await stream.send(self._hello)
         self._stream = stream
         _events.LINK_OPENED.log(_LOG, target=self._target)
@@ -151,22 +171,26 @@
                     _LOG, target=self._target, reason=message.reason
                 )
                 return
-            self._progress_at = trio.current_time()
+            health.progressed()
             await self._dispatch(message)
 
     async def _dispatch(self, message: wire.Message | wire.Malformed) -> None:
-        if isinstance(message, wire.Malformed):
-            _events.MALFORMED.log(_LOG, reason=message.reason)
-        elif isinstance(message, wire.StageChunk):
-            await self._chunk(message)
-        elif isinstance(message, Answer):
-            self._answer(message)
-        elif isinstance(message, wire.Hello):
-            self.peer = message
-        else:
-            if isinstance(message, wire.Heartbeat):
+        match message:
+            case wire.Malformed(reason=reason):
+                _events.MALFORMED.log(_LOG, reason=reason)
+            case wire.StageChunk():
+                self._chunk(message)
+            case wire.Hello():
+                self.peer = message
+            case wire.Probe():
+                return
+            case wire.Heartbeat():
                 await self._renewed(message)
-            await self._listener(self, message)
+                await self._listener(self, message)
+            case _ if isinstance(message, Answer):
+                self._answer(message)
+            case _:
+                await self._listener(self, message)
 
     async def _renewed(self, heartbeat: wire.Heartbeat) -> None:
         """Allow silence for most of the lease; acknowledge a leaving peer."""
@@ -174,10 +198,10 @@
         if heartbeat.leaving:
             await self.send(heartbeat)
 
-    async def _chunk(self, chunk: wire.StageChunk) -> None:
+    def _chunk(self, chunk: wire.StageChunk) -> None:
         pending = self._pending.get(chunk.call_id)
         if pending and pending.on_chunk:
-            await pending.on_chunk(chunk)
+            pending.on_chunk(chunk)
 
     def _answer(self, answer: Answer) -> None:
         pending = self._pending.get(answer.call_id)
@@ -191,7 +215,7 @@
         with trio.CancelScope(shield=True, deadline=trio.current_time() + 1):
             await self.send(wire.Cancel(call_id))
 
-    def _end(self, reason: str) -> None:
+    def _end(self) -> None:
         self._closed = True
         for pending in self._pending.values():
             pending.done.set()
--- a/src/lentilspool/wire/__init__.py
+++ b/src/lentilspool/wire/__init__.py
@@ -4,6 +4,7 @@
 from lentilspool.wire._calls import AdmitCall as AdmitCall
 from lentilspool.wire._calls import Cancel as Cancel
 from lentilspool.wire._calls import Hello as Hello
+from lentilspool.wire._calls import Probe as Probe
 from lentilspool.wire._calls import Refusal as Refusal
 from lentilspool.wire._calls import StageAnswer as StageAnswer
 from lentilspool.wire._calls import StageCall as StageCall
--- a/src/lentilspool/wire/_calls.py
+++ b/src/lentilspool/wire/_calls.py
@@ -151,6 +151,14 @@
     """Call to end."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Probe:
+    """Asks the receiver to send the same message back."""
+
+    number: int
+    """Number of the probe on its connection."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AdmitCall:
     """Asks a sidecar for an admission token, or about one."""
--- a/src/lentilspool/wire/_codec.py
+++ b/src/lentilspool/wire/_codec.py
@@ -24,6 +24,7 @@
     | _calls.AdmitCall
     | _calls.AdmitAnswer
     | _calls.Refusal
+    | _calls.Probe
 )
 ControlMessage = (
     _control.ConfigDigest
@@ -55,6 +56,7 @@
         _calls.AdmitCall: 'admit_call',
         _calls.AdmitAnswer: 'admit_answer',
         _calls.Refusal: 'refusal',
+        _calls.Probe: 'probe',
         _control.ConfigDigest: 'config_digest',
         _control.ConfigPull: 'config_pull',
         _control.ConfigPush: 'config_push',
--- a/src/lentilspool/wire/lentilspool.thrift
+++ b/src/lentilspool/wire/lentilspool.thrift
@@ -176,6 +176,11 @@
   2: required string reason
 }
 
+// Asks the receiver to send the same message back.
+struct Probe {
+  1: required i64 number
+}
+
 struct Envelope {
   1: optional Hello hello
   2: optional StageCall stage_call
@@ -197,4 +202,5 @@
   18: optional RenewAnswer renew_answer
   19: optional Suspicions suspicions
   20: optional OrderProgress order_progress
+  21: optional Probe probe
 }
