--- a/bench/_faulty_network.py
+++ b/bench/_faulty_network.py
@@ -23,6 +23,10 @@
 _PAUSE_S: Final = 3.0
 
 
+def _ignore(_name: str) -> None:
+    """Do nothing when a process stops or wakes."""
+
+
 class FaultyNetwork:
     """Delivers messages late, twice or never while a fault lasts.
 
@@ -37,8 +41,8 @@
         entries: int,
         sidecars: int,
     ) -> None:
-        self.on_stop: Callable[[str], None] = str
-        self.on_wake: Callable[[str], None] = str
+        self.on_stop: Callable[[str], None] = _ignore
+        self.on_wake: Callable[[str], None] = _ignore
         self._queue = queue
         self._generator = generator
         self._entries = [f'e{number}' for number in range(entries)]
