Serve the earliest deadline among teams inside their share

Ruled out: less credit (sparse teams of 270 wait again). Change: among the teams whose virtual start is not ahead, the earliest deadline is next; otherwise the one that is ahead least.

--- a/src/lentilspool/limits/_stage_queue.py
+++ b/src/lentilspool/limits/_stage_queue.py
@@ -19,8 +19,8 @@
     Calls with a deadline go first. A call that may wait goes ahead once
     it has waited ``queue_ageing_s``, at most one in
     ``queue_starts_per_aged`` starts, so that neither class starves. Within
-    a class the team with the least virtual time is next; within a team
-    the call with the earliest deadline. A full queue drops the latest call
+    a class the earliest deadline of the teams inside their share is next,
+    otherwise the team that is ahead of its share least. A full queue drops the latest call
     of the team that holds most for its share, calls that may wait first.
     """
 
--- a/src/lentilspool/limits/_team_queue.py
+++ b/src/lentilspool/limits/_team_queue.py
@@ -62,7 +62,7 @@
 
     def pop(self) -> _types.QueuedCall:
         """Remove the next call; there must be one."""
-        team = min(self._calls, key=lambda name: (self._starts[name], name))
+        team = self._next_team()
         call = self._calls[team][0][2]
         self._virtual = max(self._virtual, self._starts[team])
         cost = max(call.cost, _LEAST_COST)
@@ -102,6 +102,20 @@
             for team, calls in sorted(self._calls.items())
         }
 
+    def _next_team(self) -> str:
+        """Return the team with the earliest deadline inside its share.
+
+        If all are ahead of it, the one that is ahead least.
+        """
+        inside = [
+            (calls[0][0], self._starts[team], team)
+            for team, calls in self._calls.items()
+            if self._starts[team] <= self._virtual
+        ]
+        if inside:
+            return min(inside)[2]
+        return min((self._starts[team], team) for team in self._calls)[1]
+
     def _earliest(self, team: str) -> float:
         return self._virtual - _CREDIT_CALLS * self._mean / self._share(team)
 
--- a/src/lentilspool/limits/tests/test_stage_queue.py
+++ b/src/lentilspool/limits/tests/test_stage_queue.py
@@ -36,6 +36,14 @@
             queue.offer(call(call_id, deadline=deadline), 0)
         assert drain(queue) == [1, 2, 0]
 
+    def test_earliest_deadline_first_among_teams_inside_their_share(
+        self,
+    ) -> None:
+        queue = limits.StageQueue(8)
+        queue.offer(call(0, 'a', deadline=9), 0)
+        queue.offer(call(1, 'b', deadline=3), 0)
+        assert drain(queue) == [1, 0]
+
     def test_cost_not_count_is_shared(self) -> None:
         queue = limits.StageQueue(100, {'a': 1, 'b': 1})
         for call_id in range(40):
