Refuse patches that move a key or give a pipeline two unrepeatable stages

Cause: the key path relies on homes that never change, and one token admits one stage; the fold checked neither. Besides, its rule for key_slots took the interval in a name for a part of the pool, so that no published interval was accepted. Ruled out: checking in the sidecars (they would disagree). Change: slot changes are judged in the fold against the document in force.

--- a/src/lentilspool/config/_fold.py
+++ b/src/lentilspool/config/_fold.py
@@ -14,6 +14,7 @@
     _entries,
     _merge,
     _problems,
+    _slots,
     _verdicts,
 )
 
@@ -110,6 +111,9 @@
     paths = _merge.touched(entry.merge)
     document = _check.retyped(step.state.document, plain, paths)
     checked = _checked(document, text, known)
+    if isinstance(checked, _document.Document):
+        held = step.state.document
+        checked = _slots.slot_problem(held, checked) or checked
     if isinstance(checked, _problems.Problem):
         reason = _verdicts.RefusalReason.invalid
         return _refuse(step, entry.number, entry.author, raw, (reason, checked))
--- a/src/lentilspool/config/_rules.py
+++ b/src/lentilspool/config/_rules.py
@@ -45,6 +45,11 @@
             place, 'expected_cost', stage.expected_cost
         )
         seen.add(stage.name)
+    if sum(not held.repeatable for held in pipeline.stages) > 1:
+        yield _problems.Problem(
+            f'{path}.stages',
+            'at most one stage may be unrepeatable: one token admits one stage',
+        )
 
 
 def pools(document: _document.Document) -> Iterator[_problems.Problem]:
@@ -88,8 +93,9 @@
 
 
 def key_slots(document: _document.Document) -> Iterator[_problems.Problem]:
-    for pool, addresses in document.key_slots.items():
-        path = f'$.key_slots.{pool}'
+    for name, addresses in document.key_slots.items():
+        path = f'$.key_slots.{name}'
+        pool = name.partition('@')[0]
         if pool not in document.pools:
             yield _problems.Problem(path, _missing('pool', pool))
         if not addresses:
