Build both daemons on common parts; close connections after a pause

A sidecar that wakes from a pause kept its connections, though another process may hold its address by then. Change: daemons._common with identity, pulse, host list, peers, configuration and their messages; subset_size is gone, max_connections is what it did: backlog. The closing after a pause has no test of its own yet.

--- a/src/lentilspool/daemons/_call_server.py
+++ b/src/lentilspool/daemons/_call_server.py
@@ -50,6 +50,10 @@
         if self._on_end:
             self._on_end()
 
+    def close(self) -> None:
+        """Close the connection; its calls are cancelled."""
+        self._nursery.cancel_scope.cancel()
+
     def start_call(
         self, call_id: int, task: Callable[[], Awaitable[None]]
     ) -> None:
@@ -113,6 +117,15 @@
         for name in self._connections:
             self._nursery.start_soon(self._beat, name)
 
+    def close_connections(self) -> None:
+        """Close every connection, as after a pause of this process.
+
+        Another process may have taken the address over meanwhile; peers
+        greet whoever answers there now.
+        """
+        for connection in tuple(self._connections.values()):
+            connection.close()
+
     async def drain(self) -> None:
         """Tell every peer that the process leaves, until each has said so."""
         self._identity.leave()
--- a/src/lentilspool/daemons/_entry.py
+++ b/src/lentilspool/daemons/_entry.py
@@ -1,18 +1,17 @@
 """The entry daemon."""
 
+from collections.abc import Callable
 from functools import partial
-from typing import Any, Final
+from typing import Any
 
 import trio
 
 from lentilspool import (
     admission,
-    config,
     kernel,
     limits,
     membership,
     settings,
-    telemetry,
     wire,
 )
 from lentilspool.daemons import (
@@ -20,23 +19,17 @@
     _attempts,
     _call_server,
     _collect,
-    _configuration,
+    _common,
     _daemon,
     _directory,
     _front,
     _held_calls,
-    _hosts,
     _http_server,
-    _identity,
     _link,
-    _peers,
     _published,
-    _pulse,
     _runner,
-    _sidecar,
     _spend,
     _stages,
-    _status,
     _submission,
     _suspects,
     _unrepeatable,
@@ -44,12 +37,6 @@
     _waiting_runs,
 )
 
-_CONFIG_MESSAGES: Final = (
-    wire.ConfigDigest,
-    wire.ConfigPull,
-    wire.ConfigPush,
-)
-
 
 def entry(entry_settings: settings.EntrySettings) -> _daemon.Daemon:
     """Return an entry that runs when its ``run`` is awaited."""
@@ -63,113 +50,94 @@
 async def _build(
     own: settings.EntrySettings, nursery: trio.Nursery
 ) -> kernel.Application:
-    """Return the application with all components."""
-    identity = _identity.Identity(
-        own.name,
-        own.zone,
-        (own.address, own.peer_port),
-        beat_limits=membership.BeatLimits(
-            min_interval_s=own.links.heartbeat_interval_s
-        ),
-    )
-    return _Switch(own, identity, nursery).application()
+    return _Entry(own, nursery).application()
 
 
-class _Switch:
-    """Holds the parts of one entry and hands messages to them."""
+class _Entry:
+    """Puts the parts of one entry together and hands messages to them."""
 
     def __init__(
-        self,
-        own: settings.EntrySettings,
-        identity: _identity.Identity,
-        nursery: trio.Nursery,
+        self, own: settings.EntrySettings, nursery: trio.Nursery
     ) -> None:
         self._own = own
-        self._nursery = nursery
-        self._identity = identity
-        self._metrics = telemetry.Metrics()
-        self._signer = _sidecar.signer_of(own.keys)
+        identity = _common.identity_of(own, own.peer_port)
+        common = _common.Common(own, identity, self._heard, nursery)
+        self._common = common
         self._times = limits.ServiceTimes()
-        self._pulse = _pulse.Pulse(own.links.lease_s, nursery)
-        self._hosts = _hosts.HostList(own.platform, nursery)
-        self._peers = _peers.Peers(identity, own.links, self._heard, nursery)
-        self._configuration = _configuration.Configuration(
-            config.Member(own.name, own.zone),
-            own.platform,
-            self._peers.send,
-            nursery,
-        )
         self._directory = _directory.Directory(
-            identity, own.links, self._heard, nursery
+            identity, own.links, common.heard, nursery
         )
         self._published = _published.Published()
         self._spend = _spend.Spend()
-        self._suspects = _suspects.Suspects(own.name, self._peers.send, nursery)
+        self._suspects = _suspects.Suspects(
+            own.name, common.peers.send, nursery
+        )
         self._runner = self._make_runner()
         self._waiting = _waiting.Waiting(
             admission.Peer(own.name, own.zone),
-            _held_calls.HeldCalls(self._peers),
-            _waiting_runs.WaitingRuns(self._configuration, self._runner),
+            _held_calls.HeldCalls(common.peers),
+            _waiting_runs.WaitingRuns(common.configuration, self._runner),
             nursery,
         )
 
     def application(self) -> kernel.Application:
         """Return the application with all components."""
         own = self._own
-        self._hosts.listen(self._peers.follow)
-        self._hosts.listen(self._configuration.follow)
-        self._hosts.listen(self._directory.follow)
-        self._hosts.listen(self._suspects.follow)
-        self._hosts.listen(self._spend.follow)
-        self._hosts.listen(self._waiting.follow)
-        self._pulse.listen(self._waiting.on_pause)
-        self._configuration.listen(self._published.adopt)
-        self._configuration.listen(self._spend.adopt)
-        self._configuration.listen(self._directory.adopt)
-        self._configuration.listen(self._runner.adopt)
-        front = _front.Front(
-            _submission.Gate(self._configuration, own.callers, self._signer),
-            self._runner,
-            _collect.Collect(self._directory, self._signer, self._waiting),
-            _accept.Accept(self._configuration, self._runner, self._waiting),
-            own.callers,
-            _status.Status(
-                self._metrics, self._ready, lambda: application.dump()
-            ),
+        self._listen()
+        server = self._common.server(
+            (own.address, own.peer_port), self._state, self._serve
         )
-        server = _call_server.CallServer(
-            (own.address, own.peer_port),
-            self._identity,
-            own.links,
-            lambda: (self._configuration.held, membership.Load()),
-            self._serve,
-            self._nursery,
+
+        def dump() -> object:
+            return application.dump()
+
+        front = self._make_front(dump)
+        http = _http_server.HttpServer(
+            front,
+            own.address,
+            own.port,
+            self._common.nursery,
+            _server_options(own.callers),
         )
-        application = kernel.Application(
+        application = self._common.application(
             {
-                'identity': self._identity,
-                'pulse': self._pulse,
-                'hosts': self._hosts,
-                'configuration': self._configuration,
                 'directory': self._directory,
                 'quarantine': self._suspects,
                 'spend': self._spend,
                 'requests': self._runner,
                 'waiting': self._waiting,
                 'server': server,
-                'http': _http_server.HttpServer(
-                    front,
-                    own.address,
-                    own.port,
-                    self._nursery,
-                    _server_options(own.callers),
-                ),
+                'http': http,
                 'front': front,
-            },
-            hooks=(self._identity.follow_state,),
+            }
         )
         return application
 
+    def _listen(self) -> None:
+        common = self._common
+        common.hosts.listen(self._directory.follow)
+        common.hosts.listen(self._suspects.follow)
+        common.hosts.listen(self._spend.follow)
+        common.hosts.listen(self._waiting.follow)
+        common.pulse.listen(self._waiting.on_pause)
+        common.configuration.listen(self._published.adopt)
+        common.configuration.listen(self._spend.adopt)
+        common.configuration.listen(self._directory.adopt)
+        common.configuration.listen(self._runner.adopt)
+
+    def _make_front(self, dump: Callable[[], object]) -> _front.Front:
+        callers = self._own.callers
+        common = self._common
+        held = common.configuration
+        return _front.Front(
+            _submission.Gate(held, callers, common.signer),
+            self._runner,
+            _collect.Collect(self._directory, common.signer, self._waiting),
+            _accept.Accept(held, self._runner, self._waiting),
+            callers,
+            common.status(lambda: self._directory.ready, dump),
+        )
+
     def _make_runner(self) -> _runner.Runner:
         attempts = _attempts.Attempts(
             self._directory,
@@ -177,10 +145,10 @@
             self._suspects,
             self._spend,
             self._times,
-            self._metrics,
+            self._common.metrics,
         )
         unrepeatable = _unrepeatable.Unrepeatable(
-            self._directory, attempts, self._published, self._signer
+            self._directory, attempts, self._published, self._common.signer
         )
         stages = _stages.Stages(
             self._directory,
@@ -199,25 +167,16 @@
             self._spend,
         )
 
-    def _ready(self) -> bool:
-        return (
-            self._configuration.ready
-            and self._directory.ready
-            and not self._identity.leaving
-        )
+    def _state(self) -> tuple[wire.ConfigDigest, membership.Load]:
+        return self._common.configuration.held, membership.Load()
 
     async def _serve(
         self, connection: _call_server.Connection, message: wire.Message
     ) -> None:
         peer = connection.peer.process if connection.peer else ''
-        if isinstance(message, wire.Hello):
-            self._peers.accepted(peer, connection)
-            connection.when_ended(partial(self._peers.closed, peer, connection))
-        elif isinstance(message, _CONFIG_MESSAGES):
-            await self._configuration.on_message(peer, message)
-        elif isinstance(message, wire.Suspicions):
+        if isinstance(message, wire.Suspicions):
             self._suspects.heard(message)
-        else:
+        elif not await self._common.take(connection, message):
             await connection.send(await self._answer(message, peer))
 
     async def _answer(self, message: wire.Message, peer: str) -> wire.Message:
@@ -234,9 +193,7 @@
                 return wire.Refusal(0, f'{kind} is not served here')
 
     async def _heard(self, link: _link.Link, message: wire.Message) -> None:
-        if isinstance(message, _CONFIG_MESSAGES) and link.peer:
-            await self._configuration.on_message(link.peer.process, message)
-        elif isinstance(message, wire.Suspicions):
+        if isinstance(message, wire.Suspicions):
             self._suspects.heard(message)
 
 
@@ -246,5 +203,5 @@
         'h11_max_incomplete_size': callers.max_header_bytes,
         'h2_max_header_list_size': callers.max_header_bytes,
         'keep_alive_timeout': callers.header_timeout_s,
-        'backlog': callers.max_connections,
+        'backlog': callers.backlog,
     }
--- a/src/lentilspool/daemons/_sidecar.py
+++ b/src/lentilspool/daemons/_sidecar.py
@@ -1,7 +1,6 @@
 """The sidecar daemon."""
 
 from functools import partial
-from typing import Final
 
 import trio
 
@@ -11,30 +10,18 @@
     kernel,
     membership,
     settings,
-    telemetry,
     wire,
 )
 from lentilspool.daemons import (
     _call_server,
-    _configuration,
+    _common,
     _daemon,
     _endpoint,
     _executor,
-    _hosts,
     _http_server,
-    _identity,
     _link,
     _once,
     _orders,
-    _peers,
-    _pulse,
-    _status,
-)
-
-_CONFIG_MESSAGES: Final = (
-    wire.ConfigDigest,
-    wire.ConfigPull,
-    wire.ConfigPush,
 )
 
 
@@ -50,50 +37,31 @@
 async def _build(
     own: settings.SidecarSettings, nursery: trio.Nursery
 ) -> kernel.Application:
-    """Return the application with all components."""
-    identity = _identity.Identity(
-        own.name,
-        own.zone,
-        (own.address, own.port),
-        own.pool,
-        membership.BeatLimits(min_interval_s=own.links.heartbeat_interval_s),
-    )
-    return _Switch(own, identity, nursery).application()
+    return _Sidecar(own, nursery).application()
 
 
-class _Switch:
-    """Holds the parts of one sidecar and hands messages to them."""
+class _Sidecar:
+    """Puts the parts of one sidecar together and hands messages to them."""
 
     def __init__(
-        self,
-        own: settings.SidecarSettings,
-        identity: _identity.Identity,
-        nursery: trio.Nursery,
+        self, own: settings.SidecarSettings, nursery: trio.Nursery
     ) -> None:
         self._own = own
-        self._nursery = nursery
-        self._identity = identity
-        self._pulse = _pulse.Pulse(own.links.lease_s, nursery)
-        self._hosts = _hosts.HostList(own.platform, nursery)
-        self._peers = _peers.Peers(identity, own.links, self._heard, nursery)
-        self._configuration = _configuration.Configuration(
-            config.Member(own.name, own.zone),
-            own.platform,
-            self._peers.send,
-            nursery,
-        )
+        identity = _common.identity_of(own, own.port, own.pool)
+        common = _common.Common(own, identity, self._heard, nursery)
+        self._common = common
         self._endpoint = _endpoint.Endpoint(
-            identity, own.endpoint_url, self._configuration, nursery
+            identity, own.endpoint_url, common.configuration, nursery
         )
         self._once = _once.Once(
             identity,
             self._endpoint,
-            signer_of(own.keys),
+            common.signer,
             admission.LedgerLimits(
                 max_entries=own.ledger_entries,
                 lifetime_s=own.token_lifetime_s,
             ),
-            self._pulse,
+            common.pulse,
             nursery,
         )
         self._executor = _executor.Executor(
@@ -106,48 +74,35 @@
             identity,
             own.endpoint_url,
             self._calls,
-            self._peers.send,
+            common.peers.send,
             nursery,
         )
 
     def application(self) -> kernel.Application:
         """Return the application with all components."""
         own = self._own
-        self._hosts.listen(self._peers.follow)
-        self._hosts.listen(self._configuration.follow)
-        self._configuration.listen(self._endpoint.adopt)
-        self._configuration.listen(self._adopt_slots)
-        self._configuration.listen(self._orders.adopt)
-        self._hosts.listen(self._orders.follow)
-        self._pulse.listen(self._orders.pause)
-        server = _call_server.CallServer(
-            (own.address, own.port),
-            self._identity,
-            own.links,
-            self._state,
-            self._serve,
-            self._nursery,
+        common = self._common
+        common.configuration.listen(self._endpoint.adopt)
+        common.configuration.listen(self._adopt_slots)
+        common.configuration.listen(self._orders.adopt)
+        common.hosts.listen(self._orders.follow)
+        common.pulse.listen(self._orders.pause)
+        server = common.server(
+            (own.address, own.port), self._state, self._serve
         )
         self._orders.changed = server.announce
-        status = _status.Status(
-            telemetry.Metrics(),
-            lambda: self._configuration.ready and not self._identity.leaving,
-            lambda: application.dump(),
+        common.pulse.listen(server.close_connections)
+        status = common.status(lambda: True, lambda: application.dump())
+        http = _http_server.HttpServer(
+            status, own.address, own.http_port, common.nursery
         )
-        application = kernel.Application(
+        application = common.application(
             {
-                'identity': self._identity,
-                'pulse': self._pulse,
-                'hosts': self._hosts,
-                'configuration': self._configuration,
-                'http': _http_server.HttpServer(
-                    status, own.address, own.http_port, self._nursery
-                ),
+                'http': http,
                 'orders': self._orders,
                 'executor': self._executor,
                 'server': server,
-            },
-            hooks=(self._identity.follow_state,),
+            }
         )
         return application
 
@@ -163,30 +118,20 @@
         slots = self._endpoint.slots
         limit = 0 if self._orders.busy else slots.limit
         load = membership.Load(slots.running, slots.queued, limit)
-        return self._configuration.held, load
+        return self._common.configuration.held, load
 
     async def _serve(
         self, connection: _call_server.Connection, message: wire.Message
     ) -> None:
-        peer = connection.peer.process if connection.peer else ''
         match message:
             case wire.StageCall():
-                connection.start_call(
-                    message.call_id,
-                    partial(self._run, connection, message),
-                )
+                run = partial(self._run, connection, message)
+                connection.start_call(message.call_id, run)
             case wire.AdmitCall():
                 await connection.send(self._once.admit(message))
-            case wire.Hello():
-                self._peers.accepted(peer, connection)
-                connection.when_ended(
-                    partial(self._peers.closed, peer, connection)
-                )
             case wire.OrderProgress():
-                await self._orders.heard(peer, message)
-            case _ if isinstance(message, _CONFIG_MESSAGES):
-                await self._configuration.on_message(peer, message)
-            case _:
+                await self._orders.heard(message.name, message)
+            case _ if not await self._common.take(connection, message):
                 kind = type(message).__name__
                 await connection.send(wire.Refusal(0, f'{kind} is not served'))
 
@@ -194,18 +139,9 @@
         self, connection: _call_server.Connection, call: wire.StageCall
     ) -> None:
         await self._executor.run(call, connection.send)
-        self._identity.beat.answered(connection.name, trio.current_time())
+        beat = self._common.identity.beat
+        beat.answered(connection.name, trio.current_time())
 
     async def _heard(self, link: _link.Link, message: wire.Message) -> None:
-        if link.peer is None:
-            return
-        if isinstance(message, wire.OrderProgress):
+        if isinstance(message, wire.OrderProgress) and link.peer:
             await self._orders.heard(link.peer.process, message)
-        elif isinstance(message, _CONFIG_MESSAGES):
-            await self._configuration.on_message(link.peer.process, message)
-
-
-def signer_of(keys: settings.KeySettings) -> admission.TokenSigner:
-    """Return the signer of admission tokens for the keys of the settings."""
-    previous = keys.previous.encode() if keys.previous else None
-    return admission.TokenSigner(keys.current.encode(), previous)
--- a/src/lentilspool/settings/_daemons.py
+++ b/src/lentilspool/settings/_daemons.py
@@ -39,8 +39,8 @@
     max_open_requests: int = 2000
     """Requests worked on at the same time."""
 
-    max_connections: int = 2000
-    """Open connections of callers."""
+    backlog: int = 2000
+    """Connections of callers that wait to be accepted."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -102,9 +102,6 @@
     links: LinkSettings = LinkSettings()
     """Connections to sidecars and to other entries."""
 
-    subset_size: int = 64
-    """Endpoints of each pool to which the entry keeps connections."""
-
     drain_limit_s: float = 30.0
     """Seconds for which a planned stop waits for requests in flight."""
 
