--- a/src/lentilspool/daemons/_attempts.py
+++ b/src/lentilspool/daemons/_attempts.py
@@ -185,7 +185,8 @@
         if answered != identity or not isinstance(verdict, admission.Accept):
             _events.ANSWER_DROPPED.log(LOG, answer=answered, open=identity)
             return kernel.Failed(identity.stage, 'an answer did not match')
-        self._times.observe(stage.pool, answer.stage, answer.service_ms / _MS)
+        key = flight.request.stage_key(stage)
+        self._times.observe(stage.pool, key, answer.service_ms / _MS)
         return dataclasses.replace(
             outcome,
             cost_by_stage=(
--- a/src/lentilspool/daemons/_endpoint.py
+++ b/src/lentilspool/daemons/_endpoint.py
@@ -169,11 +169,12 @@
         in_flight: int,
     ) -> None:
         failed = not isinstance(answer, dialects.Answered)
-        expected = self._times.estimate(self._pool, call.stage, service_s)
+        key = _slots.key_of(call)
+        expected = self._times.estimate(self._pool, key, service_s)
         if not failed:
-            self._times.observe(self._pool, call.stage, service_s)
+            self._times.observe(self._pool, key, service_s)
         self._slots.observe(
-            limits.LatencySample(service_s, expected.mean_s, in_flight, failed)
+            limits.LatencySample(service_s, expected.floor_s, in_flight, failed)
         )
         _events.CALL_ENDED.log(
             LOG,
--- a/src/lentilspool/daemons/_runner.py
+++ b/src/lentilspool/daemons/_runner.py
@@ -130,7 +130,9 @@
     def _admit(self, flight: _flight.Flight) -> kernel.NotRun | None:
         request = flight.request
         needs = tuple(
-            self._times.need(stage.pool, stage.name, _stages.PRIOR_S)
+            self._times.need(
+                stage.pool, request.stage_key(stage), _stages.PRIOR_S
+            )
             for stage in request.stages
         )
         loads = self._directory.loads(need.pool for need in needs)
@@ -174,7 +176,9 @@
             return None
         now = trio.current_time()
         flight.control.stage_done(
-            request.request_id, request.stages[done - 1].name, now
+            request.request_id,
+            request.stage_key(request.stages[done - 1]),
+            now,
         )
         pools = {stage.pool for stage in execution.remaining_stages}
         step = flight.control.recheck(
@@ -182,7 +186,9 @@
         )
         if isinstance(step, limits.GiveUp):
             return kernel.Late(
-                step.stage, execution.cost_by_stage, step.retry_after_s
+                execution.stage.name,
+                execution.cost_by_stage,
+                step.retry_after_s,
             )
         return None
 
--- a/src/lentilspool/daemons/_slots.py
+++ b/src/lentilspool/daemons/_slots.py
@@ -116,7 +116,7 @@
 
     def _wait_s(self, call: wire.StageCall, pool: str) -> float:
         """Return the expected seconds until a new call would start."""
-        expected = self._times.estimate(pool, call.stage, 0)
+        expected = self._times.estimate(pool, key_of(call), 0)
         work_s = self._queue.cost + expected.mean_s
         return max(work_s / self._limit.limit, _LEAST_WAIT_S)
 
@@ -124,7 +124,7 @@
         self, call: wire.StageCall, pool: str
     ) -> limits.QueuedCall:
         self._last_id += 1
-        expected = self._times.estimate(pool, call.stage, 0)
+        expected = self._times.estimate(pool, key_of(call), 0)
         may_wait = call.priority == _MAY_WAIT
         return limits.QueuedCall(
             call_id=self._last_id,
@@ -165,3 +165,8 @@
             self._queue.remove(waiting.call.call_id)
         elif waiting.refusal is None:
             self.free()
+
+
+def key_of(call: wire.StageCall) -> str:
+    """Return the name under which the times of a call's stage are kept."""
+    return f'{call.pipeline}/{call.stage}'
--- a/src/lentilspool/daemons/_stages.py
+++ b/src/lentilspool/daemons/_stages.py
@@ -4,7 +4,15 @@
 
 import trio
 
-from lentilspool import admission, kernel, limits, pipeline, retries, routing
+from lentilspool import (
+    admission,
+    config,
+    kernel,
+    limits,
+    pipeline,
+    retries,
+    routing,
+)
 from lentilspool.daemons import (
     _attempts,
     _directory,
@@ -151,7 +159,7 @@
     ) -> retries.NextStep:
         stage = flight.execution.stage
         names = {candidate.name for candidate in router.candidates}
-        expected = self._times.estimate(stage.pool, stage.name, PRIOR_S)
+        expected = self._expected(flight, stage, PRIOR_S)
         return router.after(
             retries.Attempt(
                 outcome=outcome,
@@ -169,7 +177,7 @@
         self, flight: _flight.Flight, excluded: frozenset[str], alone: bool
     ) -> routing.RoutingRequest:
         stage = flight.execution.stage
-        expected = self._times.estimate(stage.pool, stage.name, PRIOR_S)
+        expected = self._expected(flight, stage, PRIOR_S)
         return routing.RoutingRequest(
             pool=stage.pool,
             zone=self._zone,
@@ -180,9 +188,18 @@
             prompt_tokens=flight.prompt_tokens,
         )
 
+    def _expected(
+        self,
+        flight: _flight.Flight,
+        stage: config.StageDocument,
+        prior_s: float,
+    ) -> limits.ServiceTime:
+        key = flight.request.stage_key(stage)
+        return self._times.estimate(stage.pool, key, prior_s)
+
     def _later_s(self, flight: _flight.Flight) -> float:
         return sum(
-            self._times.estimate(stage.pool, stage.name, 0).low_s
+            self._expected(flight, stage, 0).low_s
             for stage in flight.execution.remaining_stages[1:]
         )
 
--- a/src/lentilspool/pipeline/_request.py
+++ b/src/lentilspool/pipeline/_request.py
@@ -58,6 +58,10 @@
         """Whether every stage is idempotent."""
         return all(stage.repeatable for stage in self.stages)
 
+    def stage_key(self, stage: config.StageDocument) -> str:
+        """Return the name under which the stage's times are kept."""
+        return f'{self.pipeline}/{stage.name}'
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Invalid:
