Share an endpoint's slots among the entries that use it, not among all

Cause: found by reading. Admission control divided the slots of an entry's own subset by the number of all entries. With subsets (24 entries for each of 2,300 endpoints, 550 entries) an entry would have counted on 1/23 of its part and refused nearly everything. Ruled out: the pool's whole capacity over all entries (an entry does not know it). Change: mean_coverage, which the subsets use as well, says how many share an endpoint. Users of today have fewer entries than 24: no change for them.

--- a/src/lentilspool/daemons/_directory.py
+++ b/src/lentilspool/daemons/_directory.py
@@ -113,7 +113,9 @@
     def loads(self, pools: Iterable[str]) -> dict[str, limits.PoolLoad]:
         """Return the load of each known pool."""
         return {
-            pool: self._routers[pool].load(self._entries)
+            pool: self._routers[pool].load(
+                _sharers(self._hosts.values(), self._entries, pool)
+            )
             for pool in pools
             if pool in self._routers
         }
@@ -250,3 +252,9 @@
     if later is None or later.incarnation <= message.incarnation:
         return None
     return dataclasses.replace(message, incarnation=later.incarnation)
+
+
+def _sharers(sidecars: Iterable[_hosts.Host], entries: int, pool: str) -> float:
+    """Return how many entries send work to one endpoint of a pool."""
+    listed = sum(1 for host in sidecars if host.pool == pool)
+    return membership.mean_coverage(entries, listed, membership.SubsetLimits())
--- a/src/lentilspool/limits/_types.py
+++ b/src/lentilspool/limits/_types.py
@@ -57,8 +57,8 @@
     slots: float
     """Calls that the pool runs at once: the sum of endpoint limits."""
 
-    entries: int = 1
-    """Entries that share the pool."""
+    entries: float = 1
+    """Entries that share each of these endpoints, on average."""
 
     wait_s: float = 0
     """Reported time until a new call would start, in seconds."""
--- a/src/lentilspool/membership/__init__.py
+++ b/src/lentilspool/membership/__init__.py
@@ -27,4 +27,5 @@
 from lentilspool.membership._subset import SubsetLimits as SubsetLimits
 from lentilspool.membership._subset import Subsets as Subsets
 from lentilspool.membership._subset import even_subsets as even_subsets
+from lentilspool.membership._subset import mean_coverage as mean_coverage
 from lentilspool.membership._subset import preference as preference
--- a/src/lentilspool/membership/_subset.py
+++ b/src/lentilspool/membership/_subset.py
@@ -65,8 +65,7 @@
     """
     if not entries or not endpoints:
         return {entry.name: () for entry in entries}
-    needed = limits.min_size * len(entries) / len(endpoints)
-    coverage = max(limits.coverage, needed)
+    coverage = mean_coverage(len(entries), len(endpoints), limits)
     if coverage >= len(entries):
         return {
             entry.name: preference(entry, endpoints, limits.remote_penalty)
@@ -75,6 +74,12 @@
     return _match(entries, endpoints, coverage, limits)
 
 
+def mean_coverage(entries: int, endpoints: int, limits: SubsetLimits) -> float:
+    """Return how many entries keep a lease with one endpoint, on average."""
+    needed = limits.min_size * entries / max(endpoints, 1)
+    return min(max(limits.coverage, needed), entries)
+
+
 def preference(
     entry: Place, endpoints: Sequence[Place], remote_penalty: float
 ) -> tuple[str, ...]:
--- a/src/lentilspool/membership/tests/test_subset.py
+++ b/src/lentilspool/membership/tests/test_subset.py
@@ -89,3 +89,22 @@
         assert membership.even_subsets(_places('e', 1), (), _LIMITS) == {
             'e0': ()
         }
+
+
+class TestMeanCoverage:
+    @pytest.mark.parametrize(
+        ('entries', 'endpoints', 'coverage'),
+        [
+            (1, 5, 1),
+            (3, 10, 3),
+            (550, 2300, 24),
+            (550, 10, 110),
+            (5, 0, 5),
+        ],
+    )
+    def test_shares(
+        self, entries: int, endpoints: int, coverage: float
+    ) -> None:
+        limits = membership.SubsetLimits()
+        found = membership.mean_coverage(entries, endpoints, limits)
+        assert found == coverage
--- a/src/lentilspool/pipeline/_pool_router.py
+++ b/src/lentilspool/pipeline/_pool_router.py
@@ -117,8 +117,11 @@
             capacity=report.limit or None,
         )
 
-    def load(self, entries: int) -> limits.PoolLoad:
-        """Return the pool's load for admission control."""
+    def load(self, entries: float) -> limits.PoolLoad:
+        """Return the pool's load for admission control.
+
+        ``entries`` is the number of entries that share each endpoint.
+        """
         seen = self._table.candidates
         usable = [
             held
