Never call a request not run that an earlier send may have run

Cause: found by reading, then shown: a deposit that had run was sent again with its token while its pool was unreachable, and the entry answered 503 NotRun (no_endpoint) from admission control. The claim is about the request, not about this send. The same held for keys, for draining and overloaded entries, and for Failed or Late of an earlier stage. Ruled out: asking the ledger first (it is what cannot be reached). Change: without the word of the request's ledger, a send with a token or a key ends only as Complete or Unknown (reason earlier_send); requests that may wait go on trying. Conclusion: admission.UnrepeatableSend had stated the rule; the daemons now ask it.

--- a/features/delivery.feature
+++ b/features/delivery.feature
@@ -74,3 +74,11 @@
     Given the configuration service is down
     When a sidecar for pool "encoders" is added
     Then it takes part under the version of its peers
+
+  Scenario: A deposit that ran is never called not run when it is sent again
+    Given a token for a deposit
+    When the deposit is sent with its token through entry 0
+    And the sidecars of pool "bookings" become unreachable
+    And the deposit is sent with its token through entry 1
+    Then the answer is "Unknown"
+    And the deposit ran once
--- a/features/steps/delivery_steps.py
+++ b/features/steps/delivery_steps.py
@@ -370,3 +370,8 @@
         while not daemon.dump()['configuration']['ready']:
             await trio.sleep(0.05)
     assert daemon.dump()['configuration']['version'] == 1
+
+
+@when('the sidecars of pool "{pool}" become unreachable')
+def when_unreachable(context, pool):
+    given_cut_off(context, pool)
--- a/src/lentilspool/daemons/_flight.py
+++ b/src/lentilspool/daemons/_flight.py
@@ -42,6 +42,9 @@
     key: admission.IdempotencyKey | None = None
     """Key of the caller for the unrepeatable stage, if it sent one."""
 
+    settled: bool = False
+    """Whether the ledger of the unrepeatable stage has spoken."""
+
     touched: bool = False
     """Whether any attempt may have run."""
 
--- a/src/lentilspool/daemons/_front.py
+++ b/src/lentilspool/daemons/_front.py
@@ -123,7 +123,8 @@
             reply = _reply.Stream(send)
         started = trio.current_time()
         request = submission.request
-        outcome: kernel.Outcome | None = self._refusal()
+        refusal = self._refusal()
+        outcome = submission.given_up(refusal) if refusal else None
         if outcome is None and request.may_wait:
             outcome = await self._accept.accept(submission)
         elif outcome is None:
--- a/src/lentilspool/daemons/_runner.py
+++ b/src/lentilspool/daemons/_runner.py
@@ -87,19 +87,14 @@
         if may_wait:
             flight.urgency = limits.Urgency.may_wait
             flight.control = limits.AdmitAll()
-        refusal = self._admit(flight)
-        if refusal is not None:
-            return refusal
-        self._open += 1
-        try:
-            outcome = await self._run(flight)
-        finally:
-            self._open -= 1
-            flight.control.forget(request.request_id)
-            self._attempts.table.close(request.request_id)
+        outcome: kernel.Outcome | None = self._admit(flight)
+        if outcome is None:
+            outcome = await self._run_admitted(flight)
         if isinstance(outcome, kernel.Complete):
             self._suspects.completed(request.digest)
-        return outcome
+        if flight.settled:
+            return outcome
+        return submission.given_up(outcome)
 
     async def drain(self) -> None:
         """Wait until every request in hand has its outcome."""
@@ -116,6 +111,16 @@
             'service_times': self._times.dump(),
         }
 
+    async def _run_admitted(self, flight: _flight.Flight) -> kernel.Outcome:
+        request_id = flight.request.request_id
+        self._open += 1
+        try:
+            return await self._run(flight)
+        finally:
+            self._open -= 1
+            flight.control.forget(request_id)
+            self._attempts.table.close(request_id)
+
     def _make_flight(
         self, submission: _submission.Submission
     ) -> _flight.Flight:
--- a/src/lentilspool/daemons/_submission.py
+++ b/src/lentilspool/daemons/_submission.py
@@ -31,6 +31,27 @@
     key: admission.IdempotencyKey | None = None
     """Key of the caller, if it sent one."""
 
+    def given_up(self, outcome: kernel.Outcome) -> kernel.Outcome:
+        """Return what may be said of an outcome without the ledger's word.
+
+        With a token or a key, an earlier send may have run, or another one
+        may run: then only a whole answer or ``Unknown`` is true.
+        """
+        if isinstance(outcome, kernel.Complete | kernel.Unknown):
+            return outcome
+        send = admission.UnrepeatableSend(
+            self.token, self.key.text if self.key else ''
+        )
+        if send.phase is admission.SendPhase.fresh:
+            return outcome
+        kind = type(outcome).__name__
+        reason = getattr(outcome, 'reason', '')
+        return kernel.Unknown(
+            send.reference,
+            kernel.UnknownReason.earlier_send,
+            f'this send ended as {kind} {getattr(reason, "value", reason)}',
+        )
+
 
 class Gate:
     """Reads and checks requests; a refusal is a response to send."""
@@ -56,8 +77,7 @@
             return _problem.invalid(body.status, body.detail)
         document = self._configuration.document
         if document is None or not self._configuration.ready:
-            not_ready = kernel.NotRun(kernel.NotRunReason.not_ready, 1)
-            return _problem.response_of(not_ready, '')
+            return _not_ready(scope)
         request = self._check(name, scope, body, document)
         if isinstance(request, pipeline.Invalid):
             return _problem.invalid(request.status, request.detail)
@@ -124,3 +144,15 @@
         if expired is not None:
             return _problem.response_of(expired, request.request_id)
         return Submission(request, key=key)
+
+
+def _not_ready(scope: _asgi.Scope) -> _problem.Response:
+    """Return the refusal of a request that cannot even be checked."""
+    proof = _asgi.header(scope, TOKEN_HEADER) or _asgi.header(
+        scope, _KEY_HEADER
+    )
+    if proof:
+        reason = kernel.UnknownReason.earlier_send
+        return _problem.response_of(kernel.Unknown(proof, reason), '')
+    not_ready = kernel.NotRun(kernel.NotRunReason.not_ready, 1)
+    return _problem.response_of(not_ready, '')
--- a/src/lentilspool/daemons/_unrepeatable.py
+++ b/src/lentilspool/daemons/_unrepeatable.py
@@ -103,6 +103,7 @@
                 flight.token = answer.token
                 return None
             elif answer.state == 'refused':
+                flight.settled = True
                 return _classify.not_run(answer.reason, answer.retry_after_ms)
             else:
                 return _classify.unknown(answer.reason, key.text)
@@ -134,6 +135,7 @@
             plan = _attempts.AttemptPlan(token.endpoint, number)
             outcome = await self._attempts.run(flight, plan)
             if not _is_unsettled(outcome):
+                flight.settled = True
                 return _with_token(outcome, flight.token)
             await trio.sleep(_POLL_S)
 
--- a/src/lentilspool/daemons/_waiting_runs.py
+++ b/src/lentilspool/daemons/_waiting_runs.py
@@ -110,5 +110,7 @@
             return None
         case kernel.NotRun() | kernel.Failed(retry_after_s=float()):
             return max(outcome.retry_after_s or 0, _LEAST_PAUSE_S)
+        case kernel.Unknown(reason=kernel.UnknownReason.earlier_send):
+            return _LEAST_PAUSE_S
         case _:
             return None
--- a/src/lentilspool/kernel/_outcomes.py
+++ b/src/lentilspool/kernel/_outcomes.py
@@ -35,6 +35,7 @@
     token_expired = 'token_expired'
     timeout = 'timeout'
     endpoint_error = 'endpoint_error'
+    earlier_send = 'earlier_send'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
