Answer keys as unknown before the first configuration

Cause: found by reading: a sidecar that had just started and held no configuration refused every idempotency key as not run (invalid), though its predecessor may have run it. Change: Unknown (incarnation_lost) until it knows its slots. Measured: the new test fails before, passes after.

--- a/src/lentilspool/daemons/_once.py
+++ b/src/lentilspool/daemons/_once.py
@@ -160,6 +160,9 @@
         self, call: wire.AdmitCall, text: str, now: float
     ) -> admission.IssueAnswer:
         key = admission.parse_key(call.team, text)
+        if key is not None and self._home is None:
+            lost = kernel.UnknownReason.incarnation_lost
+            return admission.Refused(kernel.Unknown(text, lost))
         if key is None or self._home is None:
             detail = 'the key is no UUID of version 7'
             reason = kernel.NotRunReason.invalid
