Finish frames that were begun; count no caller's leaving against an endpoint

Cause: found by reading. (1) A call that is cancelled while its chunk is being sent left a part of a frame on the connection that all calls share: what follows is read as garbage, or as the length of a frame. (2) A receiver that takes nothing held its senders for ever, the configuration's loop among them. (3) An attempt that ended because its caller went away counted as a failure of its endpoint, for ejection and breaker. Ruled out: a connection for each call (the calls share heartbeats and judgement). Change: a frame is finished even if its sender is cancelled, within 5 s, or the stream is closed; attempts that were given up count for nothing. Measured: test of a cancelled sender fails on the code before (the frame ends early) and passes after; the test of a reader that stopped hung for 60 s before. 64 tests of wire, pipeline and stand-ins pass.

--- a/src/lentilspool/daemons/_attempts.py
+++ b/src/lentilspool/daemons/_attempts.py
@@ -111,35 +111,25 @@
         An answer is counted and handed on only if it repeats the identity
         of the attempt; the spend of any other is counted all the same.
         """
-        stage_input = flight.execution.stage_input()
-        call = flight.stage_call(stage_input, plan.number)
-        call = dataclasses.replace(
-            call,
-            later_ms=int(plan.later_s * _MS),
-            may_queue=plan.may_queue,
-        )
+        router = self._directory.router(flight.execution.stage.pool)
+        if router is None:
+            return kernel.NotRun(kernel.NotRunReason.no_endpoint)
+        call = _call(flight, plan)
         identity = admission.Attempt(
             call.request_id, call.stage, call.attempt, call.digest
         )
         self._table.open(identity)
-        router = self._directory.router(stage_input.stage.pool)
-        if router is None:
-            return kernel.NotRun(kernel.NotRunReason.no_endpoint)
         router.started(plan.endpoint)
         started = trio.current_time()
-        outcome: kernel.Outcome = kernel.Unknown(
-            flight.token, kernel.UnknownReason.timeout
-        )
+        answer: _link.Answer | _link.LinkLost | None = None
         try:
             answer = await self._send(flight, plan.endpoint, call)
-            if isinstance(answer, wire.StageAnswer):
-                self._directory.answered(plan.endpoint, answer)
-            outcome = self._judge(flight, identity, answer)
         finally:
-            now = trio.current_time()
-            end = _end(plan.endpoint, outcome, now - started)
-            router.ended(end, now)
-            flight.touched = flight.touched or not end.refused
+            outcome = self._judge(flight, identity, answer)
+            end = _end(plan.endpoint, outcome, trio.current_time() - started)
+            given_up = answer is None and flight.remaining_s > 0
+            end = dataclasses.replace(end, cancelled=given_up)
+            router.ended(end, trio.current_time())
             self._report(flight, plan, outcome)
         return outcome
 
@@ -158,14 +148,20 @@
                 pieces.add,
             )
             pieces.end()
+        if isinstance(answer, wire.StageAnswer):
+            self._directory.answered(endpoint, answer)
         return answer
 
     def _judge(
         self,
         flight: _flight.Flight,
         identity: admission.Attempt,
-        answer: _link.Answer | _link.LinkLost,
+        answer: _link.Answer | _link.LinkLost | None,
     ) -> kernel.Outcome:
+        if answer is None:
+            self._table.fail(identity)
+            timeout = kernel.UnknownReason.timeout
+            return kernel.Unknown(flight.token, timeout)
         outcome = _classify.outcome_of(answer, identity.stage)
         if not isinstance(answer, wire.StageAnswer):
             self._table.fail(identity)
@@ -206,6 +202,8 @@
         outcome: kernel.Outcome,
     ) -> None:
         stage = flight.execution.stage
+        refused = isinstance(outcome, kernel.NotRun)
+        flight.touched = flight.touched or not refused
         kind = type(outcome).__name__
         self._metrics.attempt_ended(stage.pool, kind)
         _events.ATTEMPT_ENDED.log(
@@ -218,6 +216,13 @@
         )
 
 
+def _call(flight: _flight.Flight, plan: AttemptPlan) -> wire.StageCall:
+    call = flight.stage_call(flight.execution.stage_input(), plan.number)
+    return dataclasses.replace(
+        call, later_ms=int(plan.later_s * _MS), may_queue=plan.may_queue
+    )
+
+
 def _end(
     endpoint: str, outcome: kernel.Outcome, latency_s: float
 ) -> pipeline.AttemptEnd:
--- a/src/lentilspool/pipeline/_pool_router.py
+++ b/src/lentilspool/pipeline/_pool_router.py
@@ -42,6 +42,9 @@
     unreachable: bool = False
     """Whether the endpoint could not be reached at all."""
 
+    cancelled: bool = False
+    """Whether the caller gave it up, which says nothing of the endpoint."""
+
 
 class PoolRouter:
     """Chooses endpoints of one pool and learns from each attempt.
@@ -174,6 +177,8 @@
     def ended(self, end: AttemptEnd, now: float) -> None:
         """Take in the end of an attempt that was counted as started."""
         self._table.ended(end.endpoint)
+        if end.cancelled:
+            return
         if end.unreachable:
             self._set_down(end.endpoint, True)
         if end.refused and not end.unreachable:
--- a/src/lentilspool/pipeline/tests/test_pool_router.py
+++ b/src/lentilspool/pipeline/tests/test_pool_router.py
@@ -135,3 +135,14 @@
         shorter = pipeline.block_hashes(begin)
         longer = pipeline.block_hashes(begin + end)
         assert longer[: len(shorter)] == shorter
+
+
+class TestCancelled:
+    def test_a_caller_that_leaves_ejects_nobody(self) -> None:
+        router = make_router()
+        end = pipeline.AttemptEnd('a', 0.1, succeeded=False, cancelled=True)
+        for _ in range(50):
+            router.started('a')
+            router.ended(end, 0)
+        assert router.dump(0)['ejected'] == []
+        assert router.dump(0)['success_share'] == 1
--- a/src/lentilspool/wire/_stream.py
+++ b/src/lentilspool/wire/_stream.py
@@ -10,6 +10,7 @@
 
 _LENGTH: Final = struct.Struct('>I')
 _RECEIVE_BYTES: Final = 65536
+_SEND_LIMIT_S: Final = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -33,17 +34,28 @@
         self._max_frame_bytes = max_frame_bytes
         self._buffer = bytearray()
         self._send_lock = trio.Lock()
+        self._broken = False
 
     async def send(self, message: _codec.Message) -> bool:
-        """Send a message whole; return False if the stream is broken."""
+        """Send a message whole; return False if the stream is broken.
+
+        A frame that was begun is finished even if the sender is cancelled;
+        a receiver that takes nothing for a while breaks the stream.
+        """
         payload = _codec.encode(message)
         frame = _LENGTH.pack(len(payload)) + payload
-        try:
-            async with self._send_lock:
-                await self._stream.send_all(frame)
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
-            return False
-        return True
+        async with self._send_lock:
+            if self._broken:
+                return False
+            deadline = trio.current_time() + _SEND_LIMIT_S
+            scope = trio.CancelScope(shield=True, deadline=deadline)
+            with scope:
+                self._broken = not await self._write(frame)
+            if scope.cancelled_caught:
+                self._broken = True
+            if self._broken:
+                await trio.aclose_forcefully(self._stream)
+        return not self._broken
 
     async def receive(self) -> _codec.Message | _codec.Malformed | Closed:
         """Return the next message, a malformed frame, or the end."""
@@ -63,6 +75,13 @@
         with trio.CancelScope(shield=True, deadline=trio.current_time() + 1):
             await self._stream.aclose()
 
+    async def _write(self, frame: bytes) -> bool:
+        try:
+            await self._stream.send_all(frame)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return False
+        return True
+
     async def _fill(self, size: int) -> bool:
         """Read until the buffer holds ``size`` bytes; False at the end."""
         while len(self._buffer) < size:
--- /dev/null
+++ b/src/lentilspool/wire/tests/test_stream.py
@@ -0,0 +1,92 @@
+"""Tests of framed messages over byte streams."""
+
+from collections.abc import Awaitable, Callable
+
+import trio
+from trio import testing
+
+from lentilspool import wire
+
+LIMIT = 1_000_000
+FIRST = wire.StageChunk(call_id=1, sequence=0, text='a' * 1000)
+SECOND = wire.StageChunk(call_id=1, sequence=1, text='b')
+
+
+def run(main: Callable[[], Awaitable[None]]) -> None:
+    trio.run(main, clock=testing.MockClock(autojump_threshold=0.01))
+
+
+class TestSend:
+    def test_a_cancelled_sender_leaves_no_part_of_a_frame(self) -> None:
+        async def main() -> None:
+            slow = _Slow()
+            sender = wire.MessageStream(slow, LIMIT)
+            with trio.move_on_after(0.25):
+                await sender.send(FIRST)
+            await sender.send(SECOND)
+            reader = wire.MessageStream(_Replay(bytes(slow.written)), LIMIT)
+            assert await reader.receive() == FIRST
+            assert await reader.receive() == SECOND
+
+        run(main)
+
+    def test_a_reader_that_stopped_breaks_the_stream(self) -> None:
+        async def main() -> None:
+            near, _far = testing.lockstep_stream_pair()
+            sender = wire.MessageStream(near, LIMIT)
+            assert not await sender.send(FIRST)
+            assert not await sender.send(SECOND)
+
+        run(main)
+
+
+class TestReceive:
+    def test_a_frame_above_the_limit_ends_the_stream(self) -> None:
+        async def main() -> None:
+            reader = wire.MessageStream(_Replay(b'\xff\xff\xff\xff'), LIMIT)
+            assert isinstance(await reader.receive(), wire.Closed)
+
+        run(main)
+
+    def test_an_end_inside_a_frame(self) -> None:
+        async def main() -> None:
+            reader = wire.MessageStream(_Replay(b'\x00\x00\x00\x09abc'), LIMIT)
+            assert await reader.receive() == wire.Closed(
+                'end of stream inside a frame'
+            )
+
+        run(main)
+
+
+class _Replay(trio.abc.Stream):
+    """Gives recorded bytes, then the end."""
+
+    def __init__(self, recorded: bytes) -> None:
+        self._recorded = recorded
+
+    async def receive_some(self, max_bytes: int | None = None) -> bytes:
+        given = self._recorded
+        self._recorded = b''
+        return given
+
+    async def send_all(self, data: bytes | bytearray | memoryview) -> None:
+        raise trio.BrokenResourceError
+
+    async def wait_send_all_might_not_block(self) -> None:
+        """Never blocks."""
+
+    async def aclose(self) -> None:
+        """Holds nothing."""
+
+
+class _Slow(_Replay):
+    """Writes a piece at a time."""
+
+    def __init__(self) -> None:
+        super().__init__(b'')
+        self.written = bytearray()
+
+    async def send_all(self, data: bytes | bytearray | memoryview) -> None:
+        for begin in range(0, len(data), 100):
+            self.written += data[begin : begin + 100]
+            await trio.sleep(0.1)
