Claim nothing of a waiting request whose standby did not answer

Cause: found by reading. (1) When the standby did not answer the copy, the caller got NotRun, but the standby may hold it and take over after the lease. (2) A drain without another entry dropped the waiting requests at once. Change: no answer gives Unknown with the token, and the request is worked on; a drain waits for what cannot be moved.

--- a/src/lentilspool/daemons/_accept.py
+++ b/src/lentilspool/daemons/_accept.py
@@ -28,7 +28,7 @@
 
     async def accept(
         self, submission: _submission.Submission
-    ) -> kernel.Accepted | kernel.NotRun:
+    ) -> kernel.Accepted | kernel.NotRun | kernel.Unknown:
         """Accept a request, or refuse it with nothing run."""
         request = submission.request
         tokens = await self._tokens(submission)
--- a/src/lentilspool/daemons/_held_calls.py
+++ b/src/lentilspool/daemons/_held_calls.py
@@ -22,11 +22,14 @@
     def __init__(self, peers: _peers.Peers) -> None:
         self._peers = peers
 
-    async def copy(self, copy: admission.Copy) -> bool:
-        """Give a standby a copy; return whether it is stored."""
+    async def copy(self, copy: admission.Copy) -> bool | None:
+        """Give a standby a copy; return whether it is stored.
+
+        None stands for no answer: then it may be stored or not.
+        """
         call = _held_call(copy.request, 'copy', copy.outcome)
         answer = await self._call(copy.to, call)
-        return isinstance(answer, wire.HeldAnswer) and answer.stored
+        return answer.stored if isinstance(answer, wire.HeldAnswer) else None
 
     async def transfer(self, move: admission.Transfer) -> bool:
         """Move a request to another entry; return whether it has it."""
--- a/src/lentilspool/daemons/_waiting.py
+++ b/src/lentilspool/daemons/_waiting.py
@@ -62,8 +62,12 @@
 
     async def accept(
         self, request: admission.HeldRequest, limit: int
-    ) -> kernel.Accepted | kernel.NotRun:
-        """Hold a request; ``limit`` bounds those of its team."""
+    ) -> kernel.Accepted | kernel.NotRun | kernel.Unknown:
+        """Hold a request; ``limit`` bounds those of its team.
+
+        A standby that does not answer may hold the copy and take over, so
+        the request is worked on then too, and the outcome is ``Unknown``.
+        """
         owned = sum(1 for held in self._table if _owned(held, request.team))
         if owned >= limit:
             return kernel.NotRun(kernel.NotRunReason.team_limit, 1)
@@ -71,13 +75,17 @@
         copy = self._owner.accept(request, self._peers, now)
         if isinstance(copy, kernel.NotRun):
             return copy
-        if not await self._copy(copy):
+        stored = await self._copy(copy)
+        if stored is False:
             self._table.forget(request.request_id)
-            reason = kernel.NotRunReason.not_ready
-            return kernel.NotRun(reason, 1, 'the standby did not answer')
+            reason = kernel.NotRunReason.overloaded
+            return kernel.NotRun(reason, 1, 'the standby has no room')
         self._start(request)
         names = (request.request_id, self._me.name, copy.to)
-        return kernel.Accepted('~'.join(('wait', *names)))
+        token = '~'.join(('wait', *names))
+        if stored:
+            return kernel.Accepted(token)
+        return kernel.Unknown(token, kernel.UnknownReason.connection_lost)
 
     async def collect(self, token: str) -> kernel.Outcome | str:
         """Return the outcome for a token, or ``running`` or ``unknown``."""
@@ -119,11 +127,11 @@
         self._nursery.start_soon(self._watch)
 
     async def drain(self) -> None:
-        """Move every owned request to another entry."""
+        """Move every owned request to another entry, or wait for its end."""
         self._draining = True
         while True:
             moves = self._owner.transfers(self._peers)
-            if not moves:
+            if not moves and not any(map(_in_hand, self._table)):
                 return
             for move in moves:
                 if await self._calls.transfer(move):
@@ -172,12 +180,13 @@
         outcome = _outcome_codec.decode(answer.outcome)
         return admission.Collected(outcome, answer.ask)
 
-    async def _copy(self, copy: admission.Copy) -> bool:
+    async def _copy(self, copy: admission.Copy) -> bool | None:
         sent_at = trio.current_time()
-        if not await self._calls.copy(copy):
-            return False
-        request_id = copy.request.request_id
-        return self._owner.confirm(request_id, copy.to, sent_at)
+        stored = await self._calls.copy(copy)
+        if stored:
+            request_id = copy.request.request_id
+            self._owner.confirm(request_id, copy.to, sent_at)
+        return stored
 
     def _carry_out(self, actions: Iterable[Action]) -> None:
         for action in actions:
@@ -205,6 +214,9 @@
             await trio.sleep(_POLL_S)
 
 
+def _in_hand(held: admission.Held) -> bool:
+    return held.role in {admission.Role.owner, admission.Role.suspended}
+
+
 def _owned(held: admission.Held, team: str) -> bool:
-    owner = held.role in {admission.Role.owner, admission.Role.suspended}
-    return owner and held.request.team == team
+    return _in_hand(held) and held.request.team == team
