Ask another endpoint when the ledger says that a fresh request did not run

Cause: found by reading: (1) a deposit whose first sidecar had a dead endpoint, or began to drain between token and start, was given up although its ledger had said "not run" and other endpoints were there. (2) A refusal that no ledger had made could count as the ledger's word. (3) An answer that matches no attempt was called a final failure. Ruled out: moving a token of the caller (it may have been sent elsewhere as well). Change: without a token or key of the caller, up to four further endpoints are asked; only refusals of the ledger settle a send; a mismatch is Unknown.

--- a/features/delivery.feature
+++ b/features/delivery.feature
@@ -82,3 +82,9 @@
     And the deposit is sent with its token through entry 1
     Then the answer is "Unknown"
     And the deposit ran once
+
+  Scenario: A deposit goes to another endpoint if one has died unnoticed
+    Given one service has died
+    When 6 deposits are sent
+    Then every request is complete
+    And no deposit ran twice
--- a/features/steps/delivery_steps.py
+++ b/features/steps/delivery_steps.py
@@ -375,3 +375,21 @@
 @when('the sidecars of pool "{pool}" become unreachable')
 def when_unreachable(context, pool):
     given_cut_off(context, pool)
+
+
+@given('one service has died')
+def given_service_dead(context):
+    context.loop.call(context.fleet.places['bookings-0'].kill_endpoint)
+
+
+@when('{count:d} deposits are sent')
+def when_deposits(context, count):
+    context.answers = [
+        _post(
+            context,
+            0,
+            {'team': 'brides', 'input': {'subject': f'venue-{number}'}},
+            {},
+        )
+        for number in range(count)
+    ]
--- a/src/lentilspool/daemons/_answers.py
+++ b/src/lentilspool/daemons/_answers.py
@@ -20,7 +20,9 @@
             return answer
         case dialects.Refused(reason=detail, unreachable=unreachable):
             reason = kernel.NotRunReason.overloaded
-            if unreachable:
+            if unreachable and call.token:
+                reason = kernel.NotRunReason.no_endpoint
+            elif unreachable:
                 reason = kernel.NotRunReason.not_ready
             return kernel.NotRun(reason, answer.retry_after_s, detail)
         case dialects.Answered(body=body, units=units):
--- a/src/lentilspool/daemons/_attempts.py
+++ b/src/lentilspool/daemons/_attempts.py
@@ -27,6 +27,10 @@
 from lentilspool.daemons._log import LOG
 
 _MS = 1000
+_UNREACHABLE = (
+    kernel.NotRunReason.not_ready,
+    kernel.NotRunReason.no_endpoint,
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -113,7 +117,7 @@
         """
         router = self._directory.router(flight.execution.stage.pool)
         if router is None:
-            return kernel.NotRun(kernel.NotRunReason.no_endpoint)
+            return kernel.NotRun(kernel.NotRunReason.not_ready)
         call = _call(flight, plan)
         identity = admission.Attempt(
             call.request_id, call.stage, call.attempt, call.digest
@@ -180,7 +184,9 @@
         verdict = self._table.match(answered, answer.cost)
         if answered != identity or not isinstance(verdict, admission.Accept):
             _events.ANSWER_DROPPED.log(LOG, answer=answered, open=identity)
-            return kernel.Failed(identity.stage, 'an answer did not match')
+            return kernel.Unknown(
+                flight.token, kernel.UnknownReason.connection_lost
+            )
         key = flight.request.stage_key(stage)
         self._times.observe(stage.pool, key, answer.service_ms / _MS)
         return dataclasses.replace(
@@ -226,12 +232,11 @@
 def _end(
     endpoint: str, outcome: kernel.Outcome, latency_s: float
 ) -> pipeline.AttemptEnd:
-    unready = kernel.NotRunReason.not_ready
     refused = isinstance(outcome, kernel.NotRun)
     return pipeline.AttemptEnd(
         endpoint,
         latency_s,
         succeeded=isinstance(outcome, kernel.Complete),
         refused=refused,
-        unreachable=getattr(outcome, 'reason', None) is unready,
+        unreachable=getattr(outcome, 'reason', None) in _UNREACHABLE,
     )
--- a/src/lentilspool/daemons/_unrepeatable.py
+++ b/src/lentilspool/daemons/_unrepeatable.py
@@ -16,6 +16,13 @@
 
 _POLL_S: Final = 0.05
 _MAX_ISSUE_TRIES: Final = 4
+_ELSEWHERE: Final = frozenset(
+    (
+        kernel.NotRunReason.draining,
+        kernel.NotRunReason.no_endpoint,
+        kernel.NotRunReason.expired_token,
+    )
+)
 
 
 class Unrepeatable:
@@ -42,20 +49,21 @@
     async def run(
         self, flight: _flight.Flight, router: pipeline.PoolRouter
     ) -> kernel.Outcome:
-        """Run the current stage of a request at most once."""
-        refusal: kernel.NotRun | kernel.Unknown | None = None
-        if flight.key is not None:
-            refusal = await self._obtain_for_key(flight, flight.key)
-        elif not flight.token:
-            refusal = await self.obtain(
-                flight, router, flight.execution.stage.pool
-            )
-        if refusal is not None:
-            return refusal
-        verified = self._signer.verify(flight.token)
-        if isinstance(verified, admission.TokenRefused):
-            return verified.outcome
-        return await self._send(flight, verified)
+        """Run the current stage of a request at most once.
+
+        If the ledger says that it did not run, for a reason of that one
+        endpoint, another one is asked; not so with a token of the caller,
+        who may have sent it elsewhere as well.
+        """
+        fresh = not flight.token and flight.key is None
+        outcome = await self._run(flight, router)
+        for _ in range(_MAX_ISSUE_TRIES):
+            if not (fresh and flight.settled and _may_move(outcome)):
+                return outcome
+            flight.token = ''
+            flight.settled = False
+            outcome = await self._run(flight, router)
+        return outcome
 
     async def obtain(
         self, flight: _flight.Flight, router: pipeline.PoolRouter, pool: str
@@ -78,6 +86,23 @@
             refusal = answer
         return refusal
 
+    async def _run(
+        self, flight: _flight.Flight, router: pipeline.PoolRouter
+    ) -> kernel.Outcome:
+        refusal: kernel.NotRun | kernel.Unknown | None = None
+        if flight.key is not None:
+            refusal = await self._obtain_for_key(flight, flight.key)
+        elif not flight.token:
+            refusal = await self.obtain(
+                flight, router, flight.execution.stage.pool
+            )
+        if refusal is not None:
+            return refusal
+        verified = self._signer.verify(flight.token)
+        if isinstance(verified, admission.TokenRefused):
+            return verified.outcome
+        return await self._send(flight, verified)
+
     async def _issue(
         self, flight: _flight.Flight, endpoint: str
     ) -> str | kernel.NotRun:
@@ -126,13 +151,12 @@
         self, flight: _flight.Flight, token: admission.AdmissionToken
     ) -> kernel.Outcome:
         """Send the call until its incarnation answers or is gone."""
-        number = 0
         while True:
             lost = await self._await_link(token)
             if lost is not None:
                 return kernel.Unknown(flight.token, lost)
-            number += 1
-            plan = _attempts.AttemptPlan(token.endpoint, number)
+            flight.sends += 1
+            plan = _attempts.AttemptPlan(token.endpoint, flight.sends)
             outcome = await self._attempts.run(flight, plan)
             if not _is_unsettled(outcome):
                 flight.settled = True
@@ -167,7 +191,7 @@
 
 
 def _is_unsettled(outcome: kernel.Outcome) -> bool:
-    """Tell whether the connection broke, so that the call is sent again."""
+    """Tell whether the ledger has not spoken, so that the call is sent again."""
     match outcome:
         case kernel.Unknown(reason=kernel.UnknownReason.connection_lost):
             return True
@@ -177,6 +201,14 @@
             return False
 
 
+def _may_move(outcome: kernel.Outcome) -> bool:
+    match outcome:
+        case kernel.NotRun(reason=reason):
+            return reason in _ELSEWHERE
+        case _:
+            return False
+
+
 def _with_token(outcome: kernel.Outcome, token: str) -> kernel.Outcome:
     if isinstance(outcome, kernel.Unknown):
         return kernel.Unknown(token, outcome.reason, outcome.detail)
