Hash prompts only for pools that cache them

Cause: every attempt of every stage hashed a prompt, for stage pools in vain, and again for each further offer. Change: once for each attempt, engines only.

--- a/src/lentilspool/daemons/_stages.py
+++ b/src/lentilspool/daemons/_stages.py
@@ -112,10 +112,11 @@
             return judgement.outcome
         alone = isinstance(judgement, admission.RunAlone)
         wanted = self._wanted(flight, frozenset(tried), alone)
+        prefix = flight.prefix if router.reads_prompts else ()
         full: tuple[routing.FullEndpoint, ...] = ()
         while True:
             now = trio.current_time()
-            offer = router.offer(wanted, full, now, flight.prefix)
+            offer = router.offer(wanted, full, now, prefix)
             if isinstance(offer, routing.NoEndpoint):
                 return _no_endpoint(offer)
             outcome = await self._send(flight, offer)
--- a/src/lentilspool/pipeline/_pool_router.py
+++ b/src/lentilspool/pipeline/_pool_router.py
@@ -79,6 +79,11 @@
         self._waits_s: dict[str, float] = {}
         self._down: set[str] = set()
 
+    @property
+    def reads_prompts(self) -> bool:
+        """Whether its endpoints cache the prefixes of prompts."""
+        return self._document.kind == 'engine'
+
     @property
     def candidates(self) -> Sequence[routing.Candidate]:
         """Endpoints that may get work."""
@@ -246,7 +251,7 @@
     ) -> routing.RoutingRequest:
         """Return the request with what the entry knows of the endpoints."""
         excluded = request.excluded | self._down
-        if not prefix or self._document.kind != 'engine':
+        if not prefix:
             return dataclasses.replace(request, excluded=excluded)
         return dataclasses.replace(
             request,
