--- a/features/steps/delivery_steps.py
+++ b/features/steps/delivery_steps.py
@@ -11,6 +11,7 @@
 DEPOSIT = {'team': 'brides', 'input': {'subject': 'venue-1'}}
 SLOW = {'slow': 100}
 POLL_S = 0.005
+LEASE_LIMIT_S = 15
 SPACING_S = 0.03
 
 
@@ -253,6 +254,18 @@
     place.sidecar.kill()
     await trio.sleep(0.1)
     await fleet.start_sidecar(place)
+    incarnation = place.sidecar.dump()['identity']['incarnation']
+    with trio.fail_after(LEASE_LIMIT_S):
+        while not all(
+            _held_incarnation(daemon, place.name) == incarnation
+            for daemon, _port in fleet.entries.values()
+        ):
+            await trio.sleep(POLL_S)
+
+
+def _held_incarnation(daemon, name):
+    leases = daemon.dump()['directory']['members']['leases']
+    return leases.get(name, {}).get('incarnation')
 
 
 async def _collect(fleet, entry, number, answers):
--- a/src/lentilspool/daemons/_attempts.py
+++ b/src/lentilspool/daemons/_attempts.py
@@ -49,6 +49,9 @@
     may_queue: bool = True
     """Whether the call may wait for its turn, or is refused instead."""
 
+    alone: bool = False
+    """Whether nothing else may run at the endpoint meanwhile."""
+
 
 class _Pieces:
     """Streamed text on its way to a caller.
@@ -225,7 +228,10 @@
 def _call(flight: _flight.Flight, plan: AttemptPlan) -> wire.StageCall:
     call = flight.stage_call(flight.execution.stage_input(), plan.number)
     return dataclasses.replace(
-        call, later_ms=int(plan.later_s * _MS), may_queue=plan.may_queue
+        call,
+        later_ms=int(plan.later_s * _MS),
+        may_queue=plan.may_queue,
+        alone=plan.alone,
     )
 
 
--- a/src/lentilspool/daemons/_flight.py
+++ b/src/lentilspool/daemons/_flight.py
@@ -118,6 +118,7 @@
             max_output_tokens=stage.max_output_tokens,
             later_ms=0,
             may_queue=True,
+            alone=False,
             token=self.token or None,
             traceparent=self.request.traceparent or None,
         )
--- a/src/lentilspool/daemons/_slots.py
+++ b/src/lentilspool/daemons/_slots.py
@@ -1,5 +1,6 @@
 """Slots of the endpoint beside the sidecar: queue and concurrency limit."""
 
+import collections
 import dataclasses
 from typing import Any
 
@@ -23,7 +24,9 @@
     """Grants calls their turn at the endpoint.
 
     Await ``take`` before a call goes to the endpoint, and call ``free``
-    after it. Cancelling ``take`` takes the call out of the queue.
+    after it. Cancelling ``take`` takes the call out of the queue. A call
+    that runs alone starts when the endpoint is idle; no other call starts
+    before it has ended.
     """
 
     def __init__(self, times: limits.ServiceTimes) -> None:
@@ -31,6 +34,8 @@
         self._queue: limits.QueuePolicy = limits.FifoQueue(1)
         self._limit: limits.LimitPolicy = limits.FixedLimit(1)
         self._waiting: dict[int, _Waiting] = {}
+        self._alone: collections.deque[_Waiting] = collections.deque()
+        self._held_alone = False
         self._running = 0
         self._last_id = 0
         self._policies: object = None
@@ -69,7 +74,8 @@
         self._limit = make_limit(own.max_in_flight, parameters)
         self._queue = make_queue(own.max_queued, shares, parameters)
         for waiting in tuple(self._waiting.values()):
-            self._offer(waiting)
+            if waiting not in self._alone:
+                self._offer(waiting)
         self._grant()
 
     async def take(
@@ -85,7 +91,10 @@
             return kernel.NotRun(reason, self._wait_s(call, pool))
         waiting = _Waiting(self._queued_call(call, pool), trio.Event())
         self._waiting[waiting.call.call_id] = waiting
-        self._offer(waiting)
+        if call.alone:
+            self._alone.append(waiting)
+        else:
+            self._offer(waiting)
         self._grant()
         try:
             await waiting.decided.wait()
@@ -97,6 +106,7 @@
     def free(self) -> None:
         """Give the turn back."""
         self._running -= 1
+        self._held_alone = False
         self._grant()
 
     def observe(self, sample: limits.LatencySample) -> None:
@@ -112,7 +122,8 @@
         }
 
     def _is_full(self) -> bool:
-        return self._running >= self._limit.limit or bool(self._waiting)
+        busy = self._running >= self._limit.limit
+        return busy or self._held_alone or bool(self._waiting)
 
     def _wait_s(self, call: wire.StageCall, pool: str) -> float:
         """Return the expected seconds until a new call would start."""
@@ -141,15 +152,25 @@
         self._refuse(self._queue.offer(waiting.call, trio.current_time()))
 
     def _grant(self) -> None:
+        """Start what may start; a call that runs alone goes before others."""
+        if self._alone and not self._running:
+            self._held_alone = True
+            self._start(self._alone.popleft())
+        if self._alone or self._held_alone:
+            return
         while self._running < self._limit.limit:
             taken = self._queue.take(trio.current_time())
             self._refuse(taken.dropped)
             if taken.call is None:
                 return
-            waiting = self._waiting.pop(taken.call.call_id, None)
+            waiting = self._waiting.get(taken.call.call_id)
             if waiting is not None:
-                self._running += 1
-                waiting.decided.set()
+                self._start(waiting)
+
+    def _start(self, waiting: _Waiting) -> None:
+        self._waiting.pop(waiting.call.call_id, None)
+        self._running += 1
+        waiting.decided.set()
 
     def _refuse(self, dropped: tuple[limits.Dropped, ...]) -> None:
         for drop in dropped:
@@ -161,7 +182,10 @@
     def _withdraw(self, waiting: _Waiting) -> None:
         """Undo a call that was cancelled before or after its turn came."""
         held = self._waiting.pop(waiting.call.call_id, None)
-        if held is not None:
+        if held is not None and held in self._alone:
+            self._alone.remove(held)
+            self._grant()
+        elif held is not None:
             self._queue.remove(waiting.call.call_id)
         elif waiting.refusal is None:
             self.free()
--- a/src/lentilspool/daemons/_stages.py
+++ b/src/lentilspool/daemons/_stages.py
@@ -111,7 +111,7 @@
         if isinstance(judgement, admission.Quarantined):
             return judgement.outcome
         alone = isinstance(judgement, admission.RunAlone)
-        wanted = self._wanted(flight, frozenset(tried), alone)
+        wanted = self._wanted(flight, frozenset(tried))
         prefix = flight.prefix if router.reads_prompts else ()
         full: tuple[routing.FullEndpoint, ...] = ()
         while True:
@@ -119,8 +119,8 @@
             offer = router.offer(wanted, full, now, prefix)
             if isinstance(offer, routing.NoEndpoint):
                 return _no_endpoint(offer)
-            outcome = await self._send(flight, offer)
-            if offer.may_queue or not _is_full(outcome):
+            outcome = await self._send(flight, offer, alone)
+            if alone or offer.may_queue or not _is_full(outcome):
                 tried.add(offer.endpoint)
                 return outcome
             wait_s = getattr(outcome, 'retry_after_s', None) or 0
@@ -128,14 +128,15 @@
             full = (*full, refusal)
 
     async def _send(
-        self, flight: _flight.Flight, offer: routing.Offer
+        self, flight: _flight.Flight, offer: routing.Offer, alone: bool
     ) -> kernel.Outcome:
         flight.sends += 1
         plan = _attempts.AttemptPlan(
             offer.endpoint,
             flight.sends,
             self._later_s(flight),
-            may_queue=offer.may_queue,
+            may_queue=offer.may_queue or alone,
+            alone=alone,
         )
         return await self._attempts.run(flight, plan)
 
@@ -175,7 +176,7 @@
         )
 
     def _wanted(
-        self, flight: _flight.Flight, excluded: frozenset[str], alone: bool
+        self, flight: _flight.Flight, excluded: frozenset[str]
     ) -> routing.RoutingRequest:
         stage = flight.execution.stage
         expected = self._expected(flight, stage, PRIOR_S)
@@ -185,7 +186,6 @@
             service_s=expected.mean_s,
             slack_s=flight.remaining_s - expected.mean_s,
             excluded=excluded,
-            solo=alone,
             prompt_tokens=flight.prompt_tokens,
         )
 
--- a/src/lentilspool/wire/_calls.py
+++ b/src/lentilspool/wire/_calls.py
@@ -75,6 +75,9 @@
     may_queue: bool
     """Whether the call may wait for its turn, or is refused instead."""
 
+    alone: bool
+    """Whether nothing else may run at the endpoint meanwhile."""
+
     token: str | None = None
     """Admission token, for a stage that is not repeatable."""
 
--- a/src/lentilspool/wire/lentilspool.thrift
+++ b/src/lentilspool/wire/lentilspool.thrift
@@ -31,6 +31,7 @@
   18: required i32 max_output_tokens
   19: required i32 later_ms
   20: required bool may_queue
+  21: required bool alone
 }
 
 struct StageChunk {
--- a/src/standins/demo.py
+++ b/src/standins/demo.py
@@ -129,7 +129,8 @@
     )
 
 
-async def _main() -> int:
+async def run() -> int:
+    """Run the demonstration and return its exit status."""
     async with trio.open_nursery() as nursery:
         fleet = _fleet.Fleet(plan(), nursery)
         await fleet.start()
@@ -146,4 +147,4 @@
 
 if __name__ == '__main__':
     telemetry.configure_logs('demo', logging.getLevelName(logging.ERROR))
-    sys.exit(trio.run(_main))
+    sys.exit(trio.run(run))
