--- a/src/lentilspool/daemons/_targets.py
+++ b/src/lentilspool/daemons/_targets.py
@@ -44,15 +44,6 @@
         self._retiring: set[Target] = set()
         self._rng = random.Random(hello.incarnation)
 
-    @property
-    def usable(self) -> dict[Target, _link.Link]:
-        """Connections on which new calls may be sent."""
-        return {
-            target: link
-            for target, link in self._links.items()
-            if link.usable and target in self._wanted
-        }
-
     def find(self, target: Target) -> _link.Link | None:
         """Return the usable connection to a target, if there is one."""
         link = self._links.get(target)
