Serve the platform's callers through a gateway

Cause: nothing of the product ran on the users' platform: no ingress for their requests, no reader of their store, no calls to their runners.

One gateway plans stage calls and engines for all others, chosen by a hash over those heard lately; when it is lost, the next one plans. Each caller's own gateway alone sends its request, so two planners cost no promise.

Ruled out: sidecars on the side machines (their model runners are reached directly, one more process a machine buys nothing yet); results freed at the head of the engine's answer (the head comes with the first event: 433 of 433 requests, 0.0 to 0.3 ms apart).

--- /dev/null
+++ b/src/lentilspool/gateway/_events.py
@@ -0,0 +1,69 @@
+"""Numbered events of the gateway."""
+
+import logging
+from typing import Final
+
+from lentilspool import kernel
+
+_declare = kernel.catalogue.declare
+
+STARTED: Final = _declare(120, logging.INFO, 'The gateway has started.')
+STOPPING: Final = _declare(121, logging.INFO, 'A planned stop has begun.')
+STOPPED: Final = _declare(122, logging.INFO, 'The gateway has stopped.')
+RELOADED: Final = _declare(123, logging.INFO, 'The settings were read again.')
+READY: Final = _declare(124, logging.INFO, 'Readiness has changed.')
+WOKEN: Final = _declare(125, logging.WARNING, 'The host was suspended.')
+LINES_DROPPED: Final = _declare(
+    126, logging.WARNING, 'Log lines were dropped since nobody read them.'
+)
+UNEXPECTED: Final = _declare(
+    127, logging.ERROR, 'A request ended with an error of the program.'
+)
+CONFIGURED: Final = _declare(
+    220, logging.INFO, 'A configuration version is in force.'
+)
+CONFIGURATION_REFUSED: Final = _declare(
+    221, logging.ERROR, 'A published configuration cannot be read.'
+)
+STORE_LOST: Final = _declare(222, logging.WARNING, 'The store does not answer.')
+STORE_BACK: Final = _declare(223, logging.INFO, 'The store answers.')
+LISTED: Final = _declare(224, logging.INFO, 'A whole listing was read.')
+ENDPOINT: Final = _declare(
+    225, logging.INFO, 'What is known of an endpoint has changed.'
+)
+ENTRY_REFUSED: Final = _declare(
+    226, logging.WARNING, 'An entry names no endpoint that can be used.'
+)
+LEARNED: Final = _declare(
+    227, logging.INFO, 'Published state was taken from another gateway.'
+)
+PEER_LOST: Final = _declare(
+    320, logging.WARNING, 'Another gateway does not answer.'
+)
+PEER_BACK: Final = _declare(321, logging.INFO, 'Another gateway answers.')
+PLANNER: Final = _declare(322, logging.INFO, 'Another gateway plans now.')
+PEER_MESSAGE: Final = _declare(
+    323, logging.WARNING, 'A message of another gateway has no use here.'
+)
+ARRIVED: Final = _declare(520, logging.INFO, 'A request was read.')
+SENT: Final = _declare(521, logging.INFO, 'A request goes to an endpoint.')
+ATTEMPT_ENDED: Final = _declare(
+    522, logging.INFO, 'An attempt of a request has ended.'
+)
+ENDED: Final = _declare(523, logging.INFO, 'A request has its final answer.')
+CALLER_LEFT: Final = _declare(
+    524, logging.INFO, 'The caller left; its request was stopped.'
+)
+PLANNER_LOST: Final = _declare(
+    525, logging.WARNING, 'The gateway that planned a request is gone.'
+)
+BAD_REQUEST: Final = _declare(526, logging.WARNING, 'A request cannot be read.')
+FOREIGN_ANSWER: Final = _declare(
+    820, logging.WARNING, 'An endpoint sent an answer to another request.'
+)
+CONNECTION_RETIRED: Final = _declare(
+    821, logging.INFO, 'A connection to an endpoint is not used again.'
+)
+CALLER_BROKEN: Final = _declare(
+    822, logging.INFO, 'A connection of a caller broke the protocol.'
+)
--- /dev/null
+++ b/src/lentilspool/gateway/_metrics.py
@@ -0,0 +1,22 @@
+"""Counters and histograms of a gateway."""
+
+from lentilspool import telemetry
+
+
+class GatewayMetrics:
+    """What a gateway counts; ``render`` answers a scrape."""
+
+    def __init__(self) -> None:
+        self._metrics = telemetry.Metrics()
+
+    def request_ended(self, route: str, status: int, seconds: float) -> None:
+        """Count a request by the status of its final answer."""
+        self._metrics.request_ended(route, '', str(status), seconds)
+
+    def attempt_ended(self, service: str, end: str) -> None:
+        """Count an attempt at an endpoint."""
+        self._metrics.attempt_ended(service, end)
+
+    def render(self) -> bytes:
+        """Return all metrics in the Prometheus text format."""
+        return self._metrics.render()
--- /dev/null
+++ b/src/lentilspool/platform/_answers.py
@@ -0,0 +1,51 @@
+"""Answers of endpoints."""
+
+import re
+from collections.abc import Iterable
+from typing import Final
+
+from lentilspool import serving
+from lentilspool.platform import _names
+
+_TIMEOUT: Final = re.compile(rb'timeout\s*=\s*(\d+)')
+_LOAD_FIELDS: Final = 3
+
+
+def answer_head(
+    status: int, headers: Iterable[tuple[bytes, bytes]]
+) -> serving.AnswerHead:
+    """Decode status and headers of an endpoint's answer."""
+    pairs = [(name.lower(), held) for name, held in headers]
+    known = dict(pairs)
+    dropped = set(_names.CONNECTION_HEADERS)
+    dropped.update(
+        token.strip().lower()
+        for token in known.get(b'connection', b'').split(b',')
+    )
+    dropped.discard(_names.SIGNATURE)
+    dropped.discard(_names.REQUEST_ID)
+    length = known.get(b'content-length', b'')
+    return serving.AnswerHead(
+        status=status,
+        headers=tuple(pair for pair in pairs if pair[0] not in dropped),
+        request_id=known.get(_names.REQUEST_ID, b'').decode('latin-1'),
+        not_run=_names.NOT_RUN in known,
+        load=_load(known.get(_names.LOAD, b'')),
+        keep_alive_s=_keep_alive(known.get(b'keep-alive', b'')),
+        length=int(length) if length.isdigit() else None,
+    )
+
+
+def _load(text: bytes) -> serving.Load | None:
+    fields = text.split(b',')
+    if len(fields) != _LOAD_FIELDS:
+        return None
+    if not all(field.strip().isdigit() for field in fields):
+        return None
+    running, waiting, slots = (int(field) for field in fields)
+    return serving.Load(running, waiting, slots)
+
+
+def _keep_alive(text: bytes) -> float | None:
+    found = _TIMEOUT.search(text.lower())
+    return float(found[1]) if found else None
--- /dev/null
+++ b/src/lentilspool/programs/gateway.py
@@ -0,0 +1,58 @@
+"""``lentilspool-gateway``: the gateway as a process."""
+
+import dataclasses
+import sys
+
+from lentilspool import platform
+from lentilspool import settings as settings_package
+from lentilspool.programs import _command
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Serve:
+    """Runs a gateway, or only checks its settings."""
+
+    checked: settings_package.GatewaySettings
+    """Settings, already checked."""
+
+    only_check: bool
+    """Whether to end before anything is started."""
+
+    def run(self) -> int:
+        """Run until the process is told to stop."""
+        if self.only_check:
+            sys.stdout.write('settings are valid\n')
+            return 0
+        # Imported here, so that checking settings stays light.
+        import trio
+
+        from lentilspool import gateway, telemetry
+
+        telemetry.configure_lines(self.checked.name, self.checked.log_level)
+        trio.run(gateway.serve, self.checked)
+        return 0
+
+
+def command(settings: str = '', check_settings: bool = False) -> Serve:
+    """Serve callers of the platform, with plans shared among gateways.
+
+    Example: lentilspool-gateway --settings gateway.jsonc
+
+    Args:
+        settings: File of settings, JSON with comments; by default the one
+            that the platform has written.
+        check_settings: Check the settings and exit.
+    """
+    checked = settings_package.load_file(
+        settings or platform.settings_path(), settings_package.GatewaySettings
+    )
+    return Serve(checked, check_settings)
+
+
+def main() -> None:
+    """Run the program."""
+    sys.exit(_command.run(command, 'lentilspool-gateway'))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/src/lentilspool/serving/__init__.py
@@ -0,0 +1,47 @@
+"""Decisions of a gateway: routes, plans, placement and refusals.
+
+Everything here is synchronous, takes ``now`` and returns values; the
+gateway carries the decisions out.
+"""
+
+from lentilspool.serving._answers import AnswerHead as AnswerHead
+from lentilspool.serving._answers import Load as Load
+from lentilspool.serving._attempts import End as End
+from lentilspool.serving._attempts import Step as Step
+from lentilspool.serving._attempts import Tally as Tally
+from lentilspool.serving._attempts import next_step as next_step
+from lentilspool.serving._calls import Call as Call
+from lentilspool.serving._calls import Headers as Headers
+from lentilspool.serving._calls import Prompt as Prompt
+from lentilspool.serving._calls import PromptPart as PromptPart
+from lentilspool.serving._configuration import BatchLimits as BatchLimits
+from lentilspool.serving._configuration import CallLimits as CallLimits
+from lentilspool.serving._configuration import Configuration as Configuration
+from lentilspool.serving._configuration import EngineLimits as EngineLimits
+from lentilspool.serving._configuration import Kind as Kind
+from lentilspool.serving._configuration import Route as Route
+from lentilspool.serving._configuration import Service as Service
+from lentilspool.serving._configuration import Share as Share
+from lentilspool.serving._configuration import Stage as Stage
+from lentilspool.serving._configuration import Team as Team
+from lentilspool.serving._endpoints import Directory as Directory
+from lentilspool.serving._endpoints import Endpoint as Endpoint
+from lentilspool.serving._owner import Member as Member
+from lentilspool.serving._owner import Roster as Roster
+from lentilspool.serving._pick import EndpointLoads as EndpointLoads
+from lentilspool.serving._plan_types import Action as Action
+from lentilspool.serving._plan_types import FreeResults as FreeResults
+from lentilspool.serving._plan_types import Piece as Piece
+from lentilspool.serving._plan_types import PieceResult as PieceResult
+from lentilspool.serving._plan_types import PlanAsk as PlanAsk
+from lentilspool.serving._plan_types import PlanLimits as PlanLimits
+from lentilspool.serving._plan_types import Refuse as Refuse
+from lentilspool.serving._plan_types import RunAt as RunAt
+from lentilspool.serving._plan_types import StageAsk as StageAsk
+from lentilspool.serving._plan_types import StartCall as StartCall
+from lentilspool.serving._planner import Planner as Planner
+from lentilspool.serving._route_table import Matched as Matched
+from lentilspool.serving._route_table import NoRoute as NoRoute
+from lentilspool.serving._route_table import RouteTable as RouteTable
+from lentilspool.serving._route_table import UnknownKey as UnknownKey
+from lentilspool.serving._route_table import pick_service as pick_service
--- /dev/null
+++ b/src/lentilspool/serving/_fleet.py
@@ -0,0 +1,57 @@
+"""Services that are configured, and their endpoints as planners see them."""
+
+from lentilspool.serving import (
+    _configuration,
+    _endpoints,
+    _engines,
+    _plan_types,
+    _stage_desk,
+)
+
+
+class Fleet:
+    """Stage services and engine pools, following configuration and listing."""
+
+    def __init__(
+        self,
+        directory: _endpoints.Directory,
+        limits: _plan_types.PlanLimits,
+    ) -> None:
+        self._directory = directory
+        self._limits = limits
+        self.stages = _stage_desk.StageDesk(limits)
+        self._pools: dict[str, _engines.EnginePool] = {}
+        self._known: dict[str, _configuration.Service] = {}
+        self._seen = -1
+
+    def configure(self, services: dict[str, _configuration.Service]) -> None:
+        """Take the services of a new configuration."""
+        self._known = services
+        self._seen = -1
+
+    def knows(self, ask: _plan_types.PlanAsk) -> bool:
+        """Whether all services of a request are configured here."""
+        names = [stage.service for stage in ask.stages if stage.pieces]
+        batched = all(
+            name in self._known and self._known[name].batches for name in names
+        )
+        engine = self._known.get(ask.service)
+        return batched and engine is not None and engine.engine is not None
+
+    def pool(self, service: str) -> _engines.EnginePool:
+        """Return the engines of a service."""
+        if service not in self._pools:
+            self._pools[service] = _engines.EnginePool(self._limits)
+        return self._pools[service]
+
+    def follow(self) -> None:
+        """Take the endpoints listed now."""
+        if self._directory.generation == self._seen:
+            return
+        self._seen = self._directory.generation
+        for name, service in self._known.items():
+            endpoints = self._directory.ready(name)
+            if service.batches:
+                self.stages.follow(name, service.batches, endpoints)
+            if service.engine:
+                self.pool(name).follow(endpoints, service.engine)
--- /dev/null
+++ b/src/lentilspool/serving/_jobs.py
@@ -0,0 +1,167 @@
+"""State of one request while its stages run."""
+
+import dataclasses
+
+from lentilspool.serving import _plan_types
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Held:
+    """A result that lies at its maker."""
+
+    handle: str
+    """Name of the result."""
+
+    lane: str
+    """Incarnation of the endpoint that made it."""
+
+    address: str
+    """Address of that endpoint."""
+
+    size: float
+    """Bytes that it takes up there."""
+
+    expires_at: float
+    """When the maker drops it."""
+
+    zone: str
+    """Availability zone of the maker."""
+
+
+class StageState:
+    """Pieces of one stage: waiting, in calls, and done."""
+
+    def __init__(self, ask: _plan_types.StageAsk) -> None:
+        self.ask = ask
+        self.waiting = list(range(ask.pieces))
+        self.flying: dict[int, int] = {}
+        self.held: dict[int, Held] = {}
+        self.freed = False
+
+    @property
+    def done(self) -> bool:
+        """Whether every piece has, or had, a result."""
+        return self.freed or len(self.held) == self.ask.pieces
+
+    def settled(self, piece: int) -> bool:
+        """Whether the piece has a result or waits for a call."""
+        return self.freed or piece in self.held or piece in self.waiting
+
+    def again(self, piece: int) -> None:
+        """Queue the piece once more, unless that is not needed."""
+        if not self.settled(piece):
+            self.waiting.append(piece)
+
+    def take(self, piece: int) -> None:
+        """Note that the piece is in a call."""
+        if piece in self.waiting:
+            self.waiting.remove(piece)
+        self.flying[piece] = self.flying.get(piece, 0) + 1
+
+    def land(self, piece: int) -> None:
+        """Note that a call with the piece has ended."""
+        left = self.flying.get(piece, 1) - 1
+        if left:
+            self.flying[piece] = left
+        else:
+            self.flying.pop(piece, None)
+
+
+class Job:
+    """A request that the planner works on."""
+
+    def __init__(self, ask: _plan_types.PlanAsk, now: float) -> None:
+        self.ask = ask
+        self.arrived_at = now
+        self.target_at = now + ask.target_s
+        self.deadline_at = now + ask.deadline_s
+        self.stages = [StageState(stage) for stage in ask.stages]
+        self.begun = False
+        self.closed = False
+        self.bucket = 0
+        # Zone in which large results are made; empty until it is settled.
+        self.zone = ''
+        self.redone = 0
+
+    @property
+    def ready_stages(self) -> list[int]:
+        """Stages with waiting pieces whose inputs are complete."""
+        return [
+            number
+            for number, stage in enumerate(self.stages)
+            if stage.waiting and self._inputs_done(stage)
+        ]
+
+    @property
+    def done(self) -> bool:
+        """Whether all stages are done."""
+        return all(stage.done for stage in self.stages)
+
+    @property
+    def results(self) -> tuple[str, ...]:
+        """Handles of the stages that no other stage reads."""
+        read: set[int] = set()
+        for stage in self.stages:
+            if stage.ask.pieces:
+                read.update(stage.ask.after)
+        handles: list[str] = []
+        for number, _ in enumerate(self.stages):
+            if number not in read:
+                handles.extend(self.handles(number))
+        return tuple(handles)
+
+    @property
+    def result_sizes(self) -> dict[str, float]:
+        """Bytes of all results by the availability zone of their maker."""
+        sizes: dict[str, float] = {}
+        for stage in self.stages:
+            for held in stage.held.values():
+                sizes[held.zone] = sizes.get(held.zone, 0) + held.size
+        return sizes
+
+    def handles(self, number: int) -> tuple[str, ...]:
+        """Return the handles of a stage, in the order of its pieces."""
+        held = self.stages[number].held
+        return tuple(held[piece].handle for piece in sorted(held))
+
+    def inputs(self, number: int) -> tuple[str, ...]:
+        """Return the handles that the pieces of a stage read."""
+        handles: list[str] = []
+        for earlier in self.stages[number].ask.after:
+            handles.extend(self.handles(earlier))
+        return tuple(handles)
+
+    def drop_results(self, numbers: list[int]) -> list[Held]:
+        """Forget the results of stages; return them, to be freed."""
+        dropped: list[Held] = []
+        for number in numbers:
+            dropped.extend(self.stages[number].held.values())
+            self.stages[number].held = {}
+            self.stages[number].freed = True
+        return dropped
+
+    def redo(self, number: int) -> list[Held]:
+        """Queue all pieces of a stage again; return its old results."""
+        stage = self.stages[number]
+        dropped = list(stage.held.values())
+        self.stages[number] = StageState(stage.ask)
+        return dropped
+
+    def read_by_done(self) -> list[int]:
+        """Return stages whose results nothing will read again."""
+        return [
+            number
+            for number, stage in enumerate(self.stages)
+            if stage.held and self._all_readers_done(number)
+        ]
+
+    def _all_readers_done(self, number: int) -> bool:
+        readers = [
+            stage
+            for stage in self.stages
+            if number in stage.ask.after and stage.ask.pieces
+        ]
+        return bool(readers) and all(stage.done for stage in readers)
+
+    def _inputs_done(self, stage: StageState) -> bool:
+        return all(self.stages[earlier].done for earlier in stage.ask.after)
--- /dev/null
+++ b/src/lentilspool/serving/_lanes.py
@@ -0,0 +1,233 @@
+"""Endpoints of stage services: what each works on, holds and how fast."""
+
+import dataclasses
+from typing import Final
+
+from lentilspool.serving import (
+    _configuration,
+    _endpoints,
+    _jobs,
+    _plan_types,
+)
+
+_SMOOTHING: Final = 0.3
+_SLOWEST: Final = 8.0
+_FASTEST: Final = 0.5
+# Results are larger than declared by this much after each lack of room.
+_GROWTH: Final = 1.08
+_MOST_GROWTH: Final = 1.5
+# Time for which an endpoint without room gets no large results to make.
+_NO_ROOM_S: Final = 0.2
+# Results that are worth a wait for an endpoint in the right zone.
+LARGE_BYTES: Final = 500_000
+# Time that has to be left after such a wait, for the engine.
+_ZONE_SLACK_S: Final = 0.3
+
+Waiting = tuple[_jobs.Job, int]
+"""A job, and the number of a stage that has pieces waiting."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Part:
+    """A piece in a call, and the job that it belongs to."""
+
+    job: _jobs.Job
+    """Request of the piece."""
+
+    stage: int
+    """Number of its stage."""
+
+    piece: int
+    """Number of the piece in the stage."""
+
+    size: float
+    """Bytes of its result."""
+
+
+@dataclasses.dataclass(slots=True)
+class Flight:
+    """A call that has not been answered."""
+
+    number: int
+    """Number of the call."""
+
+    service: str
+    """Service of the endpoint."""
+
+    lane: 'Lane'
+    """Endpoint that runs it."""
+
+    parts: tuple[Part, ...]
+    """Pieces of the call."""
+
+    started_at: float
+    """When it was sent."""
+
+    expected_s: float
+    """How long it should take."""
+
+    overdue: bool = False
+    """Whether its pieces were given to another endpoint meanwhile."""
+
+
+class Lane:
+    """One endpoint of a stage service."""
+
+    def __init__(
+        self,
+        endpoint: _endpoints.Endpoint,
+        limits: _configuration.BatchLimits,
+    ) -> None:
+        self.endpoint = endpoint
+        self.limits = limits
+        self.flights: dict[int, Flight] = {}
+        self.slowness = 1.0
+        self.blocked_until = 0.0
+        self.room = limits.room_bytes
+        self.no_room_until = 0.0
+
+    def idle(self, now: float) -> bool:
+        """Whether the endpoint can begin a call at once."""
+        free = len(self.flights) < self.limits.slots
+        return free and self.blocked_until <= now
+
+    def free_at(self, now: float) -> float:
+        """Return when the endpoint can probably begin another call."""
+        if len(self.flights) < self.limits.slots:
+            return max(now, self.blocked_until)
+        ends = min(
+            flight.started_at + flight.expected_s
+            for flight in self.flights.values()
+        )
+        return max(ends, now, self.blocked_until)
+
+    def give_room(self, size: float) -> None:
+        """Take in that a result was dropped."""
+        self.room += size
+        self.no_room_until = 0
+
+    def call_s(self, pieces: int) -> float:
+        """Return how long a call with so many pieces should take."""
+        limits = self.limits
+        return (limits.call_s + limits.piece_s * pieces) * self.slowness
+
+    def learn(self, flight: Flight, now: float) -> None:
+        """Take in how long a call took."""
+        plain_s = self.call_s(len(flight.parts)) / self.slowness
+        seen = (now - flight.started_at) / plain_s
+        seen = min(max(seen, _FASTEST), _SLOWEST)
+        self.slowness += _SMOOTHING * (seen - self.slowness)
+
+
+class _Chooser:
+    """Collects pieces for a call until it, or its endpoint, is full."""
+
+    def __init__(self, lane: Lane, factor: float, now: float) -> None:
+        self._batch = lane.limits.batch
+        self._factor = factor
+        self._room = lane.room
+        if lane.no_room_until > now:
+            self._room = min(self._room, LARGE_BYTES)
+        self.parts: list[Part] = []
+
+    def add(self, job: _jobs.Job, number: int) -> None:
+        """Add the waiting pieces of a stage that still fit."""
+        stage = job.stages[number]
+        size = stage.ask.result_bytes * self._factor
+        for piece in stage.waiting:
+            if len(self.parts) < self._batch and size <= self._room:
+                self._room -= size
+                self.parts.append(Part(job, number, piece, size))
+
+
+class StageService:
+    """All endpoints of one stage service."""
+
+    def __init__(self, limits: _configuration.BatchLimits) -> None:
+        self.limits = limits
+        self.lanes: dict[str, Lane] = {}
+        self.size_factor = 1.0
+
+    def no_room(self, lane: Lane, now: float) -> None:
+        """Take in that an endpoint had no room for a result."""
+        lane.no_room_until = now + _NO_ROOM_S
+        self.size_factor = min(self.size_factor * _GROWTH, _MOST_GROWTH)
+
+    def follow(
+        self,
+        endpoints: tuple[_endpoints.Endpoint, ...],
+        limits: _configuration.BatchLimits,
+    ) -> list[Lane]:
+        """Take the endpoints listed now; return the lanes that are gone."""
+        self.limits = limits
+        listed = {one.incarnation: one for one in endpoints}
+        gone = [
+            self.lanes.pop(name)
+            for name in list(self.lanes)
+            if name not in listed
+        ]
+        for name, endpoint in listed.items():
+            if name not in self.lanes:
+                self.lanes[name] = Lane(endpoint, limits)
+        return gone
+
+    def idle_lanes(self, now: float) -> list[Lane]:
+        """Return endpoints that can begin a call, the fastest first."""
+        idle = [lane for lane in self.lanes.values() if lane.idle(now)]
+        return sorted(idle, key=lambda lane: lane.slowness)
+
+    def fill_call(
+        self, lane: Lane, queue: list[Waiting], now: float
+    ) -> list[Part]:
+        """Return the pieces for one call, those first in order.
+
+        Pieces with large results wait for an endpoint in the availability
+        zone where they will be read, while there is time for that.
+        """
+        chooser = _Chooser(lane, self.size_factor, now)
+        for job, number in queue:
+            stage = job.stages[number]
+            if not self._waits_for_zone(lane, job, stage, now):
+                chooser.add(job, number)
+        return chooser.parts
+
+    def piece_s(self) -> float:
+        """Return what a piece costs when calls are full, over all lanes."""
+        limits = self.limits
+        alone_s = limits.piece_s + limits.call_s / max(limits.batch, 1)
+        return alone_s / max(len(self.lanes), 1)
+
+    def wait_s(self, pieces_ahead: float, now: float) -> float:
+        """Return the time until a piece with so many ahead is begun."""
+        if not self.lanes:
+            return _SLOWEST
+        first = min(lane.free_at(now) for lane in self.lanes.values())
+        return max(first - now, 0) + pieces_ahead * self.piece_s()
+
+    def _waits_for_zone(
+        self, lane: Lane, job: _jobs.Job, stage: _jobs.StageState, now: float
+    ) -> bool:
+        if stage.ask.result_bytes < LARGE_BYTES or not job.zone:
+            return False
+        if lane.endpoint.zone == job.zone:
+            return False
+        near = [
+            other.free_at(now) + other.call_s(len(stage.waiting))
+            for other in self.lanes.values()
+            if other.endpoint.zone == job.zone
+            and other.room >= stage.ask.result_bytes
+        ]
+        return bool(near) and min(near) + _ZONE_SLACK_S < job.target_at
+
+
+def order_piece(part: Part, now: float) -> _plan_types.Piece:
+    """Return the piece as its endpoint gets to see it."""
+    ask = part.job.ask
+    return _plan_types.Piece(
+        ask.request_id,
+        part.stage,
+        part.piece,
+        ask.piece_key,
+        part.job.inputs(part.stage),
+        max(part.job.deadline_at - now, 0),
+    )
--- /dev/null
+++ b/src/lentilspool/serving/_outlook.py
@@ -0,0 +1,109 @@
+"""How long a request will take, and what it is worth for its work.
+
+Answers bursts that ask for more stage work than there is: what cannot end
+in time is refused before any work is spent on it, and the scarce stages go
+to the requests that are worth most for each second of them.
+"""
+
+import math
+from collections.abc import Iterable
+from typing import Final
+
+from lentilspool.serving import _jobs, _lanes, _plan_types
+
+Services = dict[str, _lanes.StageService]
+_LEAST_S: Final = 0.001
+
+
+def value(ask: _plan_types.PlanAsk, limits: _plan_types.PlanLimits) -> float:
+    """Return the worth of a request: its tokens, weighted by its rank."""
+    tokens = 1.0
+    if ask.prompt:
+        tokens += ask.prompt.input_tokens
+        tokens += ask.prompt.output_tokens * limits.output_token_weight
+    return tokens * math.pow(limits.rank_weight, ask.priority)
+
+
+def bucket(
+    ask: _plan_types.PlanAsk,
+    services: Services,
+    limits: _plan_types.PlanLimits,
+) -> int:
+    """Return the worth for each second of work, as a power of two."""
+    work_s = _LEAST_S
+    for stage in ask.stages:
+        service = services.get(stage.service)
+        if service and stage.pieces:
+            work_s += stage.pieces * service.piece_s()
+    if ask.prompt:
+        work_s += ask.prompt.input_tokens / limits.prefill_tokens_per_s / 10
+    return round(math.log2(max(value(ask, limits) / work_s, 1)))
+
+
+def least_left_s(
+    job: _jobs.Job, services: Services, limits: _plan_types.PlanLimits
+) -> float:
+    """Return the time to the first event if nothing has to wait."""
+    ends: list[float] = []
+    for stage in job.stages:
+        begin = max((ends[earlier] for earlier in stage.ask.after), default=0)
+        service = services.get(stage.ask.service)
+        work_s = 0.0
+        if service and not stage.done and stage.ask.pieces:
+            pieces = min(stage.ask.pieces, service.limits.batch)
+            work_s = service.limits.call_s + pieces * service.limits.piece_s
+        ends.append(begin + work_s)
+    return max(ends, default=0) + limits.first_event_s
+
+
+def expected_s(
+    job: _jobs.Job,
+    services: Services,
+    ahead: dict[str, float],
+    now: float,
+) -> float:
+    """Return the time until all stages are done, with others ahead."""
+    ends: list[float] = []
+    for stage in job.stages:
+        begin = max((ends[earlier] for earlier in stage.ask.after), default=0)
+        service = services.get(stage.ask.service)
+        if service and stage.ask.pieces:
+            limits = service.limits
+            pieces = min(stage.ask.pieces, limits.batch)
+            begin += service.wait_s(ahead.get(stage.ask.service, 0), now)
+            begin += limits.call_s + pieces * limits.piece_s
+        ends.append(begin)
+    return max(ends, default=0)
+
+
+def pieces_ahead(
+    job: _jobs.Job, others: Iterable[_jobs.Job]
+) -> dict[str, float]:
+    """Return the waiting pieces of each service that go before the job's."""
+    ahead: dict[str, float] = {}
+    for other in others:
+        if other.bucket >= job.bucket:
+            for stage in other.stages:
+                name = stage.ask.service
+                ahead[name] = ahead.get(name, 0) + len(stage.waiting)
+    return ahead
+
+
+def ordered(
+    jobs: Iterable[_jobs.Job],
+    services: Services,
+    limits: _plan_types.PlanLimits,
+    now: float,
+) -> list[_jobs.Job]:
+    """Return jobs in the order in which they get work.
+
+    Those that can still be on time go first, by their worth for each second
+    of work and then by their targets.
+    """
+
+    def rank(job: _jobs.Job) -> tuple[bool, bool, int, float]:
+        late = now + least_left_s(job, services, limits) > job.target_at
+        due_at = job.deadline_at if late else job.target_at
+        return (late, not (late and job.begun), -job.bucket, due_at)
+
+    return sorted(jobs, key=rank)
--- /dev/null
+++ b/src/lentilspool/serving/_owner.py
@@ -0,0 +1,121 @@
+"""Which process plans: the same choice everywhere, without agreement.
+
+Answers many gateways that share a few stage endpoints: one of them plans for
+all, so that calls are filled across gateways and nobody herds. Two planners
+at once cost quality, never a promise: each caller's own gateway alone sends
+its request.
+"""
+
+import dataclasses
+from typing import Final
+
+import xxhash
+
+_ROUNDING: Final = 10.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Member:
+    """A gateway as others know it."""
+
+    name: str
+    """Name of the host."""
+
+    host: str
+    """IP address."""
+
+    port: int
+    """Port for other gateways."""
+
+    zone: str
+    """Availability zone."""
+
+    strength: float
+    """Share of a processor core that it has."""
+
+    incarnation: int
+    """Start of the process, Unix milliseconds."""
+
+    leaving: bool
+    """Whether it takes no new plans."""
+
+    @property
+    def address(self) -> str:
+        """IP address and port."""
+        return f'{self.host}:{self.port}'
+
+
+class Roster:
+    """Gateways heard of lately, and the order in which they plan.
+
+    ``heard`` takes what a gateway says of itself, directly or through
+    another; ``age_s`` is how long ago it said so.
+    """
+
+    def __init__(self, own: Member, forget_s: float) -> None:
+        self._own = own
+        self._forget_s = forget_s
+        self._members: dict[str, tuple[Member, float]] = {}
+        self._silent_until: dict[str, float] = {}
+
+    @property
+    def own(self) -> Member:
+        """This process."""
+        return self._own
+
+    def leave(self) -> None:
+        """Take no new plans from now on."""
+        self._own = dataclasses.replace(self._own, leaving=True)
+
+    def heard(self, member: Member, age_s: float, now: float) -> None:
+        """Take in a sign of life."""
+        if member.name == self._own.name:
+            return
+        held = self._members.get(member.name)
+        said_at = now - age_s
+        if held is None or (held[0].incarnation, held[1]) <= (
+            member.incarnation,
+            said_at,
+        ):
+            self._members[member.name] = (member, said_at)
+
+    def silent(self, name: str, seconds: float, now: float) -> None:
+        """Send a gateway no plans for a time, since it does not answer."""
+        self._silent_until[name] = now + seconds
+
+    def answered(self, name: str) -> None:
+        """Note that a gateway answers."""
+        self._silent_until.pop(name, None)
+
+    def members(self, now: float) -> list[tuple[Member, float]]:
+        """Return the other gateways and the age of their last sign."""
+        self._members = {
+            member.name: (member, said_at)
+            for member, said_at in self._members.values()
+            if now - said_at <= self._forget_s
+        }
+        return [
+            (member, now - said_at)
+            for member, said_at in self._members.values()
+        ]
+
+    def planners(self, fresh_s: float, now: float) -> list[Member]:
+        """Return the gateways that plan, the first choice first.
+
+        Gateways that were not heard for ``fresh_s`` seconds, that leave or
+        do not answer are left out. This process is always in the list.
+        """
+        fit = [
+            member
+            for member, age_s in self.members(now)
+            if age_s <= fresh_s
+            and not member.leaving
+            and self._silent_until.get(member.name, 0) <= now
+        ]
+        return sorted([*fit, self._own], key=_preference)
+
+
+def _preference(member: Member) -> tuple[bool, float, int]:
+    digest = xxhash.xxh3_64_intdigest(member.name.encode())
+    strength = round(member.strength * _ROUNDING) / _ROUNDING
+    return (member.leaving, -strength, digest)
--- /dev/null
+++ b/src/lentilspool/serving/_pick.py
@@ -0,0 +1,106 @@
+"""Choice of an endpoint for requests without stages.
+
+Answers slow, failing and full endpoints of plain services: the least loaded
+endpoint gets the request, and outliers get none for a time.
+"""
+
+import random
+from collections.abc import Container
+
+from lentilspool import retries
+from lentilspool.serving import _answers, _endpoints
+
+
+class EndpointLoads:
+    """Load and health of the endpoints of plain services.
+
+    Call ``choose`` before an attempt, ``begun`` when it is sent, and
+    ``ended`` when it is over.
+    """
+
+    def __init__(self, zone: str, rng: random.Random) -> None:
+        self._zone = zone
+        self._rng = rng
+        self._open: dict[str, int] = {}
+        self._told: dict[str, tuple[int, float]] = {}
+        self._blocked: dict[str, float] = {}
+        self._ejection: dict[str, retries.OutlierEjection] = {}
+
+    def choose(
+        self,
+        endpoints: tuple[_endpoints.Endpoint, ...],
+        tried: Container[str],
+        now: float,
+    ) -> _endpoints.Endpoint | None:
+        """Return the endpoint for the next attempt, if any is left."""
+        left = [one for one in endpoints if one.incarnation not in tried]
+        if not left:
+            return None
+        sound = [one for one in left if self._sound(one, now)]
+        return min(sound or left, key=lambda one: self._cost(one, now))
+
+    def begun(self, endpoint: _endpoints.Endpoint) -> None:
+        """Note that a request is sent to an endpoint."""
+        name = endpoint.incarnation
+        self._open[name] = self._open.get(name, 0) + 1
+
+    def ended(
+        self,
+        endpoint: _endpoints.Endpoint,
+        *,
+        succeeded: bool,
+        latency_s: float,
+        load: _answers.Load | None,
+        now: float,
+    ) -> None:
+        """Take in the end of an attempt."""
+        name = endpoint.incarnation
+        left = self._open.get(name, 1) - 1
+        if left:
+            self._open[name] = left
+        else:
+            self._open.pop(name, None)
+        if load:
+            self._told[name] = (load.running + load.waiting, now)
+        self._pool(endpoint.service).record(
+            name,
+            succeeded=succeeded,
+            latency_s=latency_s,
+            now=now,
+            rng=self._rng,
+        )
+
+    def block(
+        self, endpoint: _endpoints.Endpoint, seconds: float, now: float
+    ) -> None:
+        """Send an endpoint nothing for a time, if there are others."""
+        self._blocked[endpoint.incarnation] = now + seconds
+
+    def follow(
+        self, service: str, endpoints: tuple[_endpoints.Endpoint, ...]
+    ) -> None:
+        """Take the endpoints that a service has now."""
+        self._pool(service).retain(one.incarnation for one in endpoints)
+
+    def _pool(self, service: str) -> retries.OutlierEjection:
+        if service not in self._ejection:
+            self._ejection[service] = retries.OutlierEjection()
+        return self._ejection[service]
+
+    def _sound(self, endpoint: _endpoints.Endpoint, now: float) -> bool:
+        name = endpoint.incarnation
+        if self._blocked.get(name, 0) > now:
+            return False
+        verdict = self._pool(endpoint.service).verdict(name, now)
+        return not verdict.ejected
+
+    def _cost(
+        self, endpoint: _endpoints.Endpoint, now: float
+    ) -> tuple[float, bool, float]:
+        name = endpoint.incarnation
+        running = float(self._open.get(name, 0))
+        told, at = self._told.get(name, (0, 0))
+        # A report counts for less the older it is; after a second, nothing.
+        running += told * max(1 - (now - at), 0) / 2
+        full = running / max(endpoint.slots, 1)
+        return (round(full, 1), endpoint.zone != self._zone, self._rng.random())
--- /dev/null
+++ b/src/lentilspool/serving/_planner.py
@@ -0,0 +1,233 @@
+"""Plans of many requests over shared stage services and engines."""
+
+import logging
+from typing import Final
+
+from lentilspool.serving import (
+    _configuration,
+    _endpoints,
+    _engines,
+    _events,
+    _fleet,
+    _jobs,
+    _outlook,
+    _plan_types,
+    _stage_desk,
+)
+
+_logger: Final = logging.getLogger(__name__)
+_IDLE_S: Final = 3600.0
+_TICK_S: Final = 0.1
+_MS: Final = 1000
+_RETRY_S: Final = 0.5
+
+
+class Planner:
+    """Runs stages in shared calls and chooses engines.
+
+    Answers bursts that overload stage services which take one call at a
+    time: pieces of all requests share calls, calls are filled while the
+    endpoint is busy, and requests wait in the order of their worth.
+
+    ``submit`` takes a request; ``call_ended``, ``freed``, ``started``,
+    ``ended`` and ``cancel`` tell what became of calls and requests. After
+    any of them, and at ``wake_at``, call ``step`` and carry out the actions.
+    """
+
+    def __init__(
+        self,
+        directory: _endpoints.Directory,
+        limits: _plan_types.PlanLimits | None = None,
+    ) -> None:
+        self._limits = limits or _plan_types.PlanLimits()
+        self._fleet = _fleet.Fleet(directory, self._limits)
+        self._stages = self._fleet.stages
+        self._jobs: dict[str, _jobs.Job] = {}
+        self._running: dict[str, tuple[_jobs.Job, _engines.Engine]] = {}
+
+    @property
+    def waiting(self) -> int:
+        """Requests whose stages or engine are not settled."""
+        return len(self._jobs)
+
+    def configure(self, services: dict[str, _configuration.Service]) -> None:
+        """Take the services of a new configuration."""
+        self._fleet.configure(services)
+
+    def knows(self, ask: _plan_types.PlanAsk) -> bool:
+        """Whether all services of a request are configured here."""
+        return self._fleet.knows(ask)
+
+    def submit(self, ask: _plan_types.PlanAsk, now: float) -> None:
+        """Take a request, or refuse it if it cannot end in time."""
+        self._fleet.follow()
+        job = _jobs.Job(ask, now)
+        job.bucket = _outlook.bucket(ask, self._stages.services, self._limits)
+        likely = self._fleet.pool(ask.service).choose(ask, {}, now)
+        if likely and ask.shared_tokens >= self._limits.rooted_tokens:
+            job.zone = likely.engine.endpoint.zone
+        expected_s = self._expected_s(job, now)
+        if expected_s > ask.deadline_s * self._limits.admit_share:
+            self._refuse(job, 'no_time', expected_s, now)
+            return
+        self._jobs[ask.key] = job
+        _events.PLANNED.log(
+            _logger,
+            request_id=ask.request_id,
+            plan=ask.key,
+            expected_ms=round(expected_s * _MS),
+            target_ms=round(ask.target_s * _MS),
+            waiting=len(self._jobs),
+        )
+
+    def call_ended(
+        self,
+        number: int,
+        results: tuple[_plan_types.PieceResult, ...] | None,
+        now: float,
+        *,
+        ran: bool = True,
+    ) -> None:
+        """Take in the answer to a call; None if there was none.
+
+        ``ran`` is False if the endpoint said that it did not run the call.
+        """
+        self._set_back(self._stages.ended(number, results, now, ran=ran), now)
+
+    def freed(self, number: int) -> None:
+        """Take in that an endpoint has dropped results."""
+        self._stages.freed(number)
+
+    def started(self, key: str, now: float) -> None:
+        """Take in that the first event of a request was seen."""
+        job, engine = self._running.get(key, (None, None))
+        if job and engine:
+            engine.started(key, now)
+            self._free(job)
+
+    def ended(self, key: str, now: float, *, healthy: bool = True) -> None:
+        """Take in that an engine no longer works on a request."""
+        job, engine = self._running.pop(key, (None, None))
+        if job and engine:
+            engine.running.pop(key, None)
+            if not healthy:
+                engine.fail(now + self._limits.block_s)
+            self._free(job)
+
+    def cancel(self, key: str, now: float) -> None:
+        """Drop a request whose caller has left."""
+        job = self._jobs.pop(key, None)
+        if job:
+            self._free(job)
+        self.ended(key, now)
+
+    def step(self, now: float) -> list[_plan_types.Action]:
+        """Return everything that is to be done now."""
+        self._fleet.follow()
+        self._stages.expire(now)
+        self._give_up(now)
+        self._set_back(self._stages.overdue(now), now)
+        jobs = _outlook.ordered(
+            self._jobs.values(), self._stages.services, self._limits, now
+        )
+        self._stages.start(jobs, now)
+        for job in jobs:
+            if job.done:
+                self._start_run(job, now)
+        actions = list(self._stages.actions)
+        self._stages.actions.clear()
+        return actions
+
+    def wake_at(self, now: float) -> float:
+        """Return when ``step`` is to be called if nothing happens."""
+        pause_s = _TICK_S if self._jobs else _IDLE_S
+        return min([now + pause_s, *self._stages.next_due()])
+
+    def _expected_s(self, job: _jobs.Job, now: float) -> float:
+        ahead = _outlook.pieces_ahead(job, self._jobs.values())
+        services = self._stages.services
+        stages_s = _outlook.expected_s(job, services, ahead, now)
+        pool = self._fleet.pool(job.ask.service)
+        engine_s = pool.wait_s(now + stages_s)
+        return stages_s + engine_s + self._limits.first_event_s
+
+    def _give_up(self, now: float) -> None:
+        """Refuse what can no longer be served, or has waited in vain."""
+        services = self._stages.services
+        for job in list(self._jobs.values()):
+            left_s = job.deadline_at - now
+            least_s = _outlook.least_left_s(job, services, self._limits)
+            late = now + least_s > job.target_at
+            patience_s = job.ask.deadline_s * self._limits.late_wait_share
+            tired = not job.begun and now - job.arrived_at > patience_s
+            if least_s > left_s:
+                self._refuse(job, 'deadline', None, now)
+            elif late and tired:
+                self._refuse(job, 'late', self._expected_s(job, now), now)
+
+    def _set_back(
+        self, setbacks: list[_stage_desk.Setback], now: float
+    ) -> None:
+        for setback in setbacks:
+            if not setback.job.closed:
+                self._refuse(setback.job, setback.reason, _RETRY_S, now)
+
+    def _start_run(self, job: _jobs.Job, now: float) -> None:
+        """Choose the engine of a request whose stages are done."""
+        ask = job.ask
+        pool = self._fleet.pool(ask.service)
+        placement = pool.choose(ask, job.result_sizes, now)
+        if placement is None:
+            if now > job.target_at + _RETRY_S:
+                self._refuse(job, 'no_engine', _RETRY_S, now)
+            return
+        self._jobs.pop(ask.key)
+        pool.send(placement, ask, now)
+        self._running[ask.key] = (job, placement.engine)
+        endpoint = placement.engine.endpoint
+        results = job.results if job.stages else None
+        self._stages.actions.append(
+            _plan_types.RunAt(
+                ask.key, endpoint, results, placement.cache_source
+            )
+        )
+        _events.PLACED.log(
+            _logger,
+            request_id=ask.request_id,
+            plan=ask.key,
+            endpoint=endpoint.name,
+            read_tokens=placement.read_tokens,
+            first_event_ms=round(placement.first_event_s * _MS),
+            fetch_from=placement.cache_source,
+            running=len(placement.engine.running),
+            waited_ms=round((now - job.arrived_at) * _MS),
+            zone=endpoint.zone,
+            stage_zone=job.zone,
+        )
+
+    def _refuse(
+        self,
+        job: _jobs.Job,
+        reason: str,
+        retry_after_s: float | None,
+        now: float,
+    ) -> None:
+        ask = job.ask
+        self._jobs.pop(ask.key, None)
+        self._free(job)
+        self._stages.actions.append(
+            _plan_types.Refuse(ask.key, reason, retry_after_s)
+        )
+        _events.PLAN_REFUSED.log(
+            _logger,
+            request_id=ask.request_id,
+            plan=ask.key,
+            reason=reason,
+            waited_ms=round((now - job.arrived_at) * _MS),
+            waiting=len(self._jobs),
+        )
+
+    def _free(self, job: _jobs.Job) -> None:
+        """Free all results of a job that needs none any more."""
+        job.closed = True
+        self._stages.release(job.drop_results(list(range(len(job.stages)))))
--- /dev/null
+++ b/src/lentilspool/serving/_route_table.py
@@ -0,0 +1,83 @@
+"""Finds the route and the team of a request."""
+
+import dataclasses
+import random
+
+from lentilspool.serving import _calls, _configuration
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Matched:
+    """The request is allowed."""
+
+    route: _configuration.Route
+    """Route of the request."""
+
+    team: _configuration.Team | None
+    """Team of the caller; None on public routes."""
+
+    @property
+    def priority(self) -> int:
+        """Rank of the request; 0 goes first."""
+        if self.team and self.team.priority is not None:
+            return self.team.priority
+        return self.route.priority
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoRoute:
+    """No route has the host and a prefix of the path."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnknownKey:
+    """No team holds the key of the request."""
+
+
+class RouteTable:
+    """Index of one configuration's routes and keys."""
+
+    def __init__(self, configuration: _configuration.Configuration) -> None:
+        self._keyed = bool(configuration.teams)
+        self._routes: dict[str, dict[str, _configuration.Route]] = {}
+        for route in configuration.routes:
+            self._routes.setdefault(route.host, {})[route.prefix] = route
+        self._teams = {
+            key: team for team in configuration.teams for key in team.keys
+        }
+
+    def find(self, call: _calls.Call) -> Matched | NoRoute | UnknownKey:
+        """Return the route with the longest prefix, if its key is known."""
+        route = self.route_of(call.host, call.path)
+        if route is None:
+            return NoRoute()
+        if route.public or not self._keyed:
+            return Matched(route, None)
+        team = self._teams.get(call.api_key)
+        return Matched(route, team) if team else UnknownKey()
+
+    def route_of(self, host: str, path: str) -> _configuration.Route | None:
+        """Return the route of a host with the longest matching prefix."""
+        prefixes = self._routes.get(_bare(host))
+        if not prefixes:
+            return None
+        end = path.rfind('/')
+        while end >= 0:
+            route = prefixes.get(path[: end + 1])
+            if route:
+                return route
+            end = path.rfind('/', 0, end)
+        return None
+
+
+def pick_service(route: _configuration.Route, rng: random.Random) -> str:
+    """Return one of the route's services, by their weights."""
+    if len(route.shares) == 1:
+        return route.shares[0].service
+    names = [share.service for share in route.shares]
+    weights = [share.weight for share in route.shares]
+    return rng.choices(names, weights)[0]
+
+
+def _bare(host: str) -> str:
+    return host.partition(':')[0].lower()
--- /dev/null
+++ b/src/lentilspool/serving/tests/builders.py
@@ -0,0 +1,113 @@
+"""Endpoints, services and requests for tests of plans."""
+
+import dataclasses
+
+from lentilspool import serving
+
+BATCHES = serving.BatchLimits(
+    slots=1,
+    queue=2,
+    batch=4,
+    call_s=0.15,
+    piece_s=0.03,
+    room_bytes=18_000_000,
+    keep_s=4,
+)
+ENGINE = serving.EngineLimits(slots=64, memory_tokens=600_000, can_fetch=True)
+SERVICES = {
+    'model': serving.Service('model', 370, engine=ENGINE),
+    'search': serving.Service('search', 370, batches=BATCHES),
+    'rank': serving.Service('rank', 370, batches=BATCHES),
+}
+
+
+def endpoint(
+    name: str, service: str, zone: str = 'a', *, ready: bool = True
+) -> serving.Endpoint:
+    """Return an endpoint whose address follows from its name."""
+    port = 1000 + sum(name.encode())
+    return serving.Endpoint(name, service, '10.0.0.1', port, zone, 1, ready, 1)
+
+
+def directory(*endpoints: serving.Endpoint) -> serving.Directory:
+    """Return a directory that lists the endpoints."""
+    listed = serving.Directory()
+    listed.replace({one.name: one for one in endpoints})
+    return listed
+
+
+def planner(
+    listed: serving.Directory, limits: serving.PlanLimits | None = None
+) -> serving.Planner:
+    """Return a planner for the services above."""
+    made = serving.Planner(listed, limits)
+    made.configure(SERVICES)
+    return made
+
+
+def stage(
+    pieces: int = 1,
+    service: str = 'search',
+    after: tuple[int, ...] = (),
+    result_bytes: float = 8000,
+) -> serving.StageAsk:
+    """Return a stage of a request."""
+    return serving.StageAsk(service, after, result_bytes, pieces)
+
+
+def prompt(
+    shared: int = 1000, own: int = 500, key: str = 'p'
+) -> serving.Prompt:
+    """Return a prompt with one shared part and one of its own."""
+    parts = (serving.PromptPart(key, shared), serving.PromptPart('own', own))
+    return serving.Prompt('m', shared + own, 100, parts)
+
+
+def ask(
+    key: str,
+    *stages: serving.StageAsk,
+    **changes: object,
+) -> serving.PlanAsk:
+    """Return a request with a second until its target."""
+    plain = serving.PlanAsk(
+        key=key,
+        request_id=f'id-{key}',
+        route='route',
+        service='model',
+        stages=stages,
+        piece_key='about',
+        prompt=prompt(),
+        target_s=1,
+        deadline_s=8,
+        priority=1,
+        zone='a',
+    )
+    return dataclasses.replace(plain, **changes)  # type: ignore[arg-type]
+
+
+def calls(actions: list[serving.Action]) -> list[serving.StartCall]:
+    """Return the stage calls among actions."""
+    return [one for one in actions if isinstance(one, serving.StartCall)]
+
+
+def runs(actions: list[serving.Action]) -> list[serving.RunAt]:
+    """Return the placements among actions."""
+    return [one for one in actions if isinstance(one, serving.RunAt)]
+
+
+def refusals(actions: list[serving.Action]) -> list[serving.Refuse]:
+    """Return the refusals among actions."""
+    return [one for one in actions if isinstance(one, serving.Refuse)]
+
+
+def frees(actions: list[serving.Action]) -> list[serving.FreeResults]:
+    """Return the orders to free results among actions."""
+    return [one for one in actions if isinstance(one, serving.FreeResults)]
+
+
+def made(call: serving.StartCall) -> tuple[serving.PieceResult, ...]:
+    """Return a result for every piece of a call."""
+    return tuple(
+        serving.PieceResult(f'{call.endpoint.address}/{call.number}-{index}')
+        for index, _ in enumerate(call.pieces)
+    )
--- a/src/lentilspool/settings/_reference.py
+++ b/src/lentilspool/settings/_reference.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterator
 from typing import Any
 
-from lentilspool.settings import _daemons
+from lentilspool.settings import _daemons, _gateway
 
 
 def reference() -> str:
@@ -23,6 +23,7 @@
     for program, kind in (
         ('lentilspool-entry', _daemons.EntrySettings),
         ('lentilspool-sidecar', _daemons.SidecarSettings),
+        ('lentilspool-gateway', _gateway.GatewaySettings),
     ):
         lines.extend((f'## {program}', ''))
         lines.extend(_table(kind))
@@ -47,7 +48,11 @@
             yield f'| `{name}` | object | | {meaning} |'
             yield from _rows(typing.cast(type[Any], hint), f'{name}.')
         else:
-            yield f'| `{name}` | {hint.__name__} | {_shown(field)} | {meaning} |'
+            yield f'| `{name}` | {_shown_type(hint)} | {_shown(field)} | {meaning} |'
+
+
+def _shown_type(hint: Any) -> str:
+    return str(hint) if typing.get_args(hint) else str(hint.__name__)
 
 
 def _shown(field: 'dataclasses.Field[Any]') -> str:
--- a/src/lentilspool/wire/__init__.py
+++ b/src/lentilspool/wire/__init__.py
@@ -26,5 +26,11 @@
 from lentilspool.wire._hand_off import HeldCall as HeldCall
 from lentilspool.wire._hand_off import RenewAnswer as RenewAnswer
 from lentilspool.wire._hand_off import RenewCall as RenewCall
+from lentilspool.wire._plans import GatewayBeat as GatewayBeat
+from lentilspool.wire._plans import PlanAnswer as PlanAnswer
+from lentilspool.wire._plans import PlanCall as PlanCall
+from lentilspool.wire._plans import PlanNote as PlanNote
+from lentilspool.wire._plans import Published as Published
+from lentilspool.wire._plans import PublishedAsk as PublishedAsk
 from lentilspool.wire._stream import Closed as Closed
 from lentilspool.wire._stream import MessageStream as MessageStream
--- a/src/lentilspool/wire/_codec.py
+++ b/src/lentilspool/wire/_codec.py
@@ -12,7 +12,7 @@
 from thrift.protocol import TCompactProtocol
 from thrift.transport import TTransport
 
-from lentilspool.wire import _calls, _control, _hand_off
+from lentilspool.wire import _calls, _control, _hand_off, _plans
 from lentilspool.wire.generated.messages import constants, ttypes
 
 CallMessage = (
@@ -42,7 +42,15 @@
     | _hand_off.CollectCall
     | _hand_off.CollectAnswer
 )
-Message = CallMessage | ControlMessage | HandOffMessage
+PlanMessage = (
+    _plans.PlanCall
+    | _plans.PlanAnswer
+    | _plans.PlanNote
+    | _plans.GatewayBeat
+    | _plans.PublishedAsk
+    | _plans.Published
+)
+Message = CallMessage | ControlMessage | HandOffMessage | PlanMessage
 
 PROTOCOL_VERSION: Final[int] = constants.PROTOCOL_VERSION
 
@@ -69,6 +77,12 @@
         _hand_off.RenewAnswer: 'renew_answer',
         _hand_off.CollectCall: 'collect_call',
         _hand_off.CollectAnswer: 'collect_answer',
+        _plans.PlanCall: 'plan_call',
+        _plans.PlanAnswer: 'plan_answer',
+        _plans.PlanNote: 'plan_note',
+        _plans.GatewayBeat: 'gateway_beat',
+        _plans.PublishedAsk: 'published_ask',
+        _plans.Published: 'published',
     }
 )
 
--- a/src/lentilspool/wire/lentilspool.thrift
+++ b/src/lentilspool/wire/lentilspool.thrift
@@ -182,6 +182,44 @@
   1: required i64 number
 }
 
+// ask: a PlanAsk of lentilspool.serving, as MessagePack
+struct PlanCall {
+  1: required i64 call_id
+  2: required binary ask
+}
+
+// answer: a RunAt or Refuse of lentilspool.serving, as MessagePack
+struct PlanAnswer {
+  1: required i64 call_id
+  2: required binary answer
+}
+
+// event: started, ended, failed, cancelled
+struct PlanNote {
+  1: required i64 call_id
+  2: required string event
+}
+
+// view: a View of lentilspool.gateway, as MessagePack
+struct GatewayBeat {
+  1: required i64 number
+  2: required binary view
+  3: required bool answer
+}
+
+// kind: configuration, endpoints
+struct PublishedAsk {
+  1: required string kind
+  2: required i64 revision
+}
+
+// content: items of the platform's store, as MessagePack
+struct Published {
+  1: required string kind
+  2: required i64 revision
+  3: required binary content
+}
+
 struct Envelope {
   1: optional Hello hello
   2: optional StageCall stage_call
@@ -204,4 +242,10 @@
   19: optional Suspicions suspicions
   20: optional OrderProgress order_progress
   21: optional Probe probe
+  22: optional PlanCall plan_call
+  23: optional PlanAnswer plan_answer
+  24: optional PlanNote plan_note
+  25: optional GatewayBeat gateway_beat
+  26: optional PublishedAsk published_ask
+  27: optional Published published
 }
