Reserve room for all results of a stage before it begins

Change: a stage begins only if the room that no begun stage needs holds all its results; stages are run again from the first one whose results are gone; a loss told by many pieces of a call counts once; callers' patience bounds the time until the first event.

--- a/src/lentilspool/gateway/_flight.py
+++ b/src/lentilspool/gateway/_flight.py
@@ -113,6 +113,11 @@
         timeout_s = self.arrived_at + self.route.timeout_s - _clock.now()
         return min(self.caller_left_s, timeout_s) - _RETURN_S
 
+    @property
+    def patience_left_s(self) -> float:
+        """Seconds until the caller leaves if it gets no event."""
+        return self.arrived_at + self.route.patience_s - _clock.now()
+
     @property
     def target_left_s(self) -> float:
         """Seconds until the answer that the caller wants."""
--- a/src/lentilspool/gateway/_streams.py
+++ b/src/lentilspool/gateway/_streams.py
@@ -89,7 +89,7 @@
             piece_key=call.piece_key,
             prompt=call.prompt,
             target_s=flight.target_left_s,
-            deadline_s=flight.left_s,
+            deadline_s=min(flight.left_s, flight.patience_left_s),
             priority=flight.matched.priority,
             zone=flight.tools.own.zone,
             avoid=tuple(flight.tried),
--- a/src/lentilspool/platform/_configuration.py
+++ b/src/lentilspool/platform/_configuration.py
@@ -9,6 +9,10 @@
 
 _MS: Final = 1000.0
 _MB: Final = 1_000_000.0
+# Callers abandon a stream after the longest of these (PROTOCOL, Requests).
+_LEAST_PATIENCE_S: Final = 2.0
+_TARGETS_OF_PATIENCE: Final = 4
+_PAUSES_OF_PATIENCE: Final = 8
 _CALL_LIMITS: Final = serving.CallLimits()
 
 
@@ -138,6 +142,11 @@
         public=route.public,
         resumable=route.resumable,
         longest_pause_s=route.max_gap_ms / _MS,
+        patience_s=max(
+            _LEAST_PATIENCE_S,
+            route.target_latency_ms / _MS * _TARGETS_OF_PATIENCE,
+            route.max_gap_ms / _MS * _PAUSES_OF_PATIENCE,
+        ),
         stages=tuple(
             serving.Stage(one.service, tuple(one.after), one.bytes)
             for one in route.stages
--- a/src/lentilspool/serving/_configuration.py
+++ b/src/lentilspool/serving/_configuration.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import math
 
 
 class Kind(enum.Enum):
@@ -134,6 +135,9 @@
     longest_pause_s: float = 0
     """Pause between two events that is still on time."""
 
+    patience_s: float = math.inf
+    """Time without an event after which callers leave a stream."""
+
     stages: tuple[Stage, ...] = ()
     """Work that comes first, by stage number."""
 
--- a/src/lentilspool/serving/_jobs.py
+++ b/src/lentilspool/serving/_jobs.py
@@ -43,6 +43,11 @@
         """Whether every piece has, or had, a result."""
         return self.freed or len(self.held) == self.ask.pieces
 
+    @property
+    def begun(self) -> bool:
+        """Whether any piece has a result or is in a call."""
+        return bool(self.held or self.flying)
+
     def settled(self, piece: int) -> bool:
         """Whether the piece has a result or waits for a call."""
         return self.freed or piece in self.held or piece in self.waiting
@@ -89,7 +94,7 @@
         return [
             number
             for number, stage in enumerate(self.stages)
-            if stage.waiting and self._inputs_done(stage)
+            if stage.waiting and self.inputs_done(number)
         ]
 
     @property
@@ -140,6 +145,30 @@
             self.stages[number].freed = True
         return dropped
 
+    def to_redo(self, number: int) -> list[int]:
+        """Return the stages to run again so that a stage has its inputs.
+
+        These are the stages that it reads, and for each of them the stages
+        that it reads in turn, if their results were dropped.
+        """
+        found: list[int] = []
+        for earlier in self.stages[number].ask.after:
+            found.append(earlier)
+            dropped = any(
+                self.stages[source].freed
+                for source in self.stages[earlier].ask.after
+            )
+            if dropped:
+                found.extend(self.to_redo(earlier))
+        return found
+
+    def inputs_done(self, number: int) -> bool:
+        """Whether all stages that a stage reads have their results."""
+        return all(
+            self.stages[earlier].done
+            for earlier in self.stages[number].ask.after
+        )
+
     def redo(self, number: int) -> list[Held]:
         """Queue all pieces of a stage again; return its old results."""
         stage = self.stages[number]
@@ -162,6 +191,3 @@
             if number in stage.ask.after and stage.ask.pieces
         ]
         return bool(readers) and all(stage.done for stage in readers)
-
-    def _inputs_done(self, stage: StageState) -> bool:
-        return all(self.stages[earlier].done for earlier in stage.ask.after)
--- a/src/lentilspool/serving/_lanes.py
+++ b/src/lentilspool/serving/_lanes.py
@@ -1,6 +1,7 @@
 """Endpoints of stage services: what each works on, holds and how fast."""
 
 import dataclasses
+import math
 from typing import Final
 
 from lentilspool.serving import (
@@ -16,8 +17,8 @@
 # Results are larger than declared by this much after each lack of room.
 _GROWTH: Final = 1.08
 _MOST_GROWTH: Final = 1.5
-# Time for which an endpoint without room gets no large results to make.
-_NO_ROOM_S: Final = 0.2
+# Time for which an endpoint without room gets no call.
+_NO_ROOM_S: Final = 0.1
 # Results that are worth a wait for an endpoint in the right zone.
 LARGE_BYTES: Final = 500_000
 # Time that has to be left after such a wait, for the engine.
@@ -84,7 +85,8 @@
         self.slowness = 1.0
         self.blocked_until = 0.0
         self.room = limits.room_bytes
-        self.no_room_until = 0.0
+        # Pieces in the next call; few after a lack of room.
+        self.most = limits.batch
 
     def idle(self, now: float) -> bool:
         """Whether the endpoint can begin a call at once."""
@@ -104,7 +106,6 @@
     def give_room(self, size: float) -> None:
         """Take in that a result was dropped."""
         self.room += size
-        self.no_room_until = 0
 
     def call_s(self, pieces: int) -> float:
         """Return how long a call with so many pieces should take."""
@@ -116,26 +117,36 @@
         plain_s = self.call_s(len(flight.parts)) / self.slowness
         seen = (now - flight.started_at) / plain_s
         seen = min(max(seen, _FASTEST), _SLOWEST)
+        self.most = min(self.most * 2, self.limits.batch)
         self.slowness += _SMOOTHING * (seen - self.slowness)
 
 
 class _Chooser:
     """Collects pieces for a call until it, or its endpoint, is full."""
 
-    def __init__(self, lane: Lane, factor: float, now: float) -> None:
-        self._batch = lane.limits.batch
+    def __init__(self, lane: Lane, factor: float, spare: float) -> None:
+        self._lane = lane
         self._factor = factor
         self._room = lane.room
-        if lane.no_room_until > now:
-            self._room = min(self._room, LARGE_BYTES)
+        self._spare = spare
         self.parts: list[Part] = []
 
     def add(self, job: _jobs.Job, number: int) -> None:
-        """Add the waiting pieces of a stage that still fit."""
+        """Add the waiting pieces of a stage that still fit.
+
+        A stage begins only if all its results find room, beside those of
+        the stages that have begun: requests that each hold a part of the
+        room and wait for the rest would block each other.
+        """
         stage = job.stages[number]
         size = stage.ask.result_bytes * self._factor
+        if not stage.begun:
+            needed = size * len(stage.waiting)
+            if needed > self._spare:
+                return
+            self._spare -= needed
         for piece in stage.waiting:
-            if len(self.parts) < self._batch and size <= self._room:
+            if len(self.parts) < self._lane.most and size <= self._room:
                 self._room -= size
                 self.parts.append(Part(job, number, piece, size))
 
@@ -150,7 +161,8 @@
 
     def no_room(self, lane: Lane, now: float) -> None:
         """Take in that an endpoint had no room for a result."""
-        lane.no_room_until = now + _NO_ROOM_S
+        lane.blocked_until = max(lane.blocked_until, now + _NO_ROOM_S)
+        lane.most = 1
         self.size_factor = min(self.size_factor * _GROWTH, _MOST_GROWTH)
 
     def follow(
@@ -184,7 +196,7 @@
         Pieces with large results wait for an endpoint in the availability
         zone where they will be read, while there is time for that.
         """
-        chooser = _Chooser(lane, self.size_factor, now)
+        chooser = _Chooser(lane, self.size_factor, self._spare(queue))
         for job, number in queue:
             stage = job.stages[number]
             if not self._waits_for_zone(lane, job, stage, now):
@@ -204,6 +216,20 @@
         first = min(lane.free_at(now) for lane in self.lanes.values())
         return max(first - now, 0) + pieces_ahead * self.piece_s()
 
+    def _spare(self, queue: list[Waiting]) -> float:
+        """Return the room that no result holds, and no begun stage needs."""
+        rooms = [lane.room for lane in self.lanes.values()]
+        claimed = [
+            job.stages[number].ask.result_bytes
+            * len(job.stages[number].waiting)
+            for job, number in queue
+            if job.stages[number].begun
+        ]
+        whole = self.limits.room_bytes * len(rooms)
+        spare = sum(rooms) - sum(claimed) * self.size_factor
+        # A request that is too large for all endpoints still gets its turn.
+        return math.inf if sum(rooms) >= whole else spare
+
     def _waits_for_zone(
         self, lane: Lane, job: _jobs.Job, stage: _jobs.StageState, now: float
     ) -> bool:
--- a/src/lentilspool/serving/_stage_desk.py
+++ b/src/lentilspool/serving/_stage_desk.py
@@ -291,10 +291,16 @@
         job = part.job
         if job.closed:
             return []
+        stage = job.stages[part.stage]
+        if not job.inputs_done(part.stage):
+            # Another piece of the same call has told the loss already.
+            stage.again(part.piece)
+            return []
         job.redone += 1
         if job.redone > _MOST_REDONE:
             return [Setback(job, 'results_lost')]
-        for number in (part.stage, *job.stages[part.stage].ask.after):
+        stage.again(part.piece)
+        for number in job.to_redo(part.stage):
             self.release(job.redo(number))
         return []
 
