--- a/src/lentilspool/gateway/_peers.py
+++ b/src/lentilspool/gateway/_peers.py
@@ -251,6 +251,8 @@
         match message:
             case wire.GatewayBeat():
                 self._hear(message)
+            case wire.PublishedAsk():
+                self._put(self._knowledge.share(message))
             case wire.Published():
                 self._knowledge.learn(message)
             case wire.PlanAnswer():
--- a/src/lentilspool/serving/_jobs.py
+++ b/src/lentilspool/serving/_jobs.py
@@ -28,6 +28,22 @@
     """Availability zone of the maker."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Traffic:
+    """Bytes that travel for one piece of a stage."""
+
+    read: float
+    """Results of other stages that it reads."""
+
+    written: float
+    """Its own result, once for each piece that reads it."""
+
+    @property
+    def total(self) -> float:
+        """All of them."""
+        return self.read + self.written
+
+
 class StageState:
     """Pieces of one stage: waiting, in calls, and done."""
 
@@ -72,6 +88,32 @@
             self.flying.pop(piece, None)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rank:
+    """Place of a request among those that wait."""
+
+    late: bool = False
+    """Whether it can no longer be on time."""
+
+    late_begun: bool = False
+    """Whether it is late and has had work spent on it."""
+
+    bucket: int = 0
+    """Worth for each second of work, as a power of two."""
+
+    due_at: float = 0
+    """When it should have its first event."""
+
+    def key(self, delay_s: float = 0) -> tuple[bool, bool, int, float]:
+        """Return the key to sort by; a delay puts it behind its equals."""
+        return (
+            self.late,
+            not self.late_begun,
+            -self.bucket,
+            self.due_at + delay_s,
+        )
+
+
 class Job:
     """A request that the planner works on."""
 
@@ -84,8 +126,13 @@
         self.begun = False
         self.closed = False
         self.bucket = 0
+        # Worth of an answer on time, in tokens.
+        self.worth = 0.0
+        # Time from the end of each stage to the first event, without waits.
+        self.tails_s: list[float] = [0.0 for _ in ask.stages]
         # Zone in which large results are made; empty until it is settled.
         self.zone = ''
+        self.rank = Rank()
         self.redone = 0
 
     @property
@@ -103,16 +150,31 @@
         return all(stage.done for stage in self.stages)
 
     @property
-    def results(self) -> tuple[str, ...]:
-        """Handles of the stages that no other stage reads."""
+    def final_stages(self) -> list[int]:
+        """Stages that no other stage reads."""
         read: set[int] = set()
         for stage in self.stages:
             if stage.ask.pieces:
                 read.update(stage.ask.after)
+        return [
+            number for number, _ in enumerate(self.stages) if number not in read
+        ]
+
+    @property
+    def final_bytes(self) -> float:
+        """Bytes of the results that the engine reads."""
+        return sum(
+            self.stages[number].ask.pieces
+            * self.stages[number].ask.result_bytes
+            for number in self.final_stages
+        )
+
+    @property
+    def results(self) -> tuple[str, ...]:
+        """Handles of the stages that no other stage reads."""
         handles: list[str] = []
-        for number, _ in enumerate(self.stages):
-            if number not in read:
-                handles.extend(self.handles(number))
+        for number in self.final_stages:
+            handles.extend(self.handles(number))
         return tuple(handles)
 
     @property
@@ -136,6 +198,36 @@
             handles.extend(self.handles(earlier))
         return tuple(handles)
 
+    def traffic(self, number: int) -> Traffic:
+        """Return what a piece of a stage reads, and what is read of it.
+
+        Each piece of a stage reads all results of the stages before it, so
+        that a small result may travel many times.
+        """
+        stage = self.stages[number].ask
+        readers = sum(
+            other.ask.pieces
+            for other in self.stages
+            if number in other.ask.after
+        )
+        read = sum(
+            self.stages[earlier].ask.pieces
+            * self.stages[earlier].ask.result_bytes
+            for earlier in stage.after
+        )
+        return Traffic(read, stage.result_bytes * max(readers, 1))
+
+    def zone_of(self, number: int) -> str:
+        """Return the zone in which a stage is best run; empty for any."""
+        traffic = self.traffic(number)
+        if traffic.read <= traffic.written:
+            return self.zone
+        sizes: dict[str, float] = {}
+        for earlier in self.stages[number].ask.after:
+            for held in self.stages[earlier].held.values():
+                sizes[held.zone] = sizes.get(held.zone, 0) + held.size
+        return max(sizes, key=lambda zone: sizes[zone], default=self.zone)
+
     def drop_results(self, numbers: list[int]) -> list[Held]:
         """Forget the results of stages; return them, to be freed."""
         dropped: list[Held] = []
--- a/src/lentilspool/serving/_lanes.py
+++ b/src/lentilspool/serving/_lanes.py
@@ -19,10 +19,14 @@
 _MOST_GROWTH: Final = 1.5
 # Time for which an endpoint without room gets no call.
 _NO_ROOM_S: Final = 0.1
-# Results that are worth a wait for an endpoint in the right zone.
-LARGE_BYTES: Final = 500_000
-# Time that has to be left after such a wait, for the engine.
+_MB: Final = 1_000_000
+# Traffic of a piece that is worth a wait for an endpoint in the right zone.
+LARGE_BYTES: Final = 100_000
+# Time that has to be left after such a wait, and waits in later stages.
 _ZONE_SLACK_S: Final = 0.3
+_TAIL_FACTOR: Final = 1.6
+# Time by which a stage of another zone is put back among its equals.
+_FAR_DELAY_S: Final = 0.3
 
 Waiting = tuple[_jobs.Job, int]
 """A job, and the number of a stage that has pieces waiting."""
@@ -154,8 +158,13 @@
 class StageService:
     """All endpoints of one stage service."""
 
-    def __init__(self, limits: _configuration.BatchLimits) -> None:
+    def __init__(
+        self,
+        limits: _configuration.BatchLimits,
+        weights: _plan_types.PlanLimits,
+    ) -> None:
         self.limits = limits
+        self._weights = weights
         self.lanes: dict[str, Lane] = {}
         self.size_factor = 1.0
 
@@ -197,9 +206,13 @@
         zone where they will be read, while there is time for that.
         """
         chooser = _Chooser(lane, self.size_factor, self._spare(queue))
-        for job, number in queue:
-            stage = job.stages[number]
-            if not self._waits_for_zone(lane, job, stage, now):
+        ahead: dict[str, int] = {}
+        for job, number in self._near_first(lane, queue):
+            zone = job.zone_of(number)
+            if self._waits_for_zone(lane, (job, number), ahead, now):
+                pieces = len(job.stages[number].waiting)
+                ahead[zone] = ahead.get(zone, 0) + pieces
+            else:
                 chooser.add(job, number)
         return chooser.parts
 
@@ -216,6 +229,17 @@
         first = min(lane.free_at(now) for lane in self.lanes.values())
         return max(first - now, 0) + pieces_ahead * self.piece_s()
 
+    def _near_first(self, lane: Lane, queue: list[Waiting]) -> list[Waiting]:
+        """Put stages that are better run in another zone behind equals."""
+        place = lane.endpoint.zone
+
+        def key(waiting: Waiting) -> tuple[bool, bool, int, float]:
+            job, number = waiting
+            far = job.zone_of(number) not in {'', place}
+            return job.rank.key(_FAR_DELAY_S if far else 0)
+
+        return sorted(queue, key=key)
+
     def _spare(self, queue: list[Waiting]) -> float:
         """Return the room that no result holds, and no begun stage needs."""
         rooms = [lane.room for lane in self.lanes.values()]
@@ -231,19 +255,37 @@
         return math.inf if sum(rooms) >= whole else spare
 
     def _waits_for_zone(
-        self, lane: Lane, job: _jobs.Job, stage: _jobs.StageState, now: float
+        self,
+        lane: Lane,
+        waiting: Waiting,
+        ahead: dict[str, int],
+        now: float,
     ) -> bool:
-        if stage.ask.result_bytes < LARGE_BYTES or not job.zone:
+        """Whether a stage should wait for an endpoint in its own zone.
+
+        It does if it will be on time all the same, or if its traffic between
+        zones would cost more than an answer on time is worth.
+        """
+        job, number = waiting
+        traffic = job.traffic(number).total
+        zone = job.zone_of(number)
+        if traffic < LARGE_BYTES or not zone or lane.endpoint.zone == zone:
             return False
-        if lane.endpoint.zone == job.zone:
+        near = [one for one in self.lanes.values() if one.endpoint.zone == zone]
+        if not near:
             return False
-        near = [
-            other.free_at(now) + other.call_s(len(stage.waiting))
-            for other in self.lanes.values()
-            if other.endpoint.zone == job.zone
-            and other.room >= stage.ask.result_bytes
-        ]
-        return bool(near) and min(near) + _ZONE_SLACK_S < job.target_at
+        pieces = len(job.stages[number].waiting)
+        cost = traffic * pieces / _MB * self._weights.cross_zone_tokens_per_mb
+        if cost > job.worth * (1 - self._weights.late_share):
+            return True
+        pieces += ahead.get(zone, 0)
+        if pieces > self.limits.batch * len(near):
+            # More waits than the next call takes: use every endpoint.
+            return False
+        ends_at = min(one.free_at(now) for one in near)
+        ends_at += near[0].call_s(pieces)
+        ends_at += job.tails_s[number] * _TAIL_FACTOR
+        return ends_at + _ZONE_SLACK_S < job.target_at
 
 
 def order_piece(part: Part, now: float) -> _plan_types.Piece:
--- a/src/lentilspool/serving/_outlook.py
+++ b/src/lentilspool/serving/_outlook.py
@@ -56,6 +56,25 @@
     return max(ends, default=0) + limits.first_event_s
 
 
+def tails_s(
+    job: _jobs.Job, services: Services, limits: _plan_types.PlanLimits
+) -> list[float]:
+    """Return the time from the end of each stage to the first event."""
+    read = job.ask.prompt.input_tokens if job.ask.prompt else 0
+    read -= job.ask.shared_tokens
+    engine_s = limits.first_event_s + read / limits.prefill_tokens_per_s
+    tails = [engine_s for _ in job.stages]
+    for number in reversed(range(len(job.stages))):
+        stage = job.stages[number].ask
+        service = services.get(stage.service)
+        if service and stage.pieces:
+            pieces = min(stage.pieces, service.limits.batch)
+            work_s = service.limits.call_s + pieces * service.limits.piece_s
+            for earlier in stage.after:
+                tails[earlier] = max(tails[earlier], work_s + tails[number])
+    return tails
+
+
 def expected_s(
     job: _jobs.Job,
     services: Services,
@@ -101,9 +120,13 @@
     of work and then by their targets.
     """
 
-    def rank(job: _jobs.Job) -> tuple[bool, bool, int, float]:
+    found = list(jobs)
+    for job in found:
         late = now + least_left_s(job, services, limits) > job.target_at
-        due_at = job.deadline_at if late else job.target_at
-        return (late, not (late and job.begun), -job.bucket, due_at)
-
-    return sorted(jobs, key=rank)
+        job.rank = _jobs.Rank(
+            late,
+            late and job.begun,
+            job.bucket,
+            job.deadline_at if late else job.target_at,
+        )
+    return sorted(found, key=lambda job: job.rank.key())
--- a/src/lentilspool/serving/_plan_types.py
+++ b/src/lentilspool/serving/_plan_types.py
@@ -190,9 +190,18 @@
     cross_zone_s_per_mb: float = 0.015
     """Cost of a result that crosses availability zones."""
 
+    cross_zone_tokens_per_mb: float = 125
+    """The same, in tokens of worth that is lost if a request is late."""
+
+    late_share: float = 0.15
+    """Worth of a late answer, as a share of its worth on time."""
+
     rooted_tokens: int = 2000
     """Shared tokens from which on a request stays near their engine."""
 
+    rooted_bytes: float = 1_000_000
+    """Results for the engine from which on that matters."""
+
     overdue_factor: float = 1.7
     """Multiple of its expected time after which a call is overdue."""
 
--- a/src/lentilspool/serving/_stage_desk.py
+++ b/src/lentilspool/serving/_stage_desk.py
@@ -71,7 +71,7 @@
     ) -> None:
         """Take the endpoints that a service has now."""
         if name not in self.services:
-            self.services[name] = _lanes.StageService(limits)
+            self.services[name] = _lanes.StageService(limits, self._limits)
         self.services[name].follow(endpoints, limits)
 
     def start(self, jobs: list[_jobs.Job], now: float) -> None:
@@ -188,7 +188,8 @@
         pieces = tuple(_lanes.order_piece(one, now) for one in parts)
         for part in parts:
             part.job.begun = True
-            if part.size >= _lanes.LARGE_BYTES and not part.job.zone:
+            bound = part.job.traffic(part.stage).total >= _lanes.LARGE_BYTES
+            if bound and not part.job.zone:
                 part.job.zone = lane.endpoint.zone
             part.job.stages[part.stage].take(part.piece)
             lane.room -= part.size
