--- a/src/lentilspool/serving/_fleet.py
+++ b/src/lentilspool/serving/_fleet.py
@@ -4,6 +4,7 @@
     _configuration,
     _endpoints,
     _engines,
+    _jobs,
     _plan_types,
     _stage_desk,
 )
@@ -44,6 +45,19 @@
             self._pools[service] = _engines.EnginePool(self._limits)
         return self._pools[service]
 
+    def rooted_zone(self, job: _jobs.Job, now: float) -> str:
+        """Return the zone in which large results will be read, if known.
+
+        Requests with long shared prompts go to the engine that has them
+        cached; others go wherever their results are.
+        """
+        ask = job.ask
+        large = job.final_bytes >= self._limits.rooted_bytes
+        if not large or ask.shared_tokens < self._limits.rooted_tokens:
+            return ''
+        likely = self.pool(ask.service).choose(ask, {}, now)
+        return likely.engine.endpoint.zone if likely else ''
+
     def follow(self) -> None:
         """Take the endpoints listed now."""
         if self._directory.generation == self._seen:
--- a/src/lentilspool/serving/_jobs.py
+++ b/src/lentilspool/serving/_jobs.py
@@ -114,6 +114,20 @@
         )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outlook:
+    """What is expected of a request when it arrives."""
+
+    worth: float = 0
+    """Worth of an answer on time, in tokens."""
+
+    bucket: int = 0
+    """Worth for each second of work, as a power of two."""
+
+    tails_s: tuple[float, ...] = ()
+    """Time from the end of each stage to the first event, without waits."""
+
+
 class Job:
     """A request that the planner works on."""
 
@@ -125,11 +139,7 @@
         self.stages = [StageState(stage) for stage in ask.stages]
         self.begun = False
         self.closed = False
-        self.bucket = 0
-        # Worth of an answer on time, in tokens.
-        self.worth = 0.0
-        # Time from the end of each stage to the first event, without waits.
-        self.tails_s: list[float] = [0.0 for _ in ask.stages]
+        self.outlook = Outlook()
         # Zone in which large results are made; empty until it is settled.
         self.zone = ''
         self.rank = Rank()
@@ -163,11 +173,8 @@
     @property
     def final_bytes(self) -> float:
         """Bytes of the results that the engine reads."""
-        return sum(
-            self.stages[number].ask.pieces
-            * self.stages[number].ask.result_bytes
-            for number in self.final_stages
-        )
+        asks = [self.stages[number].ask for number in self.final_stages]
+        return sum(ask.pieces * ask.result_bytes for ask in asks)
 
     @property
     def results(self) -> tuple[str, ...]:
@@ -210,11 +217,8 @@
             for other in self.stages
             if number in other.ask.after
         )
-        read = sum(
-            self.stages[earlier].ask.pieces
-            * self.stages[earlier].ask.result_bytes
-            for earlier in stage.after
-        )
+        asks = [self.stages[earlier].ask for earlier in stage.after]
+        read = sum(ask.pieces * ask.result_bytes for ask in asks)
         return Traffic(read, stage.result_bytes * max(readers, 1))
 
     def zone_of(self, number: int) -> str:
@@ -232,9 +236,10 @@
         """Forget the results of stages; return them, to be freed."""
         dropped: list[Held] = []
         for number in numbers:
-            dropped.extend(self.stages[number].held.values())
-            self.stages[number].held = {}
-            self.stages[number].freed = True
+            stage = self.stages[number]
+            dropped.extend(stage.held.values())
+            stage.held = {}
+            stage.freed = True
         return dropped
 
     def to_redo(self, number: int) -> list[int]:
--- a/src/lentilspool/serving/_lanes.py
+++ b/src/lentilspool/serving/_lanes.py
@@ -276,7 +276,7 @@
             return False
         pieces = len(job.stages[number].waiting)
         cost = traffic * pieces / _MB * self._weights.cross_zone_tokens_per_mb
-        if cost > job.worth * (1 - self._weights.late_share):
+        if cost > job.outlook.worth * (1 - self._weights.late_share):
             return True
         pieces += ahead.get(zone, 0)
         if pieces > self.limits.batch * len(near):
@@ -284,7 +284,7 @@
             return False
         ends_at = min(one.free_at(now) for one in near)
         ends_at += near[0].call_s(pieces)
-        ends_at += job.tails_s[number] * _TAIL_FACTOR
+        ends_at += job.outlook.tails_s[number] * _TAIL_FACTOR
         return ends_at + _ZONE_SLACK_S < job.target_at
 
 
--- a/src/lentilspool/serving/_outlook.py
+++ b/src/lentilspool/serving/_outlook.py
@@ -24,6 +24,17 @@
     return tokens * math.pow(limits.rank_weight, ask.priority)
 
 
+def outlook(
+    job: _jobs.Job, services: Services, limits: _plan_types.PlanLimits
+) -> _jobs.Outlook:
+    """Return what is expected of a request that has just arrived."""
+    return _jobs.Outlook(
+        value(job.ask, limits),
+        bucket(job.ask, services, limits),
+        tuple(tails_s(job, services, limits)),
+    )
+
+
 def bucket(
     ask: _plan_types.PlanAsk,
     services: Services,
@@ -101,7 +112,7 @@
     """Return the waiting pieces of each service that go before the job's."""
     ahead: dict[str, float] = {}
     for other in others:
-        if other.bucket >= job.bucket:
+        if other.outlook.bucket >= job.outlook.bucket:
             for stage in other.stages:
                 name = stage.ask.service
                 ahead[name] = ahead.get(name, 0) + len(stage.waiting)
@@ -126,7 +137,7 @@
         job.rank = _jobs.Rank(
             late,
             late and job.begun,
-            job.bucket,
+            job.outlook.bucket,
             job.deadline_at if late else job.target_at,
         )
-    return sorted(found, key=lambda job: job.rank.key())
+    return sorted(found, key=lambda one: one.rank.key())
--- a/src/lentilspool/serving/_planner.py
+++ b/src/lentilspool/serving/_planner.py
@@ -62,10 +62,8 @@
         """Take a request, or refuse it if it cannot end in time."""
         self._fleet.follow()
         job = _jobs.Job(ask, now)
-        job.bucket = _outlook.bucket(ask, self._stages.services, self._limits)
-        job.worth = _outlook.value(ask, self._limits)
-        job.tails_s = _outlook.tails_s(job, self._stages.services, self._limits)
-        job.zone = self._rooted_zone(job, now)
+        job.outlook = _outlook.outlook(job, self._stages.services, self._limits)
+        job.zone = self._fleet.rooted_zone(job, now)
         expected_s = self._expected_s(job, now)
         if expected_s > ask.deadline_s * self._limits.admit_share:
             self._refuse(job, 'no_time', expected_s, now)
@@ -151,19 +149,6 @@
         engine_s = pool.wait_s(now + stages_s)
         return stages_s + engine_s + self._limits.first_event_s
 
-    def _rooted_zone(self, job: _jobs.Job, now: float) -> str:
-        """Return the zone in which large results will be read, if it is known.
-
-        Requests with long shared prompts go to the engine that has them
-        cached; others go wherever their results are.
-        """
-        ask = job.ask
-        large = job.final_bytes >= self._limits.rooted_bytes
-        if not large or ask.shared_tokens < self._limits.rooted_tokens:
-            return ''
-        likely = self._fleet.pool(ask.service).choose(ask, {}, now)
-        return likely.engine.endpoint.zone if likely else ''
-
     def _give_up(self, now: float) -> None:
         """Refuse what can no longer be served, or has waited in vain."""
         services = self._stages.services
