Test the gateway's formats, connections, server and published state

A success without a request id is now an unknown outcome at once; it was waited for until the deadline (found by the test).

--- a/src/lentilspool/gateway/_connection.py
+++ b/src/lentilspool/gateway/_connection.py
@@ -124,23 +124,17 @@
         """Return the head of the answer that belongs to the request."""
         while True:
             event = await self._next_event()
+            while isinstance(event, h11.InformationalResponse):
+                event = await self._next_event()
             if isinstance(event, Broken):
                 return event
-            if isinstance(event, h11.InformationalResponse):
-                continue
             if not isinstance(event, h11.Response):
                 return Broken(f'no answer but {type(event).__name__}', True)
             head = platform.answer_head(event.status_code, event.headers)
             if self._is_ours(head):
                 self.keep_alive_s = head.keep_alive_s
                 return head
-            _events.FOREIGN_ANSWER.log(
-                _logger,
-                request_id=self._outgoing.request_id if self._outgoing else '',
-                answered=head.request_id,
-                status=head.status,
-            )
-            skipped = await self._skip_answer()
+            skipped = await self._skip_foreign(head)
             if skipped:
                 return skipped
 
@@ -202,6 +196,17 @@
             return None
         return bytes(head or b'')
 
+    async def _skip_foreign(self, head: serving.AnswerHead) -> Broken | None:
+        if not head.request_id:
+            return Broken('a success without a request id', sent=True)
+        _events.FOREIGN_ANSWER.log(
+            _logger,
+            request_id=self._outgoing.request_id if self._outgoing else '',
+            answered=head.request_id,
+            status=head.status,
+        )
+        return await self._skip_answer()
+
     async def _skip_answer(self) -> Broken | None:
         """Read an answer to another request, and wait for ours again."""
         while True:
--- a/src/lentilspool/gateway/_http_server.py
+++ b/src/lentilspool/gateway/_http_server.py
@@ -128,6 +128,13 @@
         self.stopping = False
         self._listener: trio.SocketListener | None = None
 
+    @property
+    def port(self) -> int:
+        """Port at which the server listens."""
+        if self._listener is None:
+            return 0
+        return int(self._listener.socket.getsockname()[1])
+
     @property
     def open_requests(self) -> int:
         """Requests that have no final answer."""
--- /dev/null
+++ b/src/lentilspool/gateway/tests/test_connection.py
@@ -0,0 +1,151 @@
+"""Tests of connections to endpoints, against scripted bytes on loopback."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from functools import partial
+
+import pytest
+import trio
+
+from lentilspool import serving
+from lentilspool.gateway import _connection, _sockets
+
+OURS = b'HTTP/1.1 200 OK\r\nRequest-Id: ours\r\nContent-Length: 2\r\n\r\nok'
+OTHER = b'HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 3\r\n\r\nbad'
+OUTGOING = _connection.Outgoing(
+    'POST',
+    b'/x',
+    [(b'host', b'h'), (b'content-length', b'4')],
+    b'body',
+    'ours',
+)
+
+
+async def answer(script: bytes, finish: str, stream: trio.SocketStream) -> None:
+    """Send a script after the request, then end the connection."""
+    received = b''
+    while b'body' not in received:
+        received += await stream.receive_some(65536)
+    await stream.send_all(script)
+    if finish == 'keep':
+        await trio.sleep_forever()
+    if finish == 'reset':
+        # Unread bytes make the close a reset.
+        stream.setsockopt(1, 13, b'\x01\x00\x00\x00\x00\x00\x00\x00')
+    await stream.aclose()
+
+
+@asynccontextmanager
+async def connected(
+    script: bytes, finish: str = 'keep'
+) -> AsyncIterator[_connection.Connection]:
+    """Yield a connection to a server that sends the script."""
+    async with trio.open_nursery() as nursery:
+        listeners = await nursery.start(
+            trio.serve_tcp, partial(answer, script, finish), 0
+        )
+        port = listeners[0].socket.getsockname()[1]
+        stream = await _sockets.connect('127.0.0.1', port, 1)
+        assert stream is not None
+        connection = _connection.Connection(stream)
+        yield connection
+        await connection.close()
+        nursery.cancel_scope.cancel()
+
+
+async def exchange(
+    connection: _connection.Connection,
+) -> tuple[serving.AnswerHead | _connection.Broken, object]:
+    """Send the request; return head and body."""
+    assert await connection.send(OUTGOING) is None
+    head = await connection.head()
+    if isinstance(head, _connection.Broken):
+        return head, None
+    return head, await connection.body(1000)
+
+
+class TestAnswers:
+    async def check(self, script: bytes, finish: str = 'keep') -> object:
+        async with connected(script, finish) as connection:
+            with trio.fail_after(5):
+                _, body = await exchange(connection)
+        return body
+
+    def test_whole_answer(self) -> None:
+        assert trio.run(self.check, OURS) == b'ok'
+
+    def test_answer_to_another_request_is_skipped(self) -> None:
+        assert trio.run(self.check, OTHER + OURS) == b'ok'
+
+    def test_chunked_answer(self) -> None:
+        script = (
+            b'HTTP/1.1 200 OK\r\nRequest-Id: ours\r\n'
+            b'Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n'
+        )
+        assert trio.run(self.check, script) == b'ok'
+
+    def test_answer_without_length_ends_with_its_connection(self) -> None:
+        script = b'HTTP/1.1 200 OK\r\nRequest-Id: ours\r\n\r\nok'
+        assert trio.run(self.check, script, 'close') == b'ok'
+
+    @pytest.mark.parametrize(
+        ('script', 'finish'),
+        [
+            (b'HTTP/1.1 200 OK\r\nRequest-Id: ours\r\n\r\nok', 'reset'),
+            (OURS[:-1], 'close'),
+            (OURS[:20], 'close'),
+            (b'', 'close'),
+            (b'not http at all\r\n\r\n', 'keep'),
+            (OURS.replace(b'Request-Id: ours\r\n', b''), 'keep'),
+            (OTHER, 'close'),
+        ],
+    )
+    def test_what_is_not_whole_or_not_ours_is_broken(
+        self, script: bytes, finish: str
+    ) -> None:
+        async def check() -> None:
+            async with connected(script, finish) as connection:
+                with trio.fail_after(5):
+                    head, body = await exchange(connection)
+                broken = body if body is not None else head
+                assert isinstance(broken, _connection.Broken)
+                assert broken.sent
+                assert not connection.reusable
+
+        trio.run(check)
+
+
+class TestReuse:
+    def test_connection_with_a_late_extra_answer_is_stale(self) -> None:
+        async def check() -> None:
+            async with connected(OURS + OTHER) as connection:
+                await exchange(connection)
+                assert not connection.reusable or connection.stale(9, 0)
+
+        trio.run(check)
+
+    def test_closed_connection_is_stale(self) -> None:
+        async def check() -> None:
+            async with connected(OURS, 'close') as connection:
+                await exchange(connection)
+                await trio.sleep(0.05)
+                assert connection.stale(9, connection.idle_since)
+
+        trio.run(check)
+
+    def test_idle_connection_is_used_only_for_a_time(self) -> None:
+        async def check() -> None:
+            async with connected(OURS) as connection:
+                await exchange(connection)
+                since = connection.idle_since
+                assert connection.reusable
+                assert not connection.stale(1, since + 0.5)
+                assert connection.stale(1, since + 1.5)
+
+        trio.run(check)
+
+    def test_no_listener_is_no_connection(self) -> None:
+        async def check() -> None:
+            assert await _sockets.connect('127.0.0.1', 1, 1) is None
+
+        trio.run(check)
--- /dev/null
+++ b/src/lentilspool/gateway/tests/test_http_server.py
@@ -0,0 +1,180 @@
+"""Tests of the HTTP server towards callers, over loopback sockets."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+import trio
+
+from lentilspool import serving
+from lentilspool.gateway import _http_server
+
+REQUEST = b'POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi'
+LIMITS = serving.CallLimits(1000, 100, 0.2, 0.5)
+OK_HEADERS = [(b'content-length', b'2')]
+
+
+class Desk:
+    """Handler that does as the request's target says."""
+
+    def __init__(self) -> None:
+        self.bodies: list[bytes] = []
+        self.cancelled = trio.Event()
+
+    async def serve(
+        self, request: _http_server.Request, reply: _http_server.Reply
+    ) -> None:
+        self.bodies.append(request.body)
+        if request.target == b'/hang':
+            try:
+                await trio.sleep_forever()
+            finally:
+                self.cancelled.set()
+        if request.target == b'/half':
+            await reply.begin(200, [], b'part')
+            reply.abort()
+        elif request.target == b'/error':
+            raise RuntimeError('a fault of the program')
+        else:
+            await reply.whole(200, OK_HEADERS, b'ok')
+
+
+class Harness:
+    """A server on a free port and its desk."""
+
+    def __init__(self) -> None:
+        self.desk = Desk()
+        self.server = _http_server.Server(
+            '127.0.0.1:0', self.desk.serve, lambda: LIMITS
+        )
+
+    async def open(self) -> trio.SocketStream:
+        return await trio.open_tcp_stream('127.0.0.1', self.server.port)
+
+    async def ask(self, request: bytes) -> bytes:
+        """Send bytes, and return all that comes until the end."""
+        stream = await self.open()
+        await stream.send_all(request)
+        received = bytearray()
+        with trio.move_on_after(1):
+            async for chunk in stream:
+                received.extend(chunk)
+        await stream.aclose()
+        return bytes(received)
+
+
+@asynccontextmanager
+async def serving_harness() -> AsyncIterator[Harness]:
+    """Yield a harness whose server runs."""
+    harness = Harness()
+    async with trio.open_nursery() as nursery:
+        await nursery.start(harness.server.serve)
+        yield harness
+        nursery.cancel_scope.cancel()
+
+
+class TestRequests:
+    def test_connection_serves_many_requests(self) -> None:
+        async def check() -> None:
+            async with serving_harness() as harness:
+                answer = await harness.ask(REQUEST * 2)
+                assert answer.count(b'200') == 2
+                assert harness.desk.bodies == [b'hi', b'hi']
+
+        trio.run(check)
+
+    @pytest.mark.parametrize(
+        ('request_bytes', 'status'),
+        [
+            (
+                b'POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n'
+                b'Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
+                b'400',
+            ),
+            (b'POST /x HTTP/1.1\r\n\r\n', b'400'),
+            (b'nonsense\r\n\r\n', b'400'),
+            (
+                b'POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 200\r\n\r\n%b'
+                % (b'x' * 200),
+                b'413',
+            ),
+            (
+                b'GET /x HTTP/1.1\r\nHost: h\r\nX: %b' % (b'y' * 2000),
+                b'431',
+            ),
+            (b'GET /x HTTP/1.1\r\nHost', b'408'),
+        ],
+    )
+    def test_bad_requests_are_refused_and_not_served(
+        self, request_bytes: bytes, status: bytes
+    ) -> None:
+        async def check() -> None:
+            async with serving_harness() as harness:
+                answer = await harness.ask(request_bytes)
+                assert answer.split()[1] == status
+                assert not harness.desk.bodies
+
+        trio.run(check)
+
+    def test_caller_who_leaves_stops_the_work(self) -> None:
+        async def check() -> None:
+            async with serving_harness() as harness:
+                stream = await harness.open()
+                await stream.send_all(b'GET /hang HTTP/1.1\r\nHost: h\r\n\r\n')
+                await trio.sleep(0.05)
+                await stream.aclose()
+                with trio.fail_after(1):
+                    await harness.desk.cancelled.wait()
+
+        trio.run(check)
+
+    def test_broken_answer_does_not_look_complete(self) -> None:
+        async def check() -> None:
+            async with serving_harness() as harness:
+                answer = await harness.ask(
+                    b'GET /half HTTP/1.1\r\nHost: h\r\n\r\n'
+                )
+                assert b'part' in answer
+                assert not answer.endswith(b'0\r\n\r\n')
+
+        trio.run(check)
+
+    def test_fault_of_one_request_leaves_the_server_running(self) -> None:
+        async def check() -> None:
+            async with serving_harness() as harness:
+                assert not await harness.ask(
+                    b'GET /error HTTP/1.1\r\nHost: h\r\n\r\n'
+                )
+                assert b'200' in await harness.ask(REQUEST)
+
+        trio.run(check)
+
+
+class TestStop:
+    def test_idle_connections_close_and_new_ones_get_one_answer(self) -> None:
+        async def check() -> None:
+            async with serving_harness() as harness:
+                idle = await harness.open()
+                await idle.send_all(REQUEST)
+                assert b'200' in await idle.receive_some(1000)
+                harness.server.close_idle()
+                with trio.fail_after(1):
+                    assert await idle.receive_some(1000) == b''
+                answer = await harness.ask(REQUEST * 2)
+                assert answer.count(b'200') == 1
+                assert b'connection: close' in answer.lower()
+
+        trio.run(check)
+
+    def test_request_in_work_is_answered(self) -> None:
+        async def check() -> None:
+            async with serving_harness() as harness:
+                stream = await harness.open()
+                await stream.send_all(REQUEST[:-1])
+                await trio.sleep(0.05)
+                harness.server.close_idle()
+                await stream.send_all(REQUEST[-1:])
+                with trio.fail_after(1):
+                    assert b'200' in await stream.receive_some(1000)
+
+        trio.run(check)
--- /dev/null
+++ b/src/lentilspool/platform/tests/test_formats.py
@@ -0,0 +1,264 @@
+"""Tests of the platform's formats: decoded once, refused with a place."""
+
+import base64
+import json
+
+import msgspec
+import pytest
+
+from lentilspool import platform, serving
+
+HEAD = [
+    (b'Host', b'api.example'),
+    (b'Request-Id', b'9c41d07b'),
+    (b'Model', b'm'),
+    (b'Token-Counts', b'1460,80'),
+    (b'Prompt-Prefix', b'5c1e:800,91bd:410,e440:250'),
+    (b'Deadline-Ms', b'8000'),
+    (b'Key', b'secret'),
+    (b'Pieces', b'2,0,8'),
+    (b'Piece-Key', b'7c1e'),
+]
+SERVICE = {
+    'name': 'llm',
+    'max_connections': 370,
+    'engine': {'slots': 64, 'kv_capacity': 600_000, 'moves': True},
+}
+STAGE_SERVICE = {
+    'name': 'roster',
+    'pieces': {
+        'slots': 1,
+        'queue': 2,
+        'batch': 4,
+        'call_ms': 150.0,
+        'item_ms': 32.0,
+        'headroom_mb': 18.0,
+        'handle_s': 4.0,
+    },
+}
+ROUTE = {
+    'name': 'r-1',
+    'hostname': 'API.example',
+    'prefix': '/plan/',
+    'kind': 'streaming',
+    'timeout_ms': 8000,
+    'target_latency_ms': 1000,
+    'max_gap_ms': 300,
+    'service': 'llm',
+    'stages': [{'service': 'roster', 'after': [], 'bytes': 3e6}],
+}
+DOCUMENT = {
+    'version': 7,
+    'routes': [ROUTE],
+    'services': [SERVICE, STAGE_SERVICE],
+    'limits': {'max_header_bytes': 16384, 'idle_timeout_ms': 15000},
+    'tenants': [{'name': 't', 'api_keys': ['k'], 'priority': 1}],
+}
+ENTRY = {
+    'service': 'llm',
+    'address': '10.0.0.9:8080',
+    'zone': 'a',
+    'version': 'v1',
+    'slots': 64,
+    'state': 'ready',
+    'born': 1700000000000,
+}
+
+
+def call(*more: tuple[bytes, bytes]) -> serving.Call:
+    return platform.caller_request(b'POST', b'/plan/2f?a=1', [*HEAD, *more])
+
+
+class TestCallerRequest:
+    def test_fields_are_decoded(self) -> None:
+        found = call()
+        assert found.request_id == '9c41d07b'
+        assert found.path == '/plan/2f'
+        assert found.deadline_s == pytest.approx(8)
+        assert found.pieces == (2, 0, 8)
+        assert found.prompt and found.prompt.output_tokens == 80
+        assert [part.tokens for part in found.prompt.parts] == [800, 410, 250]
+
+    @pytest.mark.parametrize(
+        'name',
+        [
+            b'Tenant',
+            b'Key',
+            b'Hold',
+            b'Pin-Ms',
+            b'Kv-Backup',
+            b'Kv-From',
+            b'Kv-Fetch',
+            b'Expect-Instance',
+            b'Request-Priority',
+            b'Inputs',
+            b'Connection',
+            b'Transfer-Encoding',
+        ],
+    )
+    def test_header_of_this_system_or_connection_is_not_passed_on(
+        self, name: bytes
+    ) -> None:
+        found = call((name, b'forged'))
+        assert name.lower() not in dict(found.headers)
+
+    def test_header_that_the_connection_names_is_not_passed_on(self) -> None:
+        found = call((b'Connection', b'x-hop'), (b'X-Hop', b'1'))
+        assert b'x-hop' not in dict(found.headers)
+
+    def test_request_id_cannot_be_dropped_by_the_caller(self) -> None:
+        found = call((b'Connection', b'request-id, host'))
+        assert {b'request-id', b'host'} <= set(dict(found.headers))
+
+    @pytest.mark.parametrize(
+        ('name', 'content'),
+        [
+            (b'Deadline-Ms', b'soon'),
+            (b'Token-Counts', b'a,b'),
+            (b'Prompt-Prefix', b'5c1e'),
+            (b'Pieces', b'1,x'),
+        ],
+    )
+    def test_bad_header_names_its_place(
+        self, name: bytes, content: bytes
+    ) -> None:
+        with pytest.raises(platform.FormatError) as caught:
+            call((name, content))
+        assert name.decode().lower() in str(caught.value).lower()
+
+
+class TestEndpointHeaders:
+    def test_system_headers_are_added(self) -> None:
+        options = platform.SendOptions(
+            endpoint='i-1',
+            time_left_s=1.25,
+            team='t',
+            priority=2,
+            results=('10.0.0.1:80/aa', '10.0.0.1:80/bb'),
+            cache_source='10.0.0.2:80',
+            last_event=4,
+        )
+        found = dict(platform.endpoint_headers(call(), options, 3))
+        assert found[b'deadline-ms'] == b'1250'
+        assert found[b'expect-instance'] == b'i-1'
+        assert found[b'tenant'] == b't'
+        assert found[b'inputs'] == b'10.0.0.1:80/aa,10.0.0.1:80/bb'
+        assert found[b'kv-fetch'] == b'10.0.0.2:80'
+        assert found[b'last-event-id'] == b'4'
+        assert found[b'content-length'] == b'3'
+
+    def test_no_results_are_told_by_an_empty_header_only_with_stages(
+        self,
+    ) -> None:
+        options = platform.SendOptions('i-1', 1)
+        assert b'inputs' not in dict(
+            platform.endpoint_headers(call(), options, 0)
+        )
+
+
+class TestAnswers:
+    def test_head_is_decoded(self) -> None:
+        head = platform.answer_head(
+            503,
+            [
+                (b'Request-Id', b'9c'),
+                (b'Not-Executed', b'1'),
+                (b'Server-Load', b'3, 0, 8'),
+                (b'Keep-Alive', b'timeout=5'),
+                (b'Server-Stamp', b'3e1b'),
+                (b'Connection', b'close'),
+            ],
+        )
+        assert head.not_run
+        assert head.load == serving.Load(3, 0, 8)
+        assert head.keep_alive_s == pytest.approx(5)
+        assert dict(head.headers)[b'server-stamp'] == b'3e1b'
+        assert b'connection' not in dict(head.headers)
+
+    @pytest.mark.parametrize('load', [b'', b'1,2', b'a,b,c'])
+    def test_unreadable_load_is_none(self, load: bytes) -> None:
+        assert platform.answer_head(200, [(b'Server-Load', load)]).load is None
+
+
+class TestConfiguration:
+    def test_document_is_decoded(self) -> None:
+        found = platform.configuration(json.dumps(DOCUMENT).encode())
+        (route,) = found.routes
+        assert found.version == 7
+        assert route.host == 'api.example'
+        assert route.kind is serving.Kind.streaming
+        assert route.patience_s == pytest.approx(4)
+        assert found.services['roster'].batches
+        assert found.teams[0].keys == frozenset(('k',))
+
+    @pytest.mark.parametrize(
+        'payload', [b'', b'{}', b'[1]', b'\xff', b'{"version": "x"}']
+    )
+    def test_unreadable_document_is_refused(self, payload: bytes) -> None:
+        with pytest.raises(platform.FormatError):
+            platform.configuration(payload)
+
+
+class TestEndpoints:
+    def test_entry_is_decoded(self) -> None:
+        found = platform.endpoint('i-1', msgspec.json.encode(ENTRY))
+        assert found.address == '10.0.0.9:8080'
+        assert found.ready and found.born_ms == 1700000000000
+
+    @pytest.mark.parametrize(
+        'change',
+        [
+            {'state': 'odd'},
+            {'address': 'nowhere'},
+            {'slots': 'many'},
+            {'service': None},
+        ],
+    )
+    def test_entry_of_another_writer_is_refused(
+        self, change: dict[str, object]
+    ) -> None:
+        payload = msgspec.json.encode({**ENTRY, **change})
+        with pytest.raises(platform.FormatError):
+            platform.endpoint('i-1', payload)
+
+
+class TestStore:
+    def test_changes_are_decoded(self) -> None:
+        content = base64.b64encode(b'held').decode()
+        body = {
+            'events': [
+                {'key': 'a', 'value': content, 'rev': 4},
+                {'key': 'b', 'rev': 5, 'tombstone': True},
+                {'key': 'c', 'value': '***', 'rev': 6},
+            ],
+            'current_rev': 6,
+        }
+        page = platform.page(json.dumps(body).encode())
+        assert [item.payload for item in page.items] == [b'held', None, None]
+        assert page.revision == 6
+
+    def test_targets_keep_slashes(self) -> None:
+        assert platform.range_target('servers/') == '/kv-range?prefix=servers/'
+        assert platform.watch_target('op/config', 7, 2.5).endswith(
+            'after=7&wait_ms=2500'
+        )
+
+
+class TestStageCalls:
+    def test_pieces_without_inputs_carry_the_key(self) -> None:
+        orders = [
+            platform.PieceOrder('r', 0, 1, 0.9, 'about', ()),
+            platform.PieceOrder('r', 2, 0, 0.9, 'about', ('h1',)),
+        ]
+        _, headers, body = platform.stage_request('i-1', orders)
+        first, second = json.loads(body)['items']
+        assert first['key'] == 'about' and 'inputs' not in first
+        assert second['inputs'] == ['h1'] and 'key' not in second
+        assert dict(headers)[b'expect-instance'] == b'i-1'
+
+    def test_outcomes_are_decoded(self) -> None:
+        body = b'{"items":[{"handle":"x"},{"reason":"gone"}]}'
+        assert platform.stage_answer(body) == (
+            platform.PieceOutcome('x', ''),
+            platform.PieceOutcome('', 'gone'),
+        )
--- /dev/null
+++ b/src/lentilspool/serving/tests/test_tables.py
@@ -0,0 +1,131 @@
+"""Tests of routes, endpoints, and the order in which gateways plan."""
+
+import random
+
+from lentilspool import serving
+from lentilspool.serving.tests import builders
+
+
+def route(prefix: str, **changes: object) -> serving.Route:
+    share = serving.Share('s', 1)
+    return serving.Route(
+        prefix,
+        'h.example',
+        prefix,
+        serving.Kind.safe,
+        (share,),
+        1,
+        1,
+        **changes,  # type: ignore[arg-type]
+    )
+
+
+def call(path: str, key: str = '', host: str = 'H.example:80') -> serving.Call:
+    return serving.Call('id', 'GET', path, host, path, (), key, 1)
+
+
+TEAM = serving.Team('t', frozenset(('k',)))
+TABLE = serving.RouteTable(
+    serving.Configuration(
+        1,
+        (
+            route('/'),
+            route('/a/'),
+            route('/a/b/'),
+            route('/open/', public=True),
+        ),
+        {},
+        (TEAM,),
+    )
+)
+
+
+class TestRouteTable:
+    def test_longest_prefix_wins(self) -> None:
+        for path, prefix in (
+            ('/a/b/c', '/a/b/'),
+            ('/a/b', '/a/'),
+            ('/ab/', '/'),
+            ('/a/', '/a/'),
+        ):
+            found = TABLE.find(call(path, 'k'))
+            assert isinstance(found, serving.Matched)
+            assert found.route.prefix == prefix, path
+
+    def test_other_host_has_no_route(self) -> None:
+        found = TABLE.find(call('/a/', 'k', 'other'))
+        assert isinstance(found, serving.NoRoute)
+
+    def test_key_is_needed_unless_the_route_is_public(self) -> None:
+        assert isinstance(TABLE.find(call('/a/', 'x')), serving.UnknownKey)
+        assert isinstance(TABLE.find(call('/open/', '')), serving.Matched)
+
+    def test_weights_split_requests(self) -> None:
+        split = route('/s/')
+        shares = (serving.Share('s', 9), serving.Share('v', 1))
+        split = serving.Route('s', 'h', '/s/', serving.Kind.safe, shares, 1, 1)
+        rng = random.Random(1)
+        picked = [serving.pick_service(split, rng) for _ in range(1000)]
+        assert 850 < picked.count('s') < 950
+
+
+class TestDirectory:
+    def test_draining_endpoint_is_not_ready(self) -> None:
+        ready = builders.endpoint('one', 'search')
+        leaving = builders.endpoint('two', 'search', ready=False)
+        listed = builders.directory(ready, leaving)
+        assert listed.ready('search') == (ready,)
+
+    def test_generation_moves_with_changes_only(self) -> None:
+        one = builders.endpoint('one', 'search')
+        listed = builders.directory(one)
+        before = listed.generation
+        listed.put(one)
+        assert listed.generation == before
+        listed.remove('one')
+        assert listed.generation == before + 1
+
+
+class TestRoster:
+    def member(self, name: str, **changes: object) -> serving.Member:
+        plain = {
+            'zone': 'a',
+            'strength': 0.8,
+            'incarnation': 1,
+            'leaving': False,
+        }
+        return serving.Member(
+            name,
+            '10.0.0.1',
+            1,
+            **{**plain, **changes},  # type: ignore[arg-type]
+        )
+
+    def test_all_gateways_choose_the_same_planner(self) -> None:
+        members = [self.member(f'm{index}') for index in range(5)]
+        chosen = set()
+        for own in members:
+            roster = serving.Roster(own, 8)
+            for other in members:
+                roster.heard(other, 0, 0)
+            chosen.add(roster.planners(2, 0)[0].name)
+        assert len(chosen) == 1
+
+    def test_silent_leaving_and_old_gateways_do_not_plan(self) -> None:
+        roster = serving.Roster(self.member('own'), 8)
+        roster.heard(self.member('silent', strength=2), 0, 0)
+        roster.heard(self.member('leaving', strength=2, leaving=True), 0, 0)
+        roster.heard(self.member('old', strength=2), 5, 0)
+        roster.silent('silent', 1, 0)
+        assert [one.name for one in roster.planners(2, 0.5)] == ['own']
+
+    def test_older_word_of_a_gateway_is_not_taken(self) -> None:
+        roster = serving.Roster(self.member('own'), 8)
+        roster.heard(self.member('m', incarnation=2), 0, 1)
+        roster.heard(self.member('m', incarnation=1, leaving=True), 0, 1)
+        assert not roster.members(1)[0][0].leaving
+
+    def test_strong_gateways_plan_first(self) -> None:
+        roster = serving.Roster(self.member('own', strength=0.4), 8)
+        roster.heard(self.member('big', strength=2.1), 0, 0)
+        assert roster.planners(2, 0)[0].name == 'big'
