--- a/src/lentilspool/serving/_jobs.py
+++ b/src/lentilspool/serving/_jobs.py
@@ -98,17 +98,21 @@
     late_begun: bool = False
     """Whether it is late and has had work spent on it."""
 
+    priority: int = 0
+    """Rank of the request; 0 goes first."""
+
     bucket: int = 0
     """Worth for each second of work, as a power of two."""
 
     due_at: float = 0
     """When it should have its first event."""
 
-    def key(self, delay_s: float = 0) -> tuple[bool, bool, int, float]:
+    def key(self, delay_s: float = 0) -> tuple[bool, bool, int, int, float]:
         """Return the key to sort by; a delay puts it behind its equals."""
         return (
             self.late,
             not self.late_begun,
+            self.priority,
             -self.bucket,
             self.due_at + delay_s,
         )
--- a/src/lentilspool/serving/_lanes.py
+++ b/src/lentilspool/serving/_lanes.py
@@ -233,7 +233,7 @@
         """Put stages that are better run in another zone behind equals."""
         place = lane.endpoint.zone
 
-        def key(waiting: Waiting) -> tuple[bool, bool, int, float]:
+        def key(waiting: Waiting) -> tuple[bool, bool, int, int, float]:
             job, number = waiting
             far = job.zone_of(number) not in {'', place}
             return job.rank.key(_FAR_DELAY_S if far else 0)
--- a/src/lentilspool/serving/_outlook.py
+++ b/src/lentilspool/serving/_outlook.py
@@ -106,13 +106,19 @@
     return max(ends, default=0)
 
 
+def _goes_before(other: _jobs.Job, job: _jobs.Job) -> bool:
+    if other.ask.priority != job.ask.priority:
+        return other.ask.priority < job.ask.priority
+    return other.outlook.bucket >= job.outlook.bucket
+
+
 def pieces_ahead(
     job: _jobs.Job, others: Iterable[_jobs.Job]
 ) -> dict[str, float]:
     """Return the waiting pieces of each service that go before the job's."""
     ahead: dict[str, float] = {}
     for other in others:
-        if other.outlook.bucket >= job.outlook.bucket:
+        if _goes_before(other, job):
             for stage in other.stages:
                 name = stage.ask.service
                 ahead[name] = ahead.get(name, 0) + len(stage.waiting)
@@ -137,6 +143,7 @@
         job.rank = _jobs.Rank(
             late,
             late and job.begun,
+            job.ask.priority,
             job.outlook.bucket,
             job.deadline_at if late else job.target_at,
         )
