Do not wait for a zone without room; keep one planner through a restart of all

Stages whose traffic between zones would cost more than their answer waited for an endpoint of their zone that had no room, until its results expired.

Change: only endpoints that have room and are free within 0.6 s are waited for. Gateways that stop plan last, the latest first, so that one still plans.

Conclusion: waits for a place have to end where the place cannot come.

--- a/src/lentilspool/gateway/_flight.py
+++ b/src/lentilspool/gateway/_flight.py
@@ -13,6 +13,7 @@
     _planning,
     _pool,
     _published,
+    _stop,
 )
 
 _logger: Final = logging.getLogger(__name__)
@@ -50,6 +51,9 @@
     metrics: _metrics.GatewayMetrics
     """Counters and histograms."""
 
+    stop: _stop.PlannedStop
+    """The planned stop of the process."""
+
 
 class Budgets:
     """Retry budgets by service."""
--- a/src/lentilspool/gateway/_gateway.py
+++ b/src/lentilspool/gateway/_gateway.py
@@ -23,12 +23,14 @@
     _published,
     _sockets,
     _status,
+    _stop,
     _store,
 )
 
 _logger: Final = logging.getLogger(__name__)
 _TICK_S: Final = 0.25
 _SUSPENDED_S: Final = 0.5
+_MS: Final = 1000
 
 
 class Gateway:
@@ -39,6 +41,8 @@
     ) -> None:
         self._own = own
         self._nursery = nursery
+        self._stop_asked = trio.Event()
+        self._planned_stop = _stop.PlannedStop(own.stop)
         self._published = _published.Published(own.store.lapse_s)
         self._pool = _pool.Pool(own.send)
         host, port = _sockets.split(own.peers)
@@ -50,7 +54,6 @@
                 own.zone,
                 own.processor_share,
                 _clock.wall_ms(),
-                leaving=False,
             ),
             own.link.forget_s,
         )
@@ -70,6 +73,7 @@
             self._loads,
             _flight.Budgets(own.send),
             self._metrics,
+            self._planned_stop,
         )
         ingress = _ingress.Ingress(tools)
         status = _status.Status(self._metrics, self._is_ready, self.dump)
@@ -89,7 +93,6 @@
                 platform.ENDPOINT_PREFIX,
             )
         ]
-        self._stopping = trio.Event()
         self._was_ready = False
         self._published.listen(self._follow)
 
@@ -107,12 +110,13 @@
         _events.STARTED.log(
             _logger, zone=self._own.zone, callers=self._own.callers
         )
-        await self._stopping.wait()
+        await self._stop_asked.wait()
         await self._stop()
 
     def request_stop(self) -> None:
         """Begin a planned stop."""
-        self._stopping.set()
+        self._planned_stop.begin()
+        self._stop_asked.set()
 
     def dump(self) -> dict[str, object]:
         """Return the state as plain JSON types."""
@@ -125,11 +129,11 @@
             'open_requests': self._callers.open_requests,
             'connections_opened': self._pool.opened,
             'store_calls': sum(reader.calls for reader in self._readers),
-            'stopping': self._stopping.is_set(),
+            'stopping': self._planned_stop.begun,
         }
 
     def _is_ready(self) -> bool:
-        ready = self._published.ready and not self._stopping.is_set()
+        ready = self._published.ready and not self._planned_stop.begun
         if ready != self._was_ready:
             self._was_ready = ready
             _events.READY.log(
@@ -141,21 +145,19 @@
         return ready
 
     async def _stop(self) -> None:
-        began_at = _clock.now()
         _events.STOPPING.log(_logger, open_requests=self._callers.open_requests)
-        self._roster.leave()
+        self._roster.leave(_clock.wall_ms())
         self._callers.close_idle()
-        stop = self._own.stop
-        while _clock.now() - began_at < stop.limit_s:
-            passed_s = _clock.now() - began_at
+        stop = self._planned_stop
+        while not stop.over:
             busy = self._callers.open_requests or self._local.waiting
-            if passed_s > stop.lame_s and not busy:
+            if stop.passed_s > self._own.stop.lame_s and not busy:
                 break
             await trio.sleep(_TICK_S / 2)
         _events.STOPPED.log(
             _logger,
             open_requests=self._callers.open_requests,
-            after_ms=round((_clock.now() - began_at) * 1000),
+            after_ms=round(stop.passed_s * _MS),
         )
 
     def _follow(self) -> None:
@@ -173,7 +175,7 @@
             now = _clock.now()
             if now - last > _TICK_S + _SUSPENDED_S:
                 _events.WOKEN.log(
-                    _logger, suspended_ms=round((now - last) * 1000)
+                    _logger, suspended_ms=round((now - last) * _MS)
                 )
                 await self._pool.clear()
             last = now
--- a/src/lentilspool/gateway/_ingress.py
+++ b/src/lentilspool/gateway/_ingress.py
@@ -70,6 +70,9 @@
             left_ms=round(flight.left_s * _MS),
             configuration=self._tools.published.version,
         )
+        if not self._tools.stop.takes(flight.route):
+            await flight.refuse('stopping', None)
+            return
         concluded = False
         scope = trio.move_on_after(max(flight.left_s, 0))
         try:
--- a/src/lentilspool/serving/_lanes.py
+++ b/src/lentilspool/serving/_lanes.py
@@ -22,6 +22,8 @@
 _MB: Final = 1_000_000
 # Traffic of a piece that is worth a wait for an endpoint in the right zone.
 LARGE_BYTES: Final = 100_000
+# An endpoint that is busy for longer is not waited for.
+_LONGEST_ZONE_WAIT_S: Final = 0.6
 # Time that has to be left after such a wait, and waits in later stages.
 _ZONE_SLACK_S: Final = 0.3
 _TAIL_FACTOR: Final = 1.6
@@ -271,7 +273,14 @@
         zone = job.zone_of(number)
         if traffic < LARGE_BYTES or not zone or lane.endpoint.zone == zone:
             return False
-        near = [one for one in self.lanes.values() if one.endpoint.zone == zone]
+        size = job.stages[number].ask.result_bytes * self.size_factor
+        near = [
+            one
+            for one in self.lanes.values()
+            if one.endpoint.zone == zone
+            and one.room >= size
+            and one.free_at(now) < now + _LONGEST_ZONE_WAIT_S
+        ]
         if not near:
             return False
         pieces = len(job.stages[number].waiting)
--- a/src/lentilspool/serving/_owner.py
+++ b/src/lentilspool/serving/_owner.py
@@ -36,8 +36,8 @@
     incarnation: int
     """Start of the process, Unix milliseconds."""
 
-    leaving: bool
-    """Whether it takes no new plans."""
+    leaving_at: int = 0
+    """Begin of its planned stop, Unix milliseconds; 0 if there is none."""
 
     @property
     def address(self) -> str:
@@ -63,9 +63,9 @@
         """This process."""
         return self._own
 
-    def leave(self) -> None:
-        """Take no new plans from now on."""
-        self._own = dataclasses.replace(self._own, leaving=True)
+    def leave(self, wall_ms: int) -> None:
+        """Plan only if every other gateway leaves too."""
+        self._own = dataclasses.replace(self._own, leaving_at=wall_ms)
 
     def heard(self, member: Member, age_s: float, now: float) -> None:
         """Take in a sign of life."""
@@ -102,20 +102,22 @@
     def planners(self, fresh_s: float, now: float) -> list[Member]:
         """Return the gateways that plan, the first choice first.
 
-        Gateways that were not heard for ``fresh_s`` seconds, that leave or
-        do not answer are left out. This process is always in the list.
+        Gateways that were not heard for ``fresh_s`` seconds or do not answer
+        are left out. Those that leave come last, the latest first, so that
+        a restart of all of them leaves one plan. This process is always in
+        the list.
         """
         fit = [
             member
             for member, age_s in self.members(now)
             if age_s <= fresh_s
-            and not member.leaving
             and self._silent_until.get(member.name, 0) <= now
         ]
         return sorted([*fit, self._own], key=_preference)
 
 
-def _preference(member: Member) -> tuple[bool, float, int]:
+def _preference(member: Member) -> tuple[bool, int, float, int]:
     digest = xxhash.xxh3_64_intdigest(member.name.encode())
     strength = round(member.strength * _ROUNDING) / _ROUNDING
-    return (member.leaving, -strength, digest)
+    leaving_at = member.leaving_at
+    return (leaving_at > 0, -leaving_at, -strength, digest)
--- a/src/lentilspool/serving/tests/test_planner.py
+++ b/src/lentilspool/serving/tests/test_planner.py
@@ -276,3 +276,45 @@
         gone = (serving.PieceResult('', 'gone'),) * 2
         planner.call_ended(last.number, gone, 0.41)
         assert not builders.refusals(planner.step(0.41))
+
+
+class TestZones:
+    """Chains whose second stage reads much of the first."""
+
+    def planner(self) -> serving.Planner:
+        found = [
+            builders.endpoint('s1', 'search'),
+            builders.endpoint('r1', 'rank'),
+            builders.endpoint('r2', 'rank', 'b'),
+            ENGINE,
+        ]
+        return builders.planner(builders.directory(*found))
+
+    def chain(self, pieces: int) -> tuple[serving.StageAsk, ...]:
+        return (
+            builders.stage(4, result_bytes=400_000),
+            builders.stage(pieces, 'rank', (0,), 4_500_000),
+        )
+
+    def run_search(self, planner: serving.Planner, now: float) -> None:
+        (call,) = builders.calls(planner.step(now))
+        planner.call_ended(call.number, builders.made(call), now + 0.3)
+
+    def test_stage_runs_in_the_zone_of_what_it_reads(self) -> None:
+        planner = self.planner()
+        planner.submit(builders.ask('one', *self.chain(2)), 0)
+        self.run_search(planner, 0)
+        (call,) = builders.calls(planner.step(0.3))
+        assert call.endpoint.zone == 'a'
+
+    def test_stage_does_not_wait_for_an_endpoint_without_room(self) -> None:
+        planner = self.planner()
+        planner.submit(builders.ask('one', *self.chain(4)), 0)
+        self.run_search(planner, 0)
+        (call,) = builders.calls(planner.step(0.3))
+        planner.call_ended(call.number, builders.made(call), 0.6)
+        planner.step(0.6)
+        planner.submit(builders.ask('two', *self.chain(2)), 0.6)
+        self.run_search(planner, 0.6)
+        (last,) = builders.calls(planner.step(0.9))
+        assert [call.endpoint.name, last.endpoint.name] == ['r1', 'r2']
--- a/src/lentilspool/serving/tests/test_tables.py
+++ b/src/lentilspool/serving/tests/test_tables.py
@@ -92,7 +92,6 @@
             'zone': 'a',
             'strength': 0.8,
             'incarnation': 1,
-            'leaving': False,
         }
         return serving.Member(
             name,
@@ -111,19 +110,29 @@
             chosen.add(roster.planners(2, 0)[0].name)
         assert len(chosen) == 1
 
-    def test_silent_leaving_and_old_gateways_do_not_plan(self) -> None:
+    def test_silent_and_old_gateways_do_not_plan(self) -> None:
         roster = serving.Roster(self.member('own'), 8)
         roster.heard(self.member('silent', strength=2), 0, 0)
-        roster.heard(self.member('leaving', strength=2, leaving=True), 0, 0)
         roster.heard(self.member('old', strength=2), 5, 0)
         roster.silent('silent', 1, 0)
         assert [one.name for one in roster.planners(2, 0.5)] == ['own']
 
+    def test_gateways_that_leave_plan_last_and_the_latest_first(self) -> None:
+        roster = serving.Roster(self.member('own'), 8)
+        for name, leaving_at in (('first', 100), ('second', 200)):
+            leaving = self.member(name, strength=2, leaving_at=leaving_at)
+            roster.heard(leaving, 0, 0)
+        found = [one.name for one in roster.planners(2, 0)]
+        assert found == ['own', 'second', 'first']
+        roster.leave(150)
+        found = [one.name for one in roster.planners(2, 0)]
+        assert found == ['second', 'own', 'first']
+
     def test_older_word_of_a_gateway_is_not_taken(self) -> None:
         roster = serving.Roster(self.member('own'), 8)
         roster.heard(self.member('m', incarnation=2), 0, 1)
-        roster.heard(self.member('m', incarnation=1, leaving=True), 0, 1)
-        assert not roster.members(1)[0][0].leaving
+        roster.heard(self.member('m', incarnation=1, leaving_at=5), 0, 1)
+        assert not roster.members(1)[0][0].leaving_at
 
     def test_strong_gateways_plan_first(self) -> None:
         roster = serving.Roster(self.member('own', strength=0.4), 8)
--- a/src/lentilspool/settings/_gateway.py
+++ b/src/lentilspool/settings/_gateway.py
@@ -83,6 +83,12 @@
     lame_s: float = 3.0
     """Seconds for which new connections are still served."""
 
+    last_stream_s: float = 4.5
+    """Seconds after which streams are refused, since they would be cut."""
+
+    last_request_s: float = 6.3
+    """Seconds after which every request is refused."""
+
     limit_s: float = 7.3
     """Seconds after which the process ends with work in flight."""
 
