Hold back requests that would be late behind others

Change: a request that has had no work is held back while it would be late behind those that have and their services are busy; it begins when there is time, or is refused unspent with the time to come back. The wait at a later stage counts only beyond the time of the stages before it.

--- a/src/lentilspool/serving/_outlook.py
+++ b/src/lentilspool/serving/_outlook.py
@@ -100,7 +100,9 @@
         if service and stage.ask.pieces:
             limits = service.limits
             pieces = min(stage.ask.pieces, limits.batch)
-            begin += service.wait_s(ahead.get(stage.ask.service, 0), now)
+            # What waits now is worked on while the stages before run.
+            wait_s = service.wait_s(ahead.get(stage.ask.service, 0), now)
+            begin = max(begin, wait_s)
             begin += limits.call_s + pieces * limits.piece_s
         ends.append(begin)
     return max(ends, default=0)
@@ -125,6 +127,59 @@
     return ahead
 
 
+def startable(
+    jobs: Iterable[_jobs.Job],
+    services: Services,
+    limits: _plan_types.PlanLimits,
+    now: float,
+) -> list[_jobs.Job]:
+    """Return the jobs, in their order, whose pieces may be sent.
+
+    A request that has had no work yet is held back if it would be late
+    behind those that have, and their services are busy: its results would
+    take up room, and its work be lost. It waits until there is time for it,
+    or is refused unspent.
+    """
+    found = list(jobs)
+    backlog: dict[str, float] = {}
+    for begun in found:
+        if begun.begun:
+            _add_pieces(backlog, begun)
+    chosen = []
+    for job in found:
+        if not job.begun:
+            left_s = expected_s(job, services, backlog, now)
+            left_s += limits.first_event_s
+            late = now + left_s > job.target_at
+            if late and _is_busy(job, services, backlog, limits, now):
+                continue
+            _add_pieces(backlog, job)
+        chosen.append(job)
+    return chosen
+
+
+def _add_pieces(backlog: dict[str, float], job: _jobs.Job) -> None:
+    for stage in job.stages:
+        name = stage.ask.service
+        backlog[name] = backlog.get(name, 0) + len(stage.waiting)
+
+
+def _is_busy(
+    job: _jobs.Job,
+    services: Services,
+    backlog: dict[str, float],
+    limits: _plan_types.PlanLimits,
+    now: float,
+) -> bool:
+    names = {stage.ask.service for stage in job.stages if stage.ask.pieces}
+    waits = [
+        services[name].wait_s(backlog.get(name, 0), now)
+        for name in names
+        if name in services
+    ]
+    return max(waits, default=0) > limits.busy_s
+
+
 def ordered(
     jobs: Iterable[_jobs.Job],
     services: Services,
--- a/src/lentilspool/serving/_plan_types.py
+++ b/src/lentilspool/serving/_plan_types.py
@@ -214,6 +214,9 @@
     admit_share: float = 0.75
     """Share of its time that a request may be expected to take."""
 
+    busy_s: float = 0.3
+    """Wait at a stage service from which on late requests are held back."""
+
     late_wait_share: float = 0.25
     """Share of its time that a late request may wait before any work."""
 
--- a/src/lentilspool/serving/_planner.py
+++ b/src/lentilspool/serving/_planner.py
@@ -128,7 +128,10 @@
         jobs = _outlook.ordered(
             self._jobs.values(), self._stages.services, self._limits, now
         )
-        self._stages.start(jobs, now)
+        chosen = _outlook.startable(
+            jobs, self._stages.services, self._limits, now
+        )
+        self._stages.start(chosen, now)
         for job in jobs:
             if job.done:
                 self._start_run(job, now)
--- a/src/lentilspool/serving/tests/test_planner.py
+++ b/src/lentilspool/serving/tests/test_planner.py
@@ -318,3 +318,46 @@
         self.run_search(planner, 0.6)
         (last,) = builders.calls(planner.step(0.9))
         assert [call.endpoint.name, last.endpoint.name] == ['r1', 'r2']
+
+
+class TestOverload:
+    """A burst that asks for twice what the second stage service does."""
+
+    def planner(self) -> serving.Planner:
+        rank = builders.endpoint('r1', 'rank')
+        return builders.planner(builders.directory(SEARCH, rank, ENGINE))
+
+    def submit(self, planner: serving.Planner, count: int) -> None:
+        chain = (builders.stage(1), builders.stage(4, 'rank', (0,)))
+        for number in range(count):
+            planner.submit(builders.ask(f'job-{number}', *chain), 0)
+
+    def test_requests_that_would_be_late_get_no_work(self) -> None:
+        planner = self.planner()
+        self.submit(planner, 12)
+        spent = set()
+        now = 0.0
+        for _ in range(4):
+            for call in builders.calls(planner.step(now)):
+                spent.update(piece.request_id for piece in call.pieces)
+                planner.call_ended(call.number, builders.made(call), now + 0.2)
+            now += 0.2
+        assert 1 <= len(spent) < 6
+
+    def test_those_held_back_are_refused_with_the_time_to_come_back(
+        self,
+    ) -> None:
+        planner = self.planner()
+        self.submit(planner, 12)
+        refused = []
+        now = 0.0
+        while planner.waiting and now < 9:
+            actions = planner.step(now)
+            refused.extend(builders.refusals(actions))
+            for call in builders.calls(actions):
+                planner.call_ended(call.number, builders.made(call), now)
+            for run in builders.runs(actions):
+                planner.started(run.key, now)
+            now += 0.3
+        assert refused
+        assert all(one.retry_after_s is not None for one in refused)
