--- a/features/steps/orders_steps.py
+++ b/features/steps/orders_steps.py
@@ -9,6 +9,7 @@
 
 LIMIT_S = 60
 POLL_S = 0.02
+MOST_OPEN = 6
 SPACING_S = 0.03
 WORDS = 60
 ENGINES = 'model'
@@ -166,8 +167,13 @@
         words = itertools.repeat(f'bride-{number}', WORDS)
         fields = {'text': ' '.join(words)}
         replies.append(await fleet.request('answer', 'brides', fields))
+        room.release()
 
+    # A slow machine gets its requests more slowly, so that admission does
+    # not refuse what the machine, not the roll, cannot serve.
+    room = trio.Semaphore(MOST_OPEN)
     for number in range(int(LIMIT_S / SPACING_S)):
+        await room.acquire()
         nursery.start_soon(one, number)
         await trio.sleep(SPACING_S)
 
--- a/src/lentilspool/serving/_outlook.py
+++ b/src/lentilspool/serving/_outlook.py
@@ -109,6 +109,8 @@
 
 
 def _goes_before(other: _jobs.Job, job: _jobs.Job) -> bool:
+    if other.rank.late != job.rank.late:
+        return job.rank.late
     if other.ask.priority != job.ask.priority:
         return other.ask.priority < job.ask.priority
     return other.outlook.bucket >= job.outlook.bucket
--- a/src/lentilspool/serving/tests/test_planner.py
+++ b/src/lentilspool/serving/tests/test_planner.py
@@ -361,3 +361,20 @@
             now += 0.3
         assert refused
         assert all(one.retry_after_s is not None for one in refused)
+
+    def test_late_requests_do_not_turn_away_new_ones(self) -> None:
+        planner = self.planner()
+        chain = (builders.stage(1), builders.stage(60, 'rank', (0,)))
+        for number in range(3):
+            late = builders.ask(
+                f'late-{number}',
+                *chain,
+                target_s=0.3,
+                deadline_s=60,
+                prompt=builders.prompt(900_000),
+            )
+            planner.submit(late, 0)
+        planner.step(0)
+        short = (builders.stage(1), builders.stage(1, 'rank', (0,)))
+        planner.submit(builders.ask('new', *short, deadline_s=4), 0.1)
+        assert not builders.refusals(planner.step(0.1))
