Weigh fetched and re-read prompt parts more against waiting

Change: a part that is read again costs 2.5 times its reading besides, and one that is fetched 0.8 times; the size of results is learned both ways and not from room that others take up.

--- a/src/lentilspool/serving/_lanes.py
+++ b/src/lentilspool/serving/_lanes.py
@@ -15,7 +15,9 @@
 _SLOWEST: Final = 8.0
 _FASTEST: Final = 0.5
 # Results are larger than declared by this much after each lack of room.
-_GROWTH: Final = 1.08
+_GROWTH: Final = 1.05
+_DECAY: Final = 0.997
+_FULL_SHARE: Final = 0.4
 _MOST_GROWTH: Final = 1.5
 # Time for which an endpoint without room gets no call.
 _NO_ROOM_S: Final = 0.1
@@ -174,7 +176,13 @@
         """Take in that an endpoint had no room for a result."""
         lane.blocked_until = max(lane.blocked_until, now + _NO_ROOM_S)
         lane.most = 1
-        self.size_factor = min(self.size_factor * _GROWTH, _MOST_GROWTH)
+        # With room left by this account, others' results are in the way.
+        if lane.room < self.limits.room_bytes * _FULL_SHARE:
+            self.size_factor = min(self.size_factor * _GROWTH, _MOST_GROWTH)
+
+    def had_room(self) -> None:
+        """Take in that all results of a call found room."""
+        self.size_factor = max(self.size_factor * _DECAY, 1)
 
     def follow(
         self,
--- a/src/lentilspool/serving/_plan_types.py
+++ b/src/lentilspool/serving/_plan_types.py
@@ -181,10 +181,10 @@
     output_token_weight: float = 10
     """Value of a generated token, in tokens that are read."""
 
-    read_again_weight: float = 1
+    read_again_weight: float = 2.5
     """Cost of reading a shared part again, in seconds for each second."""
 
-    fetch_weight: float = 0.25
+    fetch_weight: float = 0.8
     """Cost of fetching a part, relative to reading it."""
 
     cross_zone_s_per_mb: float = 0.015
--- a/src/lentilspool/serving/_stage_desk.py
+++ b/src/lentilspool/serving/_stage_desk.py
@@ -108,6 +108,7 @@
             self._failed(flight, now, ran=ran)
         elif not flight.overdue and all(one.handle for one in results):
             flight.lane.learn(flight, now)
+            self.services[flight.service].had_room()
         setbacks: list[Setback] = []
         for part, outcome in zip(flight.parts, results):
             part.job.stages[part.stage].land(part.piece)
--- a/src/lentilspool/serving/tests/test_planner.py
+++ b/src/lentilspool/serving/tests/test_planner.py
@@ -335,7 +335,7 @@
     def test_requests_that_would_be_late_get_no_work(self) -> None:
         planner = self.planner()
         self.submit(planner, 12)
-        spent = set()
+        spent: set[str] = set()
         now = 0.0
         for _ in range(4):
             for call in builders.calls(planner.step(now)):
@@ -349,7 +349,7 @@
     ) -> None:
         planner = self.planner()
         self.submit(planner, 12)
-        refused = []
+        refused: list[serving.Refuse] = []
         now = 0.0
         while planner.waiting and now < 9:
             actions = planner.step(now)
