Read settings again; survive unreadable messages of other gateways

Cause: the platform changes settings files with or without a signal, and the gateway only logged the signal; content that cannot be decoded ended the process.

Change: settings are read again on SIGHUP and every 2 s; those that can change at run time (gateways to begin with, log level) are taken, unreadable ones leave the old in force. A message with unreadable content ends its connection.

--- a/src/lentilspool/gateway/_events.py
+++ b/src/lentilspool/gateway/_events.py
@@ -19,6 +19,9 @@
 UNEXPECTED: Final = _declare(
     127, logging.ERROR, 'A request ended with an error of the program.'
 )
+RELOAD_FAILED: Final = _declare(
+    128, logging.ERROR, 'Changed settings cannot be read; the old ones hold.'
+)
 CONFIGURED: Final = _declare(
     220, logging.INFO, 'A configuration version is in force.'
 )
--- a/src/lentilspool/gateway/_gateway.py
+++ b/src/lentilspool/gateway/_gateway.py
@@ -21,6 +21,7 @@
     _planning,
     _pool,
     _published,
+    _reload,
     _sockets,
     _status,
     _stop,
@@ -118,6 +119,11 @@
         self._planned_stop.begin()
         self._stop_asked.set()
 
+    def take(self, changed: settings.GatewaySettings) -> None:
+        """Take settings that can change while the process runs."""
+        self._links.known_peers = changed.known_peers
+        logging.getLogger().setLevel(changed.log_level)
+
     def dump(self) -> dict[str, object]:
         """Return the state as plain JSON types."""
         return {
@@ -185,17 +191,23 @@
             )
 
 
-async def serve(own: settings.GatewaySettings) -> None:
-    """Run a gateway until it is told to stop."""
+async def serve(own: settings.GatewaySettings, load: _reload.Load) -> None:
+    """Run a gateway until it is told to stop.
+
+    ``load`` reads the settings again; it raises ``SettingsError``.
+    """
     async with trio.open_nursery() as nursery:
         gateway = Gateway(own, nursery)
-        await nursery.start(_follow_signals, gateway)
+        reloader = _reload.Reloader(own, load, gateway.take)
+        await nursery.start(_follow_signals, gateway, reloader)
+        nursery.start_soon(reloader.serve)
         await gateway.run()
         nursery.cancel_scope.cancel()
 
 
 async def _follow_signals(
     gateway: Gateway,
+    reloader: _reload.Reloader,
     task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     with trio.open_signal_receiver(
@@ -204,6 +216,6 @@
         task_status.started()
         async for number in signals:
             if number == signal.SIGHUP:
-                _events.RELOADED.log(_logger, changed=())
+                reloader.reload()
             else:
                 gateway.request_stop()
--- a/src/lentilspool/gateway/_peers.py
+++ b/src/lentilspool/gateway/_peers.py
@@ -243,10 +243,25 @@
             if self._stream is None:
                 self._stream = stream
                 _events.PEER_BACK.log(_logger, peer=self.address)
-            self._take(message)
+            if not self._readable(message):
+                break
             message = await stream.receive()
         cancel.cancel()
 
+    def _readable(self, message: wire.Message) -> bool:
+        """Take a message; False if its content cannot be read."""
+        try:
+            self._take(message)
+        except msgspec.MsgspecError as error:
+            _events.PEER_MESSAGE.log(
+                _logger,
+                peer=self.address,
+                kind=type(message).__name__,
+                problem=str(error),
+            )
+            return False
+        return True
+
     def _take(self, message: wire.Message) -> None:
         match message:
             case wire.GatewayBeat():
--- a/src/lentilspool/gateway/_plan_desk.py
+++ b/src/lentilspool/gateway/_plan_desk.py
@@ -84,11 +84,8 @@
         """Take messages until the stream ends."""
         message = await stream.receive()
         while not isinstance(message, (wire.Closed, wire.Malformed)):
-            taker = self._takers.get(type(message))
-            if taker:
-                taker(message)
-            else:
-                _events.PEER_MESSAGE.log(_logger, kind=type(message).__name__)
+            if not self._take(message):
+                return
             message = await stream.receive()
 
     def close(self) -> None:
@@ -97,6 +94,22 @@
             self._planning.note(key, 'cancelled')
         self._keys = {}
 
+    def _take(self, message: wire.Message) -> bool:
+        """Take a message; False if its content cannot be read."""
+        taker = self._takers.get(type(message))
+        problem = 'it has no use here'
+        if taker:
+            try:
+                taker(message)
+            except msgspec.MsgspecError as error:
+                problem = str(error)
+            else:
+                return True
+        _events.PEER_MESSAGE.log(
+            _logger, kind=type(message).__name__, problem=problem
+        )
+        return taker is None
+
     def _hear(self, beat: wire.GatewayBeat) -> None:
         for ask in self._knowledge.hear(beat):
             self._put(ask)
--- a/src/lentilspool/gateway/_planning.py
+++ b/src/lentilspool/gateway/_planning.py
@@ -32,6 +32,7 @@
         self._knowledge = knowledge
         self._nursery = nursery
         self._links: dict[str, _peers.Link] = {}
+        self.known_peers = own.known_peers
 
     def find(self, address: str) -> _peers.Link | None:
         """Return the connection to a gateway if it is up."""
@@ -55,7 +56,7 @@
         ]
         wanted = wanted[: self._own.link.links]
         known = {member.address for member, _ in roster.members(now)}
-        for seed in self._own.known_peers:
+        for seed in self.known_peers:
             # A seed that was not heard yet, and may be this process.
             if seed not in known and seed != self._own.peers:
                 wanted.append(seed)
--- /dev/null
+++ b/src/lentilspool/gateway/tests/test_reload.py
@@ -0,0 +1,48 @@
+"""Tests of settings that change while the process runs."""
+
+import dataclasses
+
+from lentilspool import settings
+from lentilspool.gateway import _reload
+
+OWN = settings.GatewaySettings(
+    name='g',
+    zone='a',
+    callers='127.0.0.1:1',
+    readiness='127.0.0.1:2',
+    peers='127.0.0.1:3',
+    metrics='127.0.0.1:4',
+    known_peers=('127.0.0.1:5',),
+    store=settings.StoreSettings('127.0.0.1:6'),
+)
+
+
+class File:
+    """Settings that change, or cannot be read."""
+
+    def __init__(self) -> None:
+        self.content: settings.GatewaySettings | None = OWN
+        self.taken: list[settings.GatewaySettings] = []
+
+    def load(self) -> settings.GatewaySettings:
+        if self.content is None:
+            raise settings.SettingsError('file', '$', 'is no JSON')
+        return self.content
+
+
+class TestReloader:
+    def test_only_changes_are_taken(self) -> None:
+        file = File()
+        reloader = _reload.Reloader(OWN, file.load, file.taken.append)
+        reloader.reload()
+        file.content = dataclasses.replace(OWN, known_peers=())
+        reloader.reload()
+        reloader.reload()
+        assert file.taken == [file.content]
+
+    def test_unreadable_settings_leave_the_old_ones(self) -> None:
+        file = File()
+        reloader = _reload.Reloader(OWN, file.load, file.taken.append)
+        file.content = None
+        reloader.reload()
+        assert not file.taken
--- a/src/lentilspool/programs/gateway.py
+++ b/src/lentilspool/programs/gateway.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import sys
+from functools import partial
 
 from lentilspool import platform
 from lentilspool import settings as settings_package
@@ -12,6 +13,9 @@
 class Serve:
     """Runs a gateway, or only checks its settings."""
 
+    path: str
+    """File of settings."""
+
     checked: settings_package.GatewaySettings
     """Settings, already checked."""
 
@@ -29,7 +33,7 @@
         from lentilspool import gateway, telemetry
 
         telemetry.configure_lines(self.checked.name, self.checked.log_level)
-        trio.run(gateway.serve, self.checked)
+        trio.run(gateway.serve, self.checked, partial(_load, self.path))
         return 0
 
 
@@ -43,10 +47,12 @@
             that the platform has written.
         check_settings: Check the settings and exit.
     """
-    checked = settings_package.load_file(
-        settings or platform.settings_path(), settings_package.GatewaySettings
-    )
-    return Serve(checked, check_settings)
+    path = settings or platform.settings_path()
+    return Serve(path, _load(path), check_settings)
+
+
+def _load(path: str) -> settings_package.GatewaySettings:
+    return settings_package.load_file(path, settings_package.GatewaySettings)
 
 
 def main() -> None:
