--- a/src/lentilspool/gateway/_local_planning.py
+++ b/src/lentilspool/gateway/_local_planning.py
@@ -13,6 +13,8 @@
 _OK: Final = 200
 _CALL_LIMIT_S: Final = 8.0
 _FREE_LIMIT_S: Final = 1.0
+_MANY_PLANS: Final = 20
+_GATHER_S: Final = 0.004
 # Time after which a new configuration has probably arrived.
 CONFIGURING_S: Final = 0.2
 _MAX_ANSWER_BYTES: Final = 1_048_576
@@ -77,6 +79,9 @@
             pause_s = max(self._planner.wake_at(now) - now, 0)
             with trio.move_on_after(pause_s):
                 await self._changed.wait()
+            if self._planner.waiting > _MANY_PLANS:
+                # A step looks at all plans: let some changes gather.
+                await trio.sleep(_GATHER_S)
 
     def _follow(self) -> None:
         if self._published.configuration:
--- a/src/lentilspool/serving/_jobs.py
+++ b/src/lentilspool/serving/_jobs.py
@@ -148,6 +148,8 @@
         self.zone = ''
         self.rank = Rank()
         self.redone = 0
+        # Stages done, and the least time left as computed then.
+        self.least_left: tuple[int, float] | None = None
 
     @property
     def ready_stages(self) -> list[int]:
--- a/src/lentilspool/serving/_lanes.py
+++ b/src/lentilspool/serving/_lanes.py
@@ -171,6 +171,9 @@
         self._weights = weights
         self.lanes: dict[str, Lane] = {}
         self.size_factor = 1.0
+        # Time, and when the first endpoint is free as seen then: many
+        # requests ask for it within one step.
+        self._first_free = (-1.0, 0.0)
 
     def no_room(self, lane: Lane, now: float) -> None:
         """Take in that an endpoint had no room for a result."""
@@ -236,8 +239,10 @@
         """Return the time until a piece with so many ahead is begun."""
         if not self.lanes:
             return _SLOWEST
-        first = min(lane.free_at(now) for lane in self.lanes.values())
-        return max(first - now, 0) + pieces_ahead * self.piece_s()
+        if self._first_free[0] != now:
+            first = min(lane.free_at(now) for lane in self.lanes.values())
+            self._first_free = (now, first)
+        return self._first_free[1] - now + pieces_ahead * self.piece_s()
 
     def _near_first(self, lane: Lane, queue: list[Waiting]) -> list[Waiting]:
         """Put stages that are better run in another zone behind equals."""
--- a/src/lentilspool/serving/_outlook.py
+++ b/src/lentilspool/serving/_outlook.py
@@ -55,6 +55,15 @@
     job: _jobs.Job, services: Services, limits: _plan_types.PlanLimits
 ) -> float:
     """Return the time to the first event if nothing has to wait."""
+    done = sum(stage.done for stage in job.stages)
+    if job.least_left is None or job.least_left[0] != done:
+        job.least_left = (done, _least_left_s(job, services, limits))
+    return job.least_left[1]
+
+
+def _least_left_s(
+    job: _jobs.Job, services: Services, limits: _plan_types.PlanLimits
+) -> float:
     ends: list[float] = []
     for stage in job.stages:
         begin = max((ends[earlier] for earlier in stage.ask.after), default=0)
