Share the platform's retry slack among the gateways known

Change: the slack comes from the platform's bounds through the settings template, and each gateway takes its part of it by the number of gateways that it has heard. An attempt that was given up before it was sent counts as unsent.

Ruled out: agreement on shares; a gateway that is not heard is covered by the 0.3 of the slack that is left.

--- a/src/lentilspool/gateway/_flight.py
+++ b/src/lentilspool/gateway/_flight.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import logging
+from collections.abc import Callable
 from typing import Final
 
 from lentilspool import platform, retries, serving, settings
@@ -21,6 +22,9 @@
 # Time kept for the way of the answer back to the caller.
 _RETURN_S: Final = 0.02
 _RETRY_AFTER_S: Final = 0.1
+# Part of the slack for retries; the rest is for pieces that planners resend,
+# and for gateways that have not been heard of.
+_SLACK_SHARE: Final = 0.7
 UNAVAILABLE: Final = 503
 BAD_GATEWAY: Final = 502
 TIMED_OUT: Final = 504
@@ -56,20 +60,27 @@
 
 
 class Budgets:
-    """Retry budgets by service."""
+    """Retry budgets by service; gateways share what the platform bears."""
 
-    def __init__(self, limits: settings.SendSettings) -> None:
+    def __init__(
+        self, limits: settings.SendSettings, gateways: Callable[[], int]
+    ) -> None:
         self._limits = limits
+        self._gateways = gateways
         self._budgets: dict[str, retries.RetryBudget] = {}
 
     def of(self, service: str) -> retries.RetryBudget:
-        """Return the budget of a service."""
-        if service not in self._budgets:
-            self._budgets[service] = retries.RetryBudget(
-                share=self._limits.retry_share,
-                reserve=self._limits.retry_reserve,
+        """Return the budget of a service, for the gateways known now."""
+        reserve = self._limits.retry_slack * _SLACK_SHARE / self._gateways()
+        reserve = max(reserve, 1)
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = retries.RetryBudget(
+                share=self._limits.retry_share, reserve=reserve
             )
-        return self._budgets[service]
+            self._budgets[service] = budget
+        budget.resize(reserve)
+        return budget
 
 
 class Flight:
--- a/src/lentilspool/gateway/_gateway.py
+++ b/src/lentilspool/gateway/_gateway.py
@@ -72,7 +72,7 @@
             self._pool,
             _planning.Planning(local, links, self._roster),
             self._loads,
-            _flight.Budgets(own.send),
+            _flight.Budgets(own.send, self._count_gateways),
             self._metrics,
             self._planned_stop,
         )
@@ -138,6 +138,9 @@
             'stopping': self._planned_stop.begun,
         }
 
+    def _count_gateways(self) -> int:
+        return len(self._roster.members(_clock.now())) + 1
+
     def _is_ready(self) -> bool:
         ready = self._published.ready and not self._planned_stop.begun
         if ready != self._was_ready:
--- a/src/lentilspool/gateway/_plain.py
+++ b/src/lentilspool/gateway/_plain.py
@@ -65,9 +65,13 @@
     loads.begun(endpoint)
     began_at = _clock.now()
     outcome = _Outcome(_connection.Broken('no answer in time', sent=True))
+    scope = trio.move_on_after(limit_s)
     try:
-        with trio.move_on_after(limit_s):
+        with scope:
             outcome = await _exchanged(flight, endpoint)
+        if scope.cancelled_caught:
+            reason = 'no answer in time'
+            outcome = _Outcome(_connection.Broken(reason, flight.sent))
     finally:
         head = outcome.head
         answered = isinstance(head, serving.AnswerHead)
--- a/src/lentilspool/gateway/_streams.py
+++ b/src/lentilspool/gateway/_streams.py
@@ -1,7 +1,6 @@
 """Requests that an engine answers with a stream of events."""
 
 import itertools
-import logging
 import random
 from collections.abc import Awaitable, Callable
 from typing import Final, TypeVar
@@ -18,11 +17,9 @@
     _planning,
 )
 
-_logger: Final = logging.getLogger(__name__)
 _rng: Final = random.Random()
 _counter: Final = itertools.count(1)
 _OK: Final = 200
-_SERVER_ERRORS: Final = 500
 _LEAST_S: Final = 0.05
 _Part = TypeVar('_Part')
 
--- a/src/lentilspool/retries/_budget.py
+++ b/src/lentilspool/retries/_budget.py
@@ -36,6 +36,10 @@
         """Retries that may be spent, as of the last call."""
         return self._balance
 
+    def resize(self, reserve: float) -> None:
+        """Change the reserve; what is above it expires within the window."""
+        self._reserve = reserve
+
     def succeeded(self, now: float) -> None:
         """Add the share of a retry that a success earns."""
         self._settle(now)
--- a/src/lentilspool/settings/_gateway.py
+++ b/src/lentilspool/settings/_gateway.py
@@ -70,10 +70,12 @@
     """Largest answer that is not a stream."""
 
     retry_share: float = 0.1
-    """Retries of a service, as a share of its successes."""
+    """Retries of a service, as a share of its successes; half of what the
+    platform bears, since clients' requests are counted otherwise there."""
 
-    retry_reserve: float = 8.0
-    """Retries of a service that are allowed besides."""
+    retry_slack: float = 50.0
+    """Retries of a service in a window of 10 s that the platform bears
+    besides, from all gateways together."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
