Remove what nothing calls in the gateway

Cause: the last reading found a property, a method, an argument and a return value that nothing uses, and a docstring that calls the planner's figures settings, which they are not.

Change: these are removed, the docstring says what they are. No decision is changed.

--- a/src/lentilspool/gateway/_gateway.py
+++ b/src/lentilspool/gateway/_gateway.py
@@ -44,7 +44,7 @@
         self._nursery = nursery
         self._stop_asked = trio.Event()
         self._planned_stop = _stop.PlannedStop(own.stop)
-        self._published = _published.Published(own.store.lapse_s)
+        self._published = _published.Published()
         self._pool = _pool.Pool(own.send)
         host, port = _sockets.split(own.peers)
         self._roster = serving.Roster(
--- a/src/lentilspool/gateway/_published.py
+++ b/src/lentilspool/gateway/_published.py
@@ -37,8 +37,7 @@
     and the configuration never to a lower version.
     """
 
-    def __init__(self, lapse_s: float) -> None:
-        self._lapse_s = lapse_s
+    def __init__(self) -> None:
         self.directory = serving.Directory()
         self.configuration: serving.Configuration | None = None
         self.routes: serving.RouteTable | None = None
--- a/src/lentilspool/gateway/_store.py
+++ b/src/lentilspool/gateway/_store.py
@@ -45,11 +45,6 @@
         """Calls to the store so far."""
         return self._calls
 
-    @property
-    def in_touch(self) -> bool:
-        """Whether the last call was answered."""
-        return self._lost_at is None and self._revision is not None
-
     async def serve(self) -> None:
         """List, then watch; list again whenever a watch cannot go on."""
         while True:
--- a/src/lentilspool/gateway/tests/test_peers.py
+++ b/src/lentilspool/gateway/tests/test_peers.py
@@ -61,7 +61,7 @@
         member = serving.Member(
             name, '127.0.0.1', port, 'a', float(name == 'planner'), 1
         )
-        self.published = _published.Published(1)
+        self.published = _published.Published()
         self.roster = serving.Roster(member, 8)
         knowledge = _peers.Knowledge(self.roster, self.published)
         local = _local_planning.LocalPlanning(
--- a/src/lentilspool/serving/_lanes.py
+++ b/src/lentilspool/serving/_lanes.py
@@ -191,19 +191,15 @@
         self,
         endpoints: tuple[_endpoints.Endpoint, ...],
         limits: _configuration.BatchLimits,
-    ) -> list[Lane]:
-        """Take the endpoints listed now; return the lanes that are gone."""
+    ) -> None:
+        """Take the endpoints listed now."""
         self.limits = limits
         listed = {one.incarnation: one for one in endpoints}
-        gone = [
-            self.lanes.pop(name)
-            for name in list(self.lanes)
-            if name not in listed
-        ]
+        for gone in set(self.lanes) - set(listed):
+            self.lanes.pop(gone)
         for name, endpoint in listed.items():
             if name not in self.lanes:
                 self.lanes[name] = Lane(endpoint, limits)
-        return gone
 
     def idle_lanes(self, now: float) -> list[Lane]:
         """Return endpoints that can begin a call, the fastest first."""
--- a/src/lentilspool/serving/_owner.py
+++ b/src/lentilspool/serving/_owner.py
@@ -83,10 +83,6 @@
         """Send a gateway no plans for a time, since it does not answer."""
         self._silent_until[name] = now + seconds
 
-    def answered(self, name: str) -> None:
-        """Note that a gateway answers."""
-        self._silent_until.pop(name, None)
-
     def members(self, now: float) -> list[tuple[Member, float]]:
         """Return the other gateways and the age of their last sign."""
         self._members = {
--- a/src/lentilspool/serving/_plan_types.py
+++ b/src/lentilspool/serving/_plan_types.py
@@ -167,7 +167,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlanLimits:
-    """Figures of the planner; see the settings of the same names."""
+    """Figures of the planner; the same in every process."""
 
     prefill_tokens_per_s: float = 50_000
     """First estimate of an engine's reading speed; corrected by learning."""
