Offer an ejected endpoint rather than none

Cause: a pool of three engines of which one takes an order and another is down has one left; if that one is ejected, for timeouts of a starved host, the entry refused with no_endpoint although the endpoint may well answer. Ruled out: the cap of ejection (one of three is within it). Change: PoolRouter.offer falls back to ejected endpoints that are not down. Before: the new test fails (no offer).

--- a/src/lentilspool/pipeline/_pool_router.py
+++ b/src/lentilspool/pipeline/_pool_router.py
@@ -158,7 +158,11 @@
         now: float,
         prefix: Sequence[int] = (),
     ) -> routing.Offer | routing.NoEndpoint:
-        """Choose an endpoint for a call; tried ones only if there is no other.
+        """Choose an endpoint for a call.
+
+        Tried endpoints are chosen only if there is no other, and ejected
+        ones only if no endpoint would be left: ejection is a guess, and may
+        coincide with orders that take the others out of service.
 
         ``full`` has the endpoints that refused the call since it would have
         had to wait. ``prefix`` has the hashes of the prompt's blocks; the
@@ -169,8 +173,11 @@
         offer = self._offer(wanted, full, now)
         if isinstance(offer, routing.NoEndpoint) and request.excluded:
             down = frozenset(self._down)
-            again = dataclasses.replace(wanted, excluded=down)
-            offer = self._offer(again, full, now)
+            wanted = dataclasses.replace(wanted, excluded=down)
+            offer = self._offer(wanted, full, now)
+        if isinstance(offer, routing.NoEndpoint):
+            last = self._offer(wanted, full, now, with_ejected=True)
+            offer = last if isinstance(last, routing.Offer) else offer
         if prefix and isinstance(offer, routing.Offer):
             self._index.routed(offer.endpoint, prefix, now)
         return offer
@@ -239,8 +246,14 @@
         request: routing.RoutingRequest,
         full: tuple[routing.FullEndpoint, ...],
         now: float,
+        *,
+        with_ejected: bool = False,
     ) -> routing.Offer | routing.NoEndpoint:
         candidates = self._table.candidates
+        if with_ejected:
+            candidates = [
+                dataclasses.replace(one, ejected=False) for one in candidates
+            ]
         return self._offers.offer(request, candidates, full, now, self._rng)
 
     def _completed(
--- a/src/lentilspool/pipeline/tests/test_pool_router.py
+++ b/src/lentilspool/pipeline/tests/test_pool_router.py
@@ -69,6 +69,38 @@
         assert set(again) == {first}
 
 
+class TestEjection:
+    """A rolling version takes endpoints out while a slow host times out."""
+
+    def test_an_ejected_endpoint_is_better_than_none(self) -> None:
+        router = make_router()
+        self._eject(router, 'a')
+        for name in ('b', 'c'):
+            router.reported(name, report(limit=0), 0.1, 0)
+        assert chosen(router, REQUEST) == 'a'
+
+    def test_an_ejected_endpoint_comes_after_all_others(self) -> None:
+        router = make_router()
+        self._eject(router, 'a')
+        names = {chosen(router, REQUEST) for _ in range(20)}
+        assert names == {'b', 'c'}
+
+    def test_an_ejected_endpoint_that_is_down_gets_nothing(self) -> None:
+        router = make_router()
+        self._eject(router, 'a')
+        for name in NAMES:
+            router.reported(name, report(limit=0), 0.1, 0)
+        assert isinstance(router.offer(REQUEST, (), 0), routing.NoEndpoint)
+
+    def _eject(self, router: pipeline.PoolRouter, name: str) -> None:
+        for other in NAMES:
+            good = pipeline.AttemptEnd(other, 0.1, succeeded=other != name)
+            for _ in range(30):
+                router.started(other)
+                router.ended(good, 0)
+        assert router.dump(0)['ejected'] == [name]
+
+
 class TestOffers:
     def test_a_full_endpoint_is_followed_by_another(self) -> None:
         router = make_router(('a', 'b'))
