Keep one planner through restarts; ask for state one at a time

The planner also moved back whenever a preferred gateway was back. Ruled out: processor time (0.30 of a core at most on the busiest gateway). Change: CatchUp asks one neighbour at a time, after the store had time; shared state is compressed; three of four beats are short; any received byte counts as a sign of life; the gateway that plans goes on (earliest claim), then the youngest; links with open requests stay up while their planner leaves; strength counts the core's speed. Pieces wait for the retry budget instead of failing their request, rejected calls cost no retry, and the reserve is two full calls. Job progress is kept between steps.

--- a/src/lentilspool/gateway/_gateway.py
+++ b/src/lentilspool/gateway/_gateway.py
@@ -53,12 +53,12 @@
                 host,
                 port,
                 own.zone,
-                own.processor_share,
+                own.processor_share * own.processor_speed,
                 _clock.wall_ms(),
             ),
             own.link.forget_s,
         )
-        knowledge = _peers.Knowledge(self._roster, self._published)
+        knowledge = _peers.Knowledge(self._roster, self._published, own.link)
         local = _local_planning.LocalPlanning(
             self._published, self._pool, serving.PlanLimits(), nursery
         )
@@ -186,6 +186,7 @@
                 _events.WOKEN.log(
                     _logger, suspended_ms=round((now - last) * _MS)
                 )
+                self._roster.yield_claim()
                 await self._pool.clear()
             last = now
             self._published.drop_lapsed(now)
--- a/src/lentilspool/gateway/_peers.py
+++ b/src/lentilspool/gateway/_peers.py
@@ -21,7 +21,8 @@
 _QUEUE: Final = 1000
 Settle = Callable[[_local_planning.Settled | None], None]
 _KINDS: Final = (_published.CONFIGURATION, _published.ENDPOINTS)
-_BEHIND_BEATS: Final = 2
+# Beats of which one tells of all gateways known; the others are short.
+_GOSSIP_BEATS: Final = 4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -32,7 +33,8 @@
     """The gateway itself."""
 
     others: tuple[tuple[serving.Member, float], ...]
-    """Others that it has heard of, and seconds since their last sign."""
+    """Others that it has heard of, and seconds since their last sign; not
+    told in each beat."""
 
     version: int
     """Version of its configuration."""
@@ -60,18 +62,28 @@
     """Roster and published state, kept up to date by beats."""
 
     def __init__(
-        self, roster: serving.Roster, published: _published.Published
+        self,
+        roster: serving.Roster,
+        published: _published.Published,
+        own: settings.PeerSettings,
     ) -> None:
         self.roster = roster
         self.published = published
-        self._behind = dict.fromkeys(_KINDS, 0)
+        self._catch_ups = [
+            serving.CatchUp(own.catch_up_after_s, own.catch_up_limit_s)
+            for _ in _KINDS
+        ]
 
-    def view(self) -> bytes:
-        """Return what this process says in a beat."""
+    def view(self, number: int) -> bytes:
+        """Return what this process says in a beat with this number."""
         now = _clock.now()
+        others: tuple[tuple[serving.Member, float], ...] = ()
+        if number % _GOSSIP_BEATS == 1:
+            others = tuple(self.roster.members(now))
+        self.roster.able(self.published.ready)
         view = View(
             self.roster.own,
-            tuple(self.roster.members(now)),
+            others,
             self.published.version,
             self.published.revision,
         )
@@ -85,15 +97,12 @@
         for member, age_s in view.others:
             self.roster.heard(member, age_s, now)
         own = (self.published.version, self.published.revision)
-        asks = []
-        for kind, held, told in zip(_KINDS, own, (view.version, view.revision)):
-            # A change usually arrives from the store before the next beat.
-            behind = told > held
-            self._behind[kind] = self._behind[kind] + 1 if behind else 0
-            if behind and (not held or self._behind[kind] >= _BEHIND_BEATS):
-                self._behind[kind] = 0
-                asks.append(wire.PublishedAsk(kind, held))
-        return asks
+        told = (view.version, view.revision)
+        return [
+            wire.PublishedAsk(kind, own[index])
+            for index, kind in enumerate(_KINDS)
+            if self._catch_ups[index].told(own[index], told[index], now)
+        ]
 
     def share(self, ask: wire.PublishedAsk) -> wire.Published:
         """Return the published state that another gateway asks for."""
@@ -147,6 +156,9 @@
         self._stream: wire.MessageStream | None = None
         self._queue = Queue()
         self._plans: dict[int, Settle] = {}
+        # Calls whose requests have not ended; the planner holds results of
+        # theirs for as long as the connection is there.
+        self._open: set[int] = set()
         self._calls = 0
         self._heard_at = 0.0
         self.scope = trio.CancelScope()
@@ -156,6 +168,11 @@
         """Whether the other gateway answers."""
         return self._stream is not None
 
+    @property
+    def busy(self) -> bool:
+        """Whether the other gateway plans requests that have not ended."""
+        return self.up and bool(self._open)
+
     def plan(
         self,
         ask: serving.PlanAsk,
@@ -167,12 +184,15 @@
         """
         self._calls += 1
         self._plans[self._calls] = answer
+        self._open.add(self._calls)
         self._put(wire.PlanCall(self._calls, msgspec.msgpack.encode(ask)))
         return self._calls
 
     def note(self, call: int, event: str) -> None:
         """Tell the other gateway what became of a request."""
         self._plans.pop(call, None)
+        if event != 'started':
+            self._open.discard(call)
         if self.up:
             self._put(wire.PlanNote(call, event))
 
@@ -194,6 +214,7 @@
         _events.PEER_LOST.log(_logger, peer=self.address, reason=reason)
         plans = self._plans
         self._plans = {}
+        self._open.clear()
         for answer in plans.values():
             answer(None)
         self._lost(self)
@@ -212,19 +233,23 @@
                 cancel = nursery.cancel_scope
                 nursery.start_soon(self._receive, stream, cancel)
                 nursery.start_soon(self._send, stream, cancel)
-                nursery.start_soon(self._beat, cancel)
+                nursery.start_soon(self._beat, stream, cancel)
         finally:
             self._drop('closed')
             await stream.aclose()
 
-    async def _beat(self, cancel: trio.CancelScope) -> None:
+    async def _beat(
+        self, stream: wire.MessageStream, cancel: trio.CancelScope
+    ) -> None:
         number = 0
         while True:
             number += 1
-            beat = wire.GatewayBeat(number, self._knowledge.view(), False)
+            view = self._knowledge.view(number)
+            beat = wire.GatewayBeat(number, view, False)
             self._put(beat)
             await trio.sleep(self._own.beat_s)
-            if _clock.now() - self._heard_at > self._own.silent_s:
+            heard_at = max(self._heard_at, stream.heard_at)
+            if _clock.now() - heard_at > self._own.silent_s:
                 self._drop('silent')
                 cancel.cancel()
 
@@ -285,4 +310,6 @@
         settle = self._plans.pop(answer.call_id, None)
         if settle:
             reply = _ANSWERS.decode(answer.answer)
+            if reply.run is None:
+                self._open.discard(answer.call_id)
             settle(reply.run or reply.refuse)
--- a/src/lentilspool/gateway/_plan_desk.py
+++ b/src/lentilspool/gateway/_plan_desk.py
@@ -113,7 +113,7 @@
     def _hear(self, beat: wire.GatewayBeat) -> None:
         for ask in self._knowledge.hear(beat):
             self._put(ask)
-        view = self._knowledge.view()
+        view = self._knowledge.view(beat.number)
         self._put(wire.GatewayBeat(beat.number, view, answer=True))
 
     def _share(self, ask: wire.PublishedAsk) -> None:
--- a/src/lentilspool/gateway/_planning.py
+++ b/src/lentilspool/gateway/_planning.py
@@ -33,6 +33,7 @@
         self._nursery = nursery
         self._links: dict[str, _peers.Link] = {}
         self.known_peers = own.known_peers
+        self.most = own.link.links
 
     def find(self, address: str) -> _peers.Link | None:
         """Return the connection to a gateway if it is up."""
@@ -48,20 +49,24 @@
     def _follow(self) -> None:
         now = _clock.now()
         roster = self._knowledge.roster
+        if roster.planners(_FRESH_S, now)[0].name != self._own.name:
+            roster.yield_claim()
         planners = roster.planners(self._own.link.forget_s, now)
         wanted = [
             member.address
             for member in planners
             if member.name != self._own.name
         ]
-        wanted = wanted[: self._own.link.links]
+        wanted = wanted[: self.most]
         known = {member.address for member, _ in roster.members(now)}
         for seed in self.known_peers:
             # A seed that was not heard yet, and may be this process.
             if seed not in known and seed != self._own.peers:
                 wanted.append(seed)
         for address in set(self._links) - set(wanted):
-            self._links.pop(address).scope.cancel()
+            # A planner that leaves goes on with the requests it has.
+            if not self._links[address].busy:
+                self._links.pop(address).scope.cancel()
         for address in wanted:
             if address not in self._links:
                 self._open(address)
@@ -177,6 +182,8 @@
             if chosen:
                 name = member.name
                 break
+        if chosen is None:
+            self._roster.claim(_clock.wall_ms())
         if name != self._planner:
             self._planner = name
             _events.PLANNER.log(_logger, planner=name)
--- a/src/lentilspool/gateway/_published.py
+++ b/src/lentilspool/gateway/_published.py
@@ -2,13 +2,11 @@
 
 import dataclasses
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Final
 
-import msgspec
-
 from lentilspool import platform, serving
-from lentilspool.gateway import _events
+from lentilspool.gateway import _events, _packing
 
 _logger: Final = logging.getLogger(__name__)
 CONFIGURATION: Final = 'configuration'
@@ -46,6 +44,8 @@
         self._lapsed: dict[str, tuple[int, float]] = {}
         self._revision = 0
         self._listeners: list[Callable[[], None]] = []
+        # What was shared last of each kind, by its revision.
+        self._packs: dict[str, tuple[int, bytes]] = {}
 
     @property
     def version(self) -> int:
@@ -142,13 +142,13 @@
         """Return revision and content of a kind, for another gateway."""
         if kind == CONFIGURATION:
             held = [self._document] if self._document else []
-            return self.version, msgspec.msgpack.encode(held)
+            return self.version, self._packed(kind, self.version, held)
         entries = [one for one in self._entries.values() if one.payload]
-        return self._revision, msgspec.msgpack.encode(entries)
+        return self._revision, self._packed(kind, self._revision, entries)
 
     def learn(self, kind: str, revision: int, content: bytes) -> None:
         """Take what another gateway has shared."""
-        items = msgspec.msgpack.decode(content, type=list[Stored])
+        items = _packing.unpack(content, Stored)
         _events.LEARNED.log(
             _logger, kind=kind, revision=revision, entries=len(items)
         )
@@ -158,6 +158,15 @@
         elif revision > self._revision:
             self.list_endpoints(items, revision, 0)
 
+    def _packed(
+        self, kind: str, revision: int, items: Sequence[Stored]
+    ) -> bytes:
+        held = self._packs.get(kind)
+        if held is None or held[0] != revision:
+            held = (revision, _packing.pack(items))
+            self._packs[kind] = held
+        return held[1]
+
     def _take(self, item: Stored) -> None:
         held = self._entries.get(item.key)
         if held and held.revision >= item.revision:
--- a/src/lentilspool/gateway/tests/test_peers.py
+++ b/src/lentilspool/gateway/tests/test_peers.py
@@ -63,7 +63,7 @@
         )
         self.published = _published.Published()
         self.roster = serving.Roster(member, 8)
-        knowledge = _peers.Knowledge(self.roster, self.published)
+        knowledge = _peers.Knowledge(self.roster, self.published, self.own.link)
         local = _local_planning.LocalPlanning(
             self.published,
             _pool.Pool(self.own.send),
@@ -146,6 +146,31 @@
 
         trio.run(check)
 
+    def test_planner_that_leaves_ends_what_it_has(self) -> None:
+        """Its connection is kept, though it is no longer among the first."""
+
+        async def check() -> None:
+            async with pair() as (planner, asker):
+                asker.links.most = 1
+                engine = planner.published.directory.endpoints[0]
+                ask = builders.ask('p', avoid=(engine.incarnation,))
+                waiting = asker.planning.plan(ask)
+                async with trio.open_nursery() as nursery:
+                    other = Node('other', nursery, planner.own.peers)
+                    await nursery.start(other.serve)
+                    nursery.start_soon(waiting.settle)
+                    await trio.sleep(0.2)
+                    link = asker.planning.link()
+                    planner.roster.leave(1)
+                    await trio.sleep(0.2)
+                    assert link and link.up and link.busy
+                    waiting.note('cancelled')
+                    await trio.sleep(0.2)
+                    assert not link.up
+                    nursery.cancel_scope.cancel()
+
+        trio.run(check)
+
     def test_unreadable_content_ends_one_connection_only(self) -> None:
         async def check() -> None:
             async with pair() as (planner, asker):
--- a/src/lentilspool/serving/__init__.py
+++ b/src/lentilspool/serving/__init__.py
@@ -14,6 +14,7 @@
 from lentilspool.serving._calls import Headers as Headers
 from lentilspool.serving._calls import Prompt as Prompt
 from lentilspool.serving._calls import PromptPart as PromptPart
+from lentilspool.serving._catch_up import CatchUp as CatchUp
 from lentilspool.serving._configuration import BatchLimits as BatchLimits
 from lentilspool.serving._configuration import CallLimits as CallLimits
 from lentilspool.serving._configuration import Configuration as Configuration
--- a/src/lentilspool/serving/_jobs.py
+++ b/src/lentilspool/serving/_jobs.py
@@ -1,6 +1,7 @@
 """State of one request while its stages run."""
 
 import dataclasses
+from collections.abc import Callable
 
 from lentilspool.serving import _plan_types
 
@@ -45,14 +46,20 @@
 
 
 class StageState:
-    """Pieces of one stage: waiting, in calls, and done."""
+    """Pieces of one stage: waiting, in calls, and done.
 
-    def __init__(self, ask: _plan_types.StageAsk) -> None:
+    ``changed`` is called after each change.
+    """
+
+    def __init__(
+        self, ask: _plan_types.StageAsk, changed: Callable[[], None]
+    ) -> None:
         self.ask = ask
         self.waiting = list(range(ask.pieces))
         self.flying: dict[int, int] = {}
         self.held: dict[int, Held] = {}
         self.freed = False
+        self._changed = changed
 
     @property
     def done(self) -> bool:
@@ -72,12 +79,14 @@
         """Queue the piece once more, unless that is not needed."""
         if not self.settled(piece):
             self.waiting.append(piece)
+            self._changed()
 
     def take(self, piece: int) -> None:
         """Note that the piece is in a call."""
         if piece in self.waiting:
             self.waiting.remove(piece)
         self.flying[piece] = self.flying.get(piece, 0) + 1
+        self._changed()
 
     def land(self, piece: int) -> None:
         """Note that a call with the piece has ended."""
@@ -86,6 +95,22 @@
             self.flying[piece] = left
         else:
             self.flying.pop(piece, None)
+        self._changed()
+
+    def keep(self, piece: int, held: Held) -> None:
+        """Note the result of a piece, which then waits no longer."""
+        self.held[piece] = held
+        if piece in self.waiting:
+            self.waiting.remove(piece)
+        self._changed()
+
+    def drop(self) -> list[Held]:
+        """Forget the results, since nothing will read them again."""
+        dropped = list(self.held.values())
+        self.held = {}
+        self.freed = True
+        self._changed()
+        return dropped
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -132,6 +157,20 @@
     """Time from the end of each stage to the first event, without waits."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Progress:
+    """How far the stages of a request have come."""
+
+    done: bool
+    """Whether all stages are done."""
+
+    ready_stages: tuple[int, ...]
+    """Stages with waiting pieces whose inputs are complete."""
+
+    waiting: dict[str, int]
+    """Waiting pieces of each service."""
+
+
 class Job:
     """A request that the planner works on."""
 
@@ -140,7 +179,12 @@
         self.arrived_at = now
         self.target_at = now + ask.target_s
         self.deadline_at = now + ask.deadline_s
-        self.stages = [StageState(stage) for stage in ask.stages]
+        self.stages = [
+            StageState(stage, self._stage_changed) for stage in ask.stages
+        ]
+        self.traffics = [
+            self._traffic(number) for number, _ in enumerate(self.stages)
+        ]
         self.begun = False
         self.closed = False
         self.outlook = Outlook()
@@ -148,22 +192,27 @@
         self.zone = ''
         self.rank = Rank()
         self.redone = 0
-        # Stages done, and the least time left as computed then.
-        self.least_left: tuple[int, float] | None = None
+        # Time to the first event if nothing has to wait; None if a stage
+        # has changed since it was computed.
+        self.least_left_s: float | None = None
+        self._progress: Progress | None = None
+
+    @property
+    def progress(self) -> Progress:
+        """How far the stages have come."""
+        if self._progress is None:
+            self._progress = self._progress_now()
+        return self._progress
 
     @property
-    def ready_stages(self) -> list[int]:
+    def ready_stages(self) -> tuple[int, ...]:
         """Stages with waiting pieces whose inputs are complete."""
-        return [
-            number
-            for number, stage in enumerate(self.stages)
-            if stage.waiting and self.inputs_done(number)
-        ]
+        return self.progress.ready_stages
 
     @property
     def done(self) -> bool:
         """Whether all stages are done."""
-        return all(stage.done for stage in self.stages)
+        return self.progress.done
 
     @property
     def final_stages(self) -> list[int]:
@@ -217,6 +266,9 @@
         Each piece of a stage reads all results of the stages before it, so
         that a small result may travel many times.
         """
+        return self.traffics[number]
+
+    def _traffic(self, number: int) -> Traffic:
         stage = self.stages[number].ask
         readers = sum(
             other.ask.pieces
@@ -242,10 +294,7 @@
         """Forget the results of stages; return them, to be freed."""
         dropped: list[Held] = []
         for number in numbers:
-            stage = self.stages[number]
-            dropped.extend(stage.held.values())
-            stage.held = {}
-            stage.freed = True
+            dropped.extend(self.stages[number].drop())
         return dropped
 
     def to_redo(self, number: int) -> list[int]:
@@ -276,7 +325,8 @@
         """Queue all pieces of a stage again; return its old results."""
         stage = self.stages[number]
         dropped = list(stage.held.values())
-        self.stages[number] = StageState(stage.ask)
+        self.stages[number] = StageState(stage.ask, self._stage_changed)
+        self._stage_changed()
         return dropped
 
     def read_by_done(self) -> list[int]:
@@ -287,6 +337,25 @@
             if stage.held and self._all_readers_done(number)
         ]
 
+    def _stage_changed(self) -> None:
+        self._progress = None
+        self.least_left_s = None
+
+    def _progress_now(self) -> Progress:
+        waiting: dict[str, int] = {}
+        for stage in self.stages:
+            if stage.waiting:
+                name = stage.ask.service
+                waiting[name] = waiting.get(name, 0) + len(stage.waiting)
+        ready = [
+            number
+            for number, stage in enumerate(self.stages)
+            if stage.waiting and self.inputs_done(number)
+        ]
+        return Progress(
+            all(stage.done for stage in self.stages), tuple(ready), waiting
+        )
+
     def _all_readers_done(self, number: int) -> bool:
         readers = [
             stage
--- a/src/lentilspool/serving/_outlook.py
+++ b/src/lentilspool/serving/_outlook.py
@@ -55,10 +55,9 @@
     job: _jobs.Job, services: Services, limits: _plan_types.PlanLimits
 ) -> float:
     """Return the time to the first event if nothing has to wait."""
-    done = sum(stage.done for stage in job.stages)
-    if job.least_left is None or job.least_left[0] != done:
-        job.least_left = (done, _least_left_s(job, services, limits))
-    return job.least_left[1]
+    if job.least_left_s is None:
+        job.least_left_s = _least_left_s(job, services, limits)
+    return job.least_left_s
 
 
 def _least_left_s(
@@ -132,9 +131,7 @@
     ahead: dict[str, float] = {}
     for other in others:
         if _goes_before(other, job):
-            for stage in other.stages:
-                name = stage.ask.service
-                ahead[name] = ahead.get(name, 0) + len(stage.waiting)
+            _add_pieces(ahead, other)
     return ahead
 
 
@@ -170,9 +167,8 @@
 
 
 def _add_pieces(backlog: dict[str, float], job: _jobs.Job) -> None:
-    for stage in job.stages:
-        name = stage.ask.service
-        backlog[name] = backlog.get(name, 0) + len(stage.waiting)
+    for name, pieces in job.progress.waiting.items():
+        backlog[name] = backlog.get(name, 0) + pieces
 
 
 def _is_busy(
@@ -206,11 +202,20 @@
     found = list(jobs)
     for job in found:
         late = now + least_left_s(job, services, limits) > job.target_at
-        job.rank = _jobs.Rank(
-            late,
-            late and job.begun,
-            job.ask.priority,
-            job.outlook.bucket,
-            job.deadline_at if late else job.target_at,
-        )
+        late_begun = late and job.begun
+        if (job.rank.late, job.rank.late_begun) != (late, late_begun):
+            job.rank = rank(job, late=late, late_begun=late_begun)
     return sorted(found, key=lambda one: one.rank.key())
+
+
+def rank(
+    job: _jobs.Job, *, late: bool = False, late_begun: bool = False
+) -> _jobs.Rank:
+    """Return the place of a request among those that wait."""
+    return _jobs.Rank(
+        late,
+        late_begun,
+        job.ask.priority,
+        job.outlook.bucket,
+        job.deadline_at if late else job.target_at,
+    )
--- a/src/lentilspool/serving/_owner.py
+++ b/src/lentilspool/serving/_owner.py
@@ -39,6 +39,12 @@
     leaving_at: int = 0
     """Begin of its planned stop, Unix milliseconds; 0 if there is none."""
 
+    able: bool = True
+    """Whether it has a configuration and a listing."""
+
+    planning_since: int = 0
+    """When it began to plan for all, Unix milliseconds; 0 if it does not."""
+
     @property
     def address(self) -> str:
         """IP address and port."""
@@ -67,6 +73,21 @@
         """Plan only if every other gateway leaves too."""
         self._own = dataclasses.replace(self._own, leaving_at=wall_ms)
 
+    def able(self, able: bool) -> None:
+        """Tell whether this process could plan."""
+        if able != self._own.able:
+            self._own = dataclasses.replace(self._own, able=able)
+
+    def claim(self, wall_ms: int) -> None:
+        """Plan for all, until ``yield_claim``; the earliest claim counts."""
+        if not self._own.planning_since:
+            self._own = dataclasses.replace(self._own, planning_since=wall_ms)
+
+    def yield_claim(self) -> None:
+        """Plan for all no longer, as after a suspension."""
+        if self._own.planning_since:
+            self._own = dataclasses.replace(self._own, planning_since=0)
+
     def heard(self, member: Member, age_s: float, now: float) -> None:
         """Take in a sign of life."""
         if member.name == self._own.name:
@@ -100,8 +121,10 @@
 
         Gateways that were not heard for ``fresh_s`` seconds or do not answer
         are left out. Those that leave come last, the latest first, so that
-        a restart of all of them leaves one plan. This process is always in
-        the list.
+        a restart of all of them leaves one plan. Among strong ones the one
+        that plans already goes on, and the youngest follows it: when all
+        are restarted in turn, it is the least likely to be next. This
+        process is always in the list.
         """
         fit = [
             member
@@ -112,8 +135,20 @@
         return sorted([*fit, self._own], key=_preference)
 
 
-def _preference(member: Member) -> tuple[bool, int, float, int]:
+def _preference(
+    member: Member,
+) -> tuple[bool, int, bool, float, bool, int, int, int]:
     digest = xxhash.xxh3_64_intdigest(member.name.encode())
     strength = round(member.strength * _ROUNDING) / _ROUNDING
     leaving_at = member.leaving_at
-    return (leaving_at > 0, -leaving_at, -strength, digest)
+    claimed_at = member.planning_since
+    return (
+        leaving_at > 0,
+        -leaving_at,
+        not member.able,
+        -strength,
+        not claimed_at,
+        claimed_at,
+        -member.incarnation,
+        digest,
+    )
--- a/src/lentilspool/serving/_plan_types.py
+++ b/src/lentilspool/serving/_plan_types.py
@@ -225,3 +225,7 @@
 
     retry_reserve: float = 12
     """Pieces of a service that may be sent again besides."""
+
+    retry_calls: float = 2
+    """The same as a number of full calls, where that is more: one endpoint
+    that dies takes a call with it, and one that replaces it may too."""
--- a/src/lentilspool/serving/_planner.py
+++ b/src/lentilspool/serving/_planner.py
@@ -63,6 +63,7 @@
         self._fleet.follow()
         job = _jobs.Job(ask, now)
         job.outlook = _outlook.outlook(job, self._stages.services, self._limits)
+        job.rank = _outlook.rank(job)
         job.zone = self._fleet.rooted_zone(job, now)
         expected_s = self._expected_s(job, now)
         if expected_s > ask.deadline_s * self._limits.admit_share:
@@ -124,7 +125,8 @@
         self._fleet.follow()
         self._stages.expire(now)
         self._give_up(now)
-        self._set_back(self._stages.overdue(now), now)
+        self._stages.overdue(now)
+        self._stages.retry_deferred(now)
         jobs = _outlook.ordered(
             self._jobs.values(), self._stages.services, self._limits, now
         )
--- a/src/lentilspool/serving/_stage_desk.py
+++ b/src/lentilspool/serving/_stage_desk.py
@@ -62,6 +62,8 @@
         self._freeing: dict[int, list[_Freeing]] = {}
         self._budgets: dict[str, retries.RetryBudget] = {}
         self._numbers = 0
+        # Pieces that wait for their service's retry budget.
+        self._deferred: list[_lanes.Part] = []
 
     def follow(
         self,
@@ -113,12 +115,22 @@
         for part, outcome in zip(flight.parts, results):
             part.job.stages[part.stage].land(part.piece)
             flight.lane.room += part.size
+            if not ran:
+                # Rejected calls cost the endpoint no work.
+                self._queue_again(part)
+                continue
             setbacks.extend(self._piece_ended(flight, part, outcome, now))
         return setbacks
 
-    def overdue(self, now: float) -> list[Setback]:
+    def retry_deferred(self, now: float) -> None:
+        """Queue pieces that waited for the retry budget, as it allows."""
+        deferred = self._deferred
+        self._deferred = []
+        for part in deferred:
+            self._try_again(part, now)
+
+    def overdue(self, now: float) -> None:
         """Give pieces of calls that take too long to other endpoints."""
-        setbacks: list[Setback] = []
         for flight in self._flights.values():
             lanes = self.services[flight.service].lanes
             gone = flight.lane.endpoint.incarnation not in lanes
@@ -134,8 +146,7 @@
                     after_ms=round((now - flight.started_at) * _MS),
                 )
                 for part in flight.parts:
-                    setbacks.extend(self._try_again(part, now))
-        return setbacks
+                    self._try_again(part, now)
 
     def next_due(self) -> list[float]:
         """Return when open calls become overdue."""
@@ -253,7 +264,8 @@
             self._budget(flight.service).try_spend(now)
             part.job.stages[part.stage].again(part.piece)
             return []
-        return self._try_again(part, now)
+        self._try_again(part, now)
+        return []
 
     def _keep(
         self, lane: _lanes.Lane, part: _lanes.Part, handle: str, now: float
@@ -272,21 +284,22 @@
         if part.job.closed or stage.done or part.piece in stage.held:
             self.release([held])
             return
-        stage.held[part.piece] = held
-        if part.piece in stage.waiting:
-            stage.waiting.remove(part.piece)
+        stage.keep(part.piece, held)
         self.release(part.job.drop_results(part.job.read_by_done()))
 
-    def _try_again(self, part: _lanes.Part, now: float) -> list[Setback]:
-        """Queue a piece once more, if the retry budget allows it."""
+    def _try_again(self, part: _lanes.Part, now: float) -> None:
+        """Queue a piece once more, as soon as the retry budget allows it."""
         stage = part.job.stages[part.stage]
         if part.job.closed or stage.settled(part.piece):
-            return []
+            return
         if self._budget(stage.ask.service).try_spend(now):
-            stage.again(part.piece)
-        elif part.piece not in stage.flying:
-            return [Setback(part.job, 'stage_failed')]
-        return []
+            self._queue_again(part)
+        else:
+            self._deferred.append(part)
+
+    def _queue_again(self, part: _lanes.Part) -> None:
+        if not part.job.closed:
+            part.job.stages[part.stage].again(part.piece)
 
     def _redo_inputs(self, part: _lanes.Part) -> list[Setback]:
         """Run the stages again whose results were lost at their maker."""
@@ -308,9 +321,11 @@
 
     def _budget(self, service: str) -> retries.RetryBudget:
         if service not in self._budgets:
+            batch = self.services[service].limits.batch
+            limits = self._limits
             self._budgets[service] = retries.RetryBudget(
-                share=self._limits.retry_share,
-                reserve=self._limits.retry_reserve,
+                share=limits.retry_share,
+                reserve=max(limits.retry_reserve, limits.retry_calls * batch),
             )
         return self._budgets[service]
 
--- a/src/lentilspool/serving/tests/test_tables.py
+++ b/src/lentilspool/serving/tests/test_tables.py
@@ -128,6 +128,47 @@
         found = [one.name for one in roster.planners(2, 0)]
         assert found == ['second', 'own', 'first']
 
+    def test_planner_goes_on_when_another_is_back(self) -> None:
+        names = [f'm{index}' for index in range(8)]
+        members = {name: self.member(name) for name in names}
+        first = self.order(members)[0]
+        members[first] = self.member(first, planning_since=50)
+        for name in names:
+            if name != first:
+                members[name] = self.member(name, incarnation=90)
+                assert self.order(members)[0] == first
+
+    def test_restart_of_all_in_turn_moves_the_plan_once(self) -> None:
+        names = [f'm{index}' for index in range(8)]
+        members = {name: self.member(name) for name in names}
+        planners = []
+        for step, name in enumerate(names, start=2):
+            leaving = self.member(name, leaving_at=step)
+            planner = self.order({**members, name: leaving})[0]
+            if not planners or planners[-1] != planner:
+                planners.append(planner)
+            members[planner] = self.member(
+                planner,
+                incarnation=members[planner].incarnation,
+                planning_since=len(planners),
+            )
+            members[name] = self.member(name, incarnation=step)
+        assert len(planners) <= 3, planners
+
+    def test_process_without_configuration_does_not_plan(self) -> None:
+        members = {
+            'new': self.member('new', able=False, incarnation=9),
+            'old': self.member('old'),
+        }
+        assert self.order(members) == ['old', 'new']
+
+    def order(self, members: dict[str, serving.Member]) -> list[str]:
+        own, *others = members.values()
+        roster = serving.Roster(own, 8)
+        for other in others:
+            roster.heard(other, 0, 0)
+        return [one.name for one in roster.planners(2, 0)]
+
     def test_older_word_of_a_gateway_is_not_taken(self) -> None:
         roster = serving.Roster(self.member('own'), 8)
         roster.heard(self.member('m', incarnation=2), 0, 1)
--- a/src/lentilspool/settings/_gateway.py
+++ b/src/lentilspool/settings/_gateway.py
@@ -42,6 +42,13 @@
     connect_s: float = 0.4
     """Seconds after which an attempt to connect is given up."""
 
+    catch_up_after_s: float = 0.5
+    """Seconds behind others after which state is asked of one of them; the
+    store usually brings it sooner."""
+
+    catch_up_limit_s: float = 1.0
+    """Seconds after which the next one is asked."""
+
     max_frame_bytes: int = 8_388_608
     """Largest message."""
 
@@ -126,6 +133,9 @@
     processor_share: float = 1.0
     """Share of a processor core that the host gives."""
 
+    processor_speed: float = 1.0
+    """Speed of that core, in usual cores."""
+
     link: PeerSettings = PeerSettings()
     """Connections between gateways."""
 
--- a/src/lentilspool/wire/_stream.py
+++ b/src/lentilspool/wire/_stream.py
@@ -1,7 +1,9 @@
 """Framed messages over a trio byte stream."""
 
 import dataclasses
+import math
 import struct
+import time
 from typing import Final
 
 import trio
@@ -35,6 +37,15 @@
         self._buffer = bytearray()
         self._send_lock = trio.Lock()
         self._broken = False
+        self._heard_at = -math.inf
+
+    @property
+    def heard_at(self) -> float:
+        """When bytes came last, a part of a long frame too.
+
+        In seconds since the host started, with suspended time.
+        """
+        return self._heard_at
 
     async def send(self, message: _codec.Message) -> bool:
         """Send a message whole; return False if the stream is broken.
@@ -91,5 +102,6 @@
                 return False
             if not received:
                 return False
+            self._heard_at = time.clock_gettime(time.CLOCK_BOOTTIME)
             self._buffer += received
         return True
