--- a/src/lentilspool/gateway/_flight.py
+++ b/src/lentilspool/gateway/_flight.py
@@ -58,6 +58,9 @@
     stop: _stop.PlannedStop
     """The planned stop of the process."""
 
+    patience: serving.CallerPatience
+    """How long callers wait, by route."""
+
 
 class Budgets:
     """Retry budgets by service; gateways share what the platform bears."""
@@ -103,6 +106,11 @@
         self.tally = serving.Tally()
         self.tried: set[str] = set()
         self.sent = False
+        self.spent_s = 0.0
+        if call.deadline_s is not None:
+            self.spent_s = tools.patience.spent_s(
+                matched.route.name, call.deadline_s
+            )
 
     @property
     def route(self) -> serving.Route:
@@ -135,8 +143,12 @@
 
     @property
     def target_left_s(self) -> float:
-        """Seconds until the answer that the caller wants."""
-        return self.arrived_at + self.route.target_s - _clock.now()
+        """Seconds until the answer that the caller wants.
+
+        Counted from its first attempt, as far as that can be known.
+        """
+        target_s = self.route.target_s - self.spent_s
+        return self.arrived_at + target_s - _clock.now()
 
     def current_services(self) -> set[str]:
         """Return the services to which the request may go now."""
--- a/src/lentilspool/gateway/_gateway.py
+++ b/src/lentilspool/gateway/_gateway.py
@@ -66,6 +66,7 @@
         links = _planning.Links(own, knowledge, nursery)
         self._loads = serving.EndpointLoads(own.zone, random.Random())
         self._metrics = _metrics.GatewayMetrics()
+        self._patience = serving.CallerPatience()
         tools = _flight.Tools(
             own,
             self._published,
@@ -75,6 +76,7 @@
             _flight.Budgets(own.send, self._count_gateways),
             self._metrics,
             self._planned_stop,
+            self._patience,
         )
         ingress = _ingress.Ingress(tools)
         status = _status.Status(self._metrics, self._is_ready, self.dump)
@@ -173,6 +175,7 @@
         configuration = self._published.configuration
         if configuration is None:
             return
+        self._patience.retain({one.name for one in configuration.routes})
         for name in configuration.services:
             self._loads.follow(name, self._published.directory.ready(name))
 
--- a/src/lentilspool/gateway/_ingress.py
+++ b/src/lentilspool/gateway/_ingress.py
@@ -68,6 +68,7 @@
             route=flight.route.name,
             team=flight.team,
             left_ms=round(flight.left_s * _MS),
+            spent_ms=round(flight.spent_s * _MS),
             configuration=self._tools.published.version,
         )
         if not self._tools.stop.takes(flight.route):
--- a/src/lentilspool/serving/__init__.py
+++ b/src/lentilspool/serving/__init__.py
@@ -41,6 +41,7 @@
 from lentilspool.serving._plan_types import StageAsk as StageAsk
 from lentilspool.serving._plan_types import StartCall as StartCall
 from lentilspool.serving._planner import Planner as Planner
+from lentilspool.serving._returning import CallerPatience as CallerPatience
 from lentilspool.serving._route_table import Matched as Matched
 from lentilspool.serving._route_table import NoRoute as NoRoute
 from lentilspool.serving._route_table import RouteTable as RouteTable
--- a/src/lentilspool/serving/_forecast.py
+++ b/src/lentilspool/serving/_forecast.py
@@ -8,6 +8,8 @@
 from typing import Final
 
 _SMOOTHING: Final = 0.05
+# Factor before anything was learned: requests wait a little in each stage.
+_FIRST: Final = 1.3
 # Bounds of one observation, so that a few stuck requests teach little.
 _LEAST: Final = 0.7
 _MOST: Final = 3.0
@@ -18,7 +20,7 @@
     """Learns how much longer requests take than was expected of them."""
 
     def __init__(self) -> None:
-        self._factor = 1.0
+        self._factor = _FIRST
 
     @property
     def factor(self) -> float:
--- a/src/lentilspool/serving/_lanes.py
+++ b/src/lentilspool/serving/_lanes.py
@@ -20,6 +20,8 @@
 _DECAY: Final = 0.997
 _FULL_SHARE: Final = 0.4
 _MOST_GROWTH: Final = 1.5
+# Times that the block of an endpoint is doubled when it fails in a row.
+_MOST_DOUBLED: Final = 1
 # Time for which an endpoint without room gets no call.
 _NO_ROOM_S: Final = 0.1
 _MB: Final = 1_000_000
@@ -97,6 +99,7 @@
         self.room = limits.room_bytes
         # Pieces in the next call; few after a lack of room.
         self.most = limits.batch
+        self._failures = 0
 
     def idle(self, now: float) -> bool:
         """Whether the endpoint can begin a call at once."""
@@ -124,8 +127,15 @@
         limits = self.limits
         return (limits.call_s + limits.piece_s * pieces) * self.slowness
 
+    def fail(self, block_s: float, now: float) -> None:
+        """Send nothing for a time, longer after each failure in a row."""
+        doubled = min(self._failures, _MOST_DOUBLED)
+        self._failures += 1
+        self.blocked_until = now + block_s * math.pow(2, doubled)
+
     def learn(self, flight: Flight, now: float) -> None:
         """Take in how long a call took."""
+        self._failures = 0
         plain_s = self.call_s(len(flight.parts)) / self.slowness
         seen = (now - flight.started_at) / plain_s
         seen = min(max(seen, _FASTEST), _SLOWEST)
--- a/src/lentilspool/serving/_stage_desk.py
+++ b/src/lentilspool/serving/_stage_desk.py
@@ -132,7 +132,7 @@
             late = now >= self._due_at(flight)
             if not flight.overdue and (late or gone):
                 flight.overdue = True
-                flight.lane.blocked_until = now + self._limits.block_s
+                flight.lane.fail(self._limits.block_s, now)
                 _events.STAGE_CALL_OVERDUE.log(
                     _logger,
                     call=flight.number,
@@ -198,9 +198,11 @@
 
     def _failed(self, flight: _lanes.Flight, now: float, *, ran: bool) -> None:
         block_s = self._limits.block_s
-        if not ran:
-            block_s *= _REFUSED_BLOCK_SHARE
-        flight.lane.blocked_until = now + block_s
+        if ran:
+            flight.lane.fail(block_s, now)
+        else:
+            refused_s = block_s * _REFUSED_BLOCK_SHARE
+            flight.lane.blocked_until = now + refused_s
         _events.STAGE_CALL_FAILED.log(
             _logger,
             call=flight.number,
--- a/src/lentilspool/serving/tests/test_retried_pieces.py
+++ b/src/lentilspool/serving/tests/test_retried_pieces.py
@@ -34,6 +34,14 @@
             )
             planner.submit(ask, 0)
 
+    def test_endpoint_that_goes_on_failing_gets_fewer_calls(self) -> None:
+        planner = builders.planner(builders.directory(SEARCH, ENGINE))
+        self.submit(planner, 2 * FULL, deadline_s=60)
+        began = [now for now in range(15) if fail_calls(planner, now + 0.5)]
+        pauses = [later - earlier for earlier, later in zip(began, began[1:])]
+        assert pauses[0] < pauses[1]
+        assert max(pauses) <= 3
+
     def test_rejected_calls_cost_no_retries(self) -> None:
         planner = builders.planner(builders.directory(SEARCH, ENGINE))
         self.submit(planner, FULL)
