Let stage endpoints follow changed limits; count one lack of room a call

Cause: a lane kept the batch limits of its first configuration (found by reading). Change: Lane.take; no_room once for a call. Before: both new tests fail (4 pieces for 2; 1.22 for 1.05). After: they pass.

--- a/src/lentilspool/serving/_lanes.py
+++ b/src/lentilspool/serving/_lanes.py
@@ -101,6 +101,13 @@
         self.most = limits.batch
         self._failures = 0
 
+    def take(self, limits: _configuration.BatchLimits) -> None:
+        """Take changed limits of the service."""
+        self.room += limits.room_bytes - self.limits.room_bytes
+        if limits.batch != self.limits.batch:
+            self.most = limits.batch
+        self.limits = limits
+
     def idle(self, now: float) -> bool:
         """Whether the endpoint can begin a call at once."""
         return self._open_calls < self.limits.slots and (
@@ -217,8 +224,8 @@
         for gone in set(self.lanes) - set(listed):
             self.lanes.pop(gone)
         for name, endpoint in listed.items():
-            if name not in self.lanes:
-                self.lanes[name] = Lane(endpoint, limits)
+            lane = self.lanes.setdefault(name, Lane(endpoint, limits))
+            lane.take(limits)
 
     def idle_lanes(self, now: float) -> list[Lane]:
         """Return endpoints that can begin a call, the fastest first."""
--- a/src/lentilspool/serving/_stage_desk.py
+++ b/src/lentilspool/serving/_stage_desk.py
@@ -100,6 +100,8 @@
         elif not flight.overdue and all(one.handle for one in results):
             flight.lane.learn(flight, now)
             self.services[flight.service].had_room()
+        if any(one.reason == 'room' for one in results):
+            self.services[flight.service].no_room(flight.lane, now)
         for part, outcome in zip(flight.parts, results):
             part.job.stages[part.stage].land(part.piece)
             flight.lane.room += part.size
@@ -233,7 +235,6 @@
         if outcome.reason == 'gone':
             self.retries.redo_inputs(part)
         elif outcome.reason == 'room':
-            self.services[flight.service].no_room(flight.lane, now)
             self.retries.budget(flight.service).try_spend(now)
             self.retries.queue_again(part)
         else:
--- a/src/lentilspool/serving/tests/test_room.py
+++ b/src/lentilspool/serving/tests/test_room.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from lentilspool import serving
+from lentilspool.serving import _jobs, _lanes, _stage_desk
 from lentilspool.serving.tests import builders
 
 SEARCH = builders.endpoint('s1', 'search')
@@ -128,3 +129,38 @@
         end_call(planner, first, 0.5)
         (second,) = builders.calls(planner.step(0.5))
         assert {one.request_id for one in second.pieces} == {'id-late'}
+
+
+class TestLackOfRoom:
+    """An endpoint has less room than booked, for several pieces of a call."""
+
+    def test_one_call_counts_as_one_lack(self) -> None:
+        service = self.short_call(pieces=4)
+        assert service.size_factor == self.short_call(pieces=1).size_factor
+        assert service.size_factor > 1
+
+    def short_call(self, pieces: int) -> _lanes.StageService:
+        limits = dataclasses.replace(builders.BATCHES, room_bytes=400_000)
+        desk = _stage_desk.StageDesk(serving.PlanLimits())
+        desk.follow('search', limits, (SEARCH,))
+        job = _jobs.Job(builders.ask('one', builders.stage(pieces)), 0)
+        desk.start([job], 0)
+        (call,) = builders.calls(desk.take_actions())
+        desk.services['search'].lanes[SEARCH.incarnation].room = 0
+        lacking = (serving.PieceResult('', 'room'),) * len(call.pieces)
+        desk.ended(call.number, lacking, 0.1, ran=True)
+        return desk.services['search']
+
+
+class TestNewLimits:
+    """A configuration changes what a stage service takes in a call."""
+
+    def test_endpoints_that_stay_follow_it(self) -> None:
+        desk = _stage_desk.StageDesk(serving.PlanLimits())
+        desk.follow('search', builders.BATCHES, (SEARCH,))
+        smaller = dataclasses.replace(builders.BATCHES, batch=2)
+        desk.follow('search', smaller, (SEARCH,))
+        job = _jobs.Job(builders.ask('one', builders.stage(4)), 0)
+        desk.start([job], 0)
+        (call,) = builders.calls(desk.take_actions())
+        assert len(call.pieces) == 2
