Add a fault soak of real gateways

Change: soak/ starts gateways as processes before stand-ins of store, plain services, stage services and engines; a loopback proxy delays, resets, silences or cuts one way; signals kill, stop and pause; endpoints crash, drain and are replaced; configurations change. Callers and endpoints check the promises. planted.py switches a guard off.

--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 	@echo "checks: formatter, linter, types, imports, tests, scenarios"
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check --quiet .
-	$(BIN)/flake8 src bench features
+	$(BIN)/flake8 src bench features soak
 	$(BIN)/mypy
 	$(BIN)/lint-imports
 	$(BIN)/pytest
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized fault soak: real gateways as processes, faults from outside."""
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,63 @@
+"""``python -m soak``: runs seeds one after another.
+
+Prints a line of JSON a seed; ends with 1 if a promise was broken.
+"""
+
+import dataclasses
+import sys
+
+import fire
+import trio
+
+from soak import _run
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Soak:
+    """Runs seeds one after another."""
+
+    first: _run.Plan
+    """Plan of the first seed."""
+
+    seeds: int
+    """How many seeds."""
+
+    def run(self) -> int:
+        """Run all seeds; return the exit status."""
+        broken = 0
+        for seed in range(self.first.seed, self.first.seed + self.seeds):
+            plan = dataclasses.replace(self.first, seed=seed)
+            findings, line = trio.run(_run.run, plan)
+            sys.stdout.write(f'{line}\n')
+            sys.stdout.flush()
+            broken += bool(findings.broken)
+        return int(broken > 0)
+
+
+def command(
+    seed: int = 1,
+    seeds: int = 1,
+    seconds: float = 20,
+    gateways: int = 3,
+    callers: int = 12,
+    plant: str = '',
+    logs: str = '',
+) -> Soak:
+    """Run gateways under faults and check what callers and endpoints see.
+
+    Args:
+        seed: First seed.
+        seeds: Number of seeds, one after another.
+        seconds: Time with faults in each.
+        gateways: Gateway processes.
+        callers: Callers at the same time.
+        plant: Guard to switch off: resend or blind.
+        logs: Folder for the gateways' logs.
+    """
+    plan = _run.Plan(seed, seconds, gateways, callers, plant, logs)
+    return Soak(plan, seeds)
+
+
+if __name__ == '__main__':
+    chosen = fire.Fire(command, serialize=lambda _: '')
+    sys.exit(chosen.run() if isinstance(chosen, Soak) else 2)
--- /dev/null
+++ b/soak/_callers.py
@@ -0,0 +1,138 @@
+"""Callers: open load, connections that are kept, whole answers read."""
+
+import random
+from typing import Final
+
+import h11
+import trio
+
+from lentilspool.platform.tests import stand_ins
+from soak import _findings, _gateways, _published
+
+_DEADLINE_S: Final = 5.0
+_BYTES: Final = 65536
+_KINDS: Final = (
+    ('once', 'desk', False, ()),
+    ('again', 'desk', True, ()),
+    ('draft', 'model', False, (1, 3)),
+    ('resume', 'model', True, (2, 8)),
+)
+
+
+class Caller:
+    """One caller; uses its connection again while it stays open."""
+
+    def __init__(
+        self,
+        number: int,
+        gateways: list[_gateways.Gateway],
+        findings: _findings.Findings,
+        rng: random.Random,
+    ) -> None:
+        self._number = number
+        self._gateways = gateways
+        self._findings = findings
+        self._rng = rng
+        self._count = 0
+        self._stream: trio.SocketStream | None = None
+        self._http = h11.Connection(h11.CLIENT)
+
+    async def serve(self, pause_s: float) -> None:
+        """Ask again and again until cancelled."""
+        while True:
+            await trio.sleep(self._rng.expovariate(1 / pause_s))
+            await self._ask(self._next())
+
+    def _next(self) -> _findings.Asked:
+        self._count += 1
+        name, service, repeatable, counts = self._rng.choice(_KINDS)
+        request_id = f'{self._number}-{self._count}'
+        return _findings.Asked(
+            request_id,
+            self._rng.choice(_published.TEAMS),
+            f'/{name}/{request_id}?q=1'.encode(),
+            f'body of {request_id}'.encode(),
+            service,
+            repeatable,
+            counts,
+        )
+
+    async def _ask(self, asked: _findings.Asked) -> None:
+        self._findings.asks(asked)
+        reason = 'deadline'
+        with trio.move_on_after(_DEADLINE_S):
+            try:
+                reason = await self._exchange(asked)
+            except (OSError, trio.BrokenResourceError):
+                reason = 'broken'
+            except h11.RemoteProtocolError:
+                reason = 'not whole'
+        if reason:
+            self._findings.unanswered(asked, reason)
+            await self._close()
+
+    async def _exchange(self, asked: _findings.Asked) -> str:
+        """Return why there is no answer; empty if there is one."""
+        if self._stream is None:
+            gateway = self._rng.choice(self._gateways)
+            self._http = h11.Connection(h11.CLIENT)
+            self._stream = await trio.open_tcp_stream(
+                '127.0.0.1', gateway.callers
+            )
+        await self._stream.send_all(self._request(asked))
+        head = await self._event(self._stream)
+        if not isinstance(head, h11.Response):
+            return 'closed'
+        body = b''
+        event = await self._event(self._stream)
+        while isinstance(event, h11.Data):
+            body += bytes(event.data)
+            event = await self._event(self._stream)
+        if not isinstance(event, h11.EndOfMessage):
+            return 'closed'
+        stamp = stand_ins.signature(head.headers)
+        self._findings.answered(asked, head.status_code, body, stamp)
+        await self._keep()
+        return ''
+
+    async def _event(self, stream: trio.SocketStream) -> object:
+        """Return the next part of an answer."""
+        event: object = self._http.next_event()
+        while event is h11.NEED_DATA:
+            self._http.receive_data(await stream.receive_some(_BYTES))
+            event = self._http.next_event()
+        return event
+
+    def _request(self, asked: _findings.Asked) -> bytes:
+        pieces = ','.join(str(count) for count in asked.counts)
+        headers = stand_ins.asked(
+            asked.request_id,
+            _published.key_of(asked.team),
+            _DEADLINE_S - 0.5,
+            pieces,
+        )
+        length = str(len(asked.body)).encode()
+        headers += [
+            (b'host', _published.HOST.encode()),
+            (b'content-length', length),
+        ]
+        events = (
+            h11.Request(method='POST', target=asked.target, headers=headers),
+            h11.Data(data=asked.body),
+            h11.EndOfMessage(),
+        )
+        return b''.join(self._http.send(event) or b'' for event in events)
+
+    async def _keep(self) -> None:
+        """Keep the connection if another request may be sent on it."""
+        states = {self._http.our_state, self._http.their_state}
+        if states == {h11.DONE}:
+            self._http.start_next_cycle()
+        else:
+            await self._close()
+
+    async def _close(self) -> None:
+        stream = self._stream
+        self._stream = None
+        if stream:
+            await trio.aclose_forcefully(stream)
--- /dev/null
+++ b/soak/_endpoints.py
@@ -0,0 +1,114 @@
+"""Endpoints that keep a record of everything they were asked."""
+
+import itertools
+from typing import Final
+
+import trio
+
+from lentilspool import serving
+from lentilspool.gateway import _http_server
+from lentilspool.platform.tests import stand_ins
+from soak import _findings, _proxy
+
+_LIMITS: Final = serving.CallLimits(65536, 1_000_000, 5, 30)
+_WORK_S: Final = 0.03
+_EVENT_S: Final = 0.02
+_names = itertools.count(1)
+
+
+class Endpoint:
+    """One start of an endpoint: plain, stage or engine, as it is asked."""
+
+    def __init__(self, service: str, findings: _findings.Findings) -> None:
+        number = next(_names)
+        self.name = f'{service}-{number}'
+        self.service = service
+        self.born_ms = number
+        self.ready = True
+        self._findings = findings
+        self._server = _http_server.Server(
+            '127.0.0.1:0', self._serve, lambda: _LIMITS
+        )
+        self._results: dict[str, tuple[str, int, int]] = {}
+        self._handles = itertools.count(1)
+        self._proxy: _proxy.Proxy | None = None
+        self.scope = trio.CancelScope()
+
+    @property
+    def proxy(self) -> _proxy.Proxy:
+        """Way to the endpoint."""
+        assert self._proxy is not None
+        return self._proxy
+
+    @property
+    def address(self) -> str:
+        """Address that it publishes."""
+        return f'127.0.0.1:{self.proxy.port}'
+
+    async def serve(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serve until cancelled, which is a crash."""
+        with self.scope:
+            async with trio.open_nursery() as nursery:
+                await nursery.start(self._server.serve)
+                self._proxy = _proxy.Proxy(self._server.port)
+                nursery.start_soon(self._proxy.serve)
+                task_status.started()
+
+    async def _serve(
+        self, request: _http_server.Request, reply: _http_server.Reply
+    ) -> None:
+        sent = stand_ins.sent(request.headers)
+        if sent.endpoint and sent.endpoint != self.name:
+            headers = stand_ins.rejection(sent.request_id)
+            await reply.whole(421, headers, b'')
+        elif stand_ins.is_stage_run(request.target):
+            await self._run_pieces(request.body, reply)
+        elif stand_ins.is_stage_free(request.target):
+            for handle in stand_ins.freed(request.body):
+                self._results.pop(handle, None)
+            await self._whole(reply, [], b'')
+        else:
+            await self._run(request, sent, reply)
+
+    async def _run(
+        self,
+        request: _http_server.Request,
+        sent: stand_ins.Sent,
+        reply: _http_server.Reply,
+    ) -> None:
+        self._findings.ran(self, sent, request)
+        headers = stand_ins.answer(sent.request_id, self.name)
+        if sent.results is None:
+            await trio.sleep(_WORK_S)
+            body = _findings.body_of(sent.request_id)
+            await self._whole(reply, headers, body)
+            return
+        self._findings.read(sent.request_id, sent.results)
+        await reply.begin(200, headers, b'')
+        for number in range(sent.last_event + 1, _findings.EVENTS + 1):
+            await trio.sleep(_EVENT_S)
+            await reply.chunk(_findings.event_of(sent.request_id, number))
+        await reply.finish()
+
+    async def _run_pieces(self, body: bytes, reply: _http_server.Reply) -> None:
+        pieces = stand_ins.pieces(body)
+        for piece in pieces:
+            self._findings.piece(piece)
+        await trio.sleep(_WORK_S)
+        handles = []
+        for piece in pieces:
+            handle = f'{self.address}/{next(self._handles)}'
+            self._findings.made(handle, piece)
+            handles.append(handle)
+        await self._whole(reply, [], stand_ins.made(handles))
+
+    async def _whole(
+        self,
+        reply: _http_server.Reply,
+        headers: stand_ins.Headers,
+        body: bytes,
+    ) -> None:
+        length = (b'content-length', str(len(body)).encode())
+        await reply.whole(200, [*headers, length], body)
--- /dev/null
+++ b/soak/_findings.py
@@ -0,0 +1,205 @@
+"""What callers and endpoints saw, and the promises that this breaks."""
+
+import collections
+import dataclasses
+import json
+from typing import Final, Protocol
+
+import trio
+
+from lentilspool.platform.tests import stand_ins
+
+# Statuses that promise: it has not run, and never will.
+_NOT_RUN: Final = frozenset((408, 421, 429, 503))
+_MOST_SHOWN: Final = 20
+# Events of each stream.
+EVENTS: Final = 8
+
+
+class Runner(Protocol):
+    """An endpoint, as findings name it."""
+
+    name: str
+    """Its own name."""
+
+    service: str
+    """Service to which it belongs."""
+
+
+class Body(Protocol):
+    """What an endpoint received of a request."""
+
+    @property
+    def target(self) -> bytes:
+        """Path and query."""
+
+    @property
+    def body(self) -> bytes:
+        """Whole body."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Received:
+    """Path and body of a request, for tests."""
+
+    target: bytes
+    """Path and query."""
+
+    body: bytes
+    """Whole body."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Asked:
+    """A request as its caller sent it."""
+
+    request_id: str
+    """Identity."""
+
+    team: str
+    """Team whose key it carries."""
+
+    target: bytes
+    """Path and query."""
+
+    body: bytes
+    """Whole body."""
+
+    service: str
+    """Service that may run it."""
+
+    repeatable: bool
+    """Whether it may run more than once."""
+
+    counts: tuple[int, ...] = ()
+    """Pieces of each of its stages."""
+
+
+def body_of(request_id: str) -> bytes:
+    """Return the only right answer to a plain request."""
+    return f'answer to {request_id}'.encode() * 3
+
+
+def event_of(request_id: str, number: int) -> bytes:
+    """Return an event of the only right stream."""
+    return f'id: {number}\ndata: {request_id}\n\n'.encode()
+
+
+class Findings:
+    """Record of a soak; ``broken`` lists every promise that was broken."""
+
+    def __init__(self) -> None:
+        self._asked: dict[str, Asked] = {}
+        self._runs: collections.Counter[str] = collections.Counter()
+        self._refused: set[str] = set()
+        self._handles: dict[str, stand_ins.Piece] = {}
+        self.statuses: collections.Counter[str] = collections.Counter()
+        self.broken: list[str] = []
+
+    def asks(self, asked: Asked) -> None:
+        """Note a request before it is sent."""
+        self._asked[asked.request_id] = asked
+
+    def ran(
+        self,
+        endpoint: Runner,
+        sent: stand_ins.Sent,
+        request: Body,
+    ) -> None:
+        """Note that an endpoint begins to run a request."""
+        asked = self._asked.get(sent.request_id)
+        name = sent.request_id
+        if asked is None:
+            self._break('unasked', f'{name!r} at {endpoint.name}')
+            return
+        self._runs[name] += 1
+        if self._runs[name] > 1 and not asked.repeatable:
+            self._break('twice', f'{name} at {endpoint.name}')
+        if name in self._refused:
+            self._break('refused', f'{name} ran after it was refused')
+        if (request.target, request.body) != (asked.target, asked.body):
+            self._break('unasked', f'{name} with another target or body')
+        if sent.team != asked.team or sent.api_key:
+            self._break('unasked', f'{name} for team {sent.team!r}')
+        if endpoint.service != asked.service:
+            self._break('route', f'{name} at {endpoint.name}')
+
+    def piece(self, piece: stand_ins.Piece) -> None:
+        """Note a piece that an endpoint is asked for."""
+        asked = self._asked.get(piece.request_id)
+        known = asked is not None and piece.stage < len(asked.counts)
+        if asked is None or not known:
+            self._break('unasked', f'piece {piece}')
+            return
+        if piece.piece >= asked.counts[piece.stage]:
+            self._break('unasked', f'piece {piece}')
+        if piece.stage:
+            self._whole_inputs(
+                piece.request_id, piece.inputs, piece.stage - 1, asked
+            )
+
+    def made(self, handle: str, piece: stand_ins.Piece) -> None:
+        """Note the result of a piece."""
+        self._handles[handle] = piece
+
+    def read(self, request_id: str, handles: tuple[str, ...]) -> None:
+        """Note the results that an engine is told to read."""
+        asked = self._asked.get(request_id)
+        if asked:
+            last = len(asked.counts) - 1
+            self._whole_inputs(request_id, handles, last, asked)
+
+    def answered(
+        self, asked: Asked, status: int, body: bytes, stamp: str
+    ) -> None:
+        """Note a whole answer that a caller got."""
+        name = asked.request_id
+        self.statuses[str(status)] += 1
+        if status in _NOT_RUN and not stamp:
+            self._refused.add(name)
+            if self._runs[name] and not asked.repeatable:
+                self._break('refused', f'{name} got {status} and has run')
+        if status == 200 and (not stamp or body != self._right(asked)):
+            self._break('mixed', f'{name}: {len(body)} bytes, {stamp!r}')
+
+    def unanswered(self, asked: Asked, reason: str) -> None:
+        """Note that a caller got no whole answer."""
+        self.statuses[reason] += 1
+
+    def report(self, seed: int, seconds: float) -> str:
+        """Return the figures as one line of JSON."""
+        kinds = collections.Counter(
+            one.partition(':')[0] for one in self.broken
+        )
+        figures = {
+            'seed': seed,
+            'seconds': seconds,
+            'requests': len(self._asked),
+            'statuses': dict(sorted(self.statuses.items())),
+            'broken': dict(kinds),
+            'first': self.broken[:_MOST_SHOWN],
+        }
+        return json.dumps(figures)
+
+    def _right(self, asked: Asked) -> bytes:
+        if not asked.counts:
+            return body_of(asked.request_id)
+        return b''.join(
+            event_of(asked.request_id, number)
+            for number in range(1, EVENTS + 1)
+        )
+
+    def _whole_inputs(
+        self, name: str, handles: tuple[str, ...], stage: int, asked: Asked
+    ) -> None:
+        """Check that inputs are all results of one stage, each once."""
+        made = [self._handles.get(handle) for handle in handles]
+        wanted = [(name, stage, piece) for piece in range(asked.counts[stage])]
+        found = sorted(
+            (one.request_id, one.stage, one.piece) for one in made if one
+        )
+        if found != wanted or None in made:
+            self._break('mixed', f'{name} stage {stage}: inputs {made}')
+
+    def _break(self, kind: str, detail: str) -> None:
+        self.broken.append(f'{kind}: {detail} at {trio.current_time():.2f}')
--- /dev/null
+++ b/soak/_gateways.py
@@ -0,0 +1,111 @@
+"""Real gateway processes, and the signals that they get."""
+
+import json
+import pathlib
+import signal
+import subprocess
+import sys
+from typing import Final
+
+import trio
+
+from lentilspool.gateway import _sockets
+from soak import _proxy
+
+_GRACE_S: Final = 9.0
+_RESTART_S: Final = 0.3
+
+
+def free_port() -> int:
+    """Return a port that nothing listens at."""
+    listener = _sockets.listen('127.0.0.1:0')
+    port = int(listener.socket.getsockname()[1])
+    listener.socket.close()
+    return port
+
+
+class Gateway:
+    """One gateway, started again whenever it ends."""
+
+    def __init__(
+        self, name: str, folder: pathlib.Path, store_port: int
+    ) -> None:
+        self.name = name
+        self.callers = free_port()
+        self.peers = free_port()
+        self.store_way = _proxy.Proxy(store_port)
+        self._readiness = free_port()
+        self._path = folder / f'{name}.jsonc'
+        self._log = folder / f'{name}.log'
+        self._process: subprocess.Popen[bytes] | None = None
+        self._paused = False
+        self.starts = 0
+        self.modules: tuple[str, ...] = ('lentilspool.programs.gateway',)
+
+    def configure(self, known: tuple[int, ...]) -> None:
+        """Write the settings; ``known`` has ports of gateways to begin with."""
+        settings = {
+            'name': self.name,
+            'zone': 'a',
+            'callers': f'127.0.0.1:{self.callers}',
+            'readiness': f'127.0.0.1:{self._readiness}',
+            'peers': f'127.0.0.1:{self.peers}',
+            'metrics': f'127.0.0.1:{free_port()}',
+            'known_peers': [f'127.0.0.1:{port}' for port in known],
+            'store': {'address': f'127.0.0.1:{self.store_way.port}'},
+        }
+        self._path.write_text(json.dumps(settings))
+
+    async def serve(self) -> None:
+        """Keep the process running until cancelled, then end it."""
+        try:
+            while True:
+                self._start()
+                while self._process and self._process.poll() is None:
+                    await trio.sleep(_RESTART_S / 3)
+                await trio.sleep(_RESTART_S)
+        finally:
+            self._kill()
+
+    def kill(self) -> None:
+        """End the process without notice."""
+        self._signal(signal.SIGKILL)
+
+    async def stop(self) -> None:
+        """Stop the process as planned, and end it after the grace time."""
+        process = self._process
+        self._signal(signal.SIGTERM)
+        with trio.move_on_after(_GRACE_S):
+            while process and process.poll() is None:
+                await trio.sleep(_RESTART_S)
+        if process and process.poll() is None:
+            process.kill()
+
+    async def pause(self, seconds: float) -> None:
+        """Let the process stand still for a time."""
+        process = self._process
+        self._signal(signal.SIGSTOP)
+        await trio.sleep(seconds)
+        if process and process.poll() is None:
+            process.send_signal(signal.SIGCONT)
+
+    def _start(self) -> None:
+        self.starts += 1
+        with self._log.open('ab') as log:
+            self._process = subprocess.Popen(
+                [sys.executable, '-m', *self.modules]
+                + ['--settings', str(self._path)],
+                stdout=log,
+                stderr=log,
+            )
+
+    def _signal(self, number: int) -> None:
+        if self._process and self._process.poll() is None:
+            self._process.send_signal(number)
+
+    def _kill(self) -> None:
+        process = self._process
+        if process and process.poll() is None:
+            process.send_signal(signal.SIGCONT)
+            process.kill()
+            process.wait()
--- /dev/null
+++ b/soak/_proxy.py
@@ -0,0 +1,98 @@
+"""A loopback proxy whose connections can be delayed, reset or silenced."""
+
+import enum
+import socket
+import struct
+from typing import Final
+
+import trio
+
+_BYTES: Final = 65536
+_DELAY_S: Final = 0.15
+# Sends a reset instead of an end of the stream when the socket closes.
+_RESET: Final = struct.pack('ii', 1, 0)
+
+
+class Mode(enum.Enum):
+    """What the proxy does to bytes."""
+
+    passing = 'passing'
+    delayed = 'delayed'
+    reset = 'reset'
+    silent = 'silent'
+    one_way = 'one_way'
+
+
+class Proxy:
+    """Passes connections on to ``port``; ``mode`` holds for all of them."""
+
+    def __init__(self, port: int) -> None:
+        self._target = port
+        self._open: set[trio.SocketStream] = set()
+        self._mode = Mode.passing
+        self.listener = trio.SocketListener(
+            trio.socket.from_stdlib_socket(
+                socket.create_server(('127.0.0.1', 0), backlog=512)
+            )
+        )
+
+    @property
+    def port(self) -> int:
+        """Port at which it listens."""
+        return int(self.listener.socket.getsockname()[1])
+
+    def set_mode(self, mode: Mode) -> None:
+        """Change what happens to bytes; ``reset`` also ends connections."""
+        self._mode = mode
+        if mode is Mode.reset:
+            for stream in tuple(self._open):
+                self._reset(stream)
+
+    async def serve(self) -> None:
+        """Accept connections until cancelled."""
+        await trio.serve_listeners(self._connected, [self.listener])
+
+    async def _connected(self, near: trio.SocketStream) -> None:
+        if self._mode is Mode.reset:
+            self._reset(near)
+            return
+        try:
+            far = await trio.open_tcp_stream('127.0.0.1', self._target)
+        except OSError:
+            self._reset(near)
+            return
+        self._open |= {near, far}
+        try:
+            async with trio.open_nursery() as nursery:
+                scope = nursery.cancel_scope
+                nursery.start_soon(self._pass, near, far, True, scope)
+                nursery.start_soon(self._pass, far, near, False, scope)
+        finally:
+            self._open -= {near, far}
+            await trio.aclose_forcefully(near)
+            await trio.aclose_forcefully(far)
+
+    async def _pass(
+        self,
+        source: trio.SocketStream,
+        sink: trio.SocketStream,
+        forward: bool,
+        scope: trio.CancelScope,
+    ) -> None:
+        try:
+            async for chunk in source:
+                if self._mode is Mode.delayed:
+                    await trio.sleep(_DELAY_S)
+                dropped = self._mode is Mode.silent or (
+                    self._mode is Mode.one_way and not forward
+                )
+                if not dropped:
+                    await sink.send_all(chunk)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            scope.cancel()
+            return
+        scope.cancel()
+
+    def _reset(self, stream: trio.SocketStream) -> None:
+        stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+        stream.socket.close()
--- /dev/null
+++ b/soak/_published.py
@@ -0,0 +1,159 @@
+"""The store that gateways read: configuration and endpoints."""
+
+import json
+from typing import Final
+
+import trio
+
+from lentilspool import platform, serving
+from lentilspool.gateway import _http_server
+from lentilspool.platform.tests import stand_ins
+from soak import _endpoints
+
+_LIMITS: Final = serving.CallLimits(65536, 65536, 5, 60)
+_WATCH_S: Final = 5.0
+HOST: Final = 'soak.example'
+TEAMS: Final = ('brides', 'clerks')
+
+
+def key_of(team: str) -> str:
+    """Return the key of a team."""
+    return f'key-of-{team}'
+
+
+def document(version: int, extra_routes: int) -> bytes:
+    """Return a configuration with some routes that nobody asks for."""
+    chain = [
+        {'service': 'prepare', 'bytes': 1000},
+        {'service': 'prepare', 'after': [0], 'bytes': 1000},
+    ]
+    routes = [
+        _route('once', 'unsafe', 'desk'),
+        _route('again', 'safe', 'desk', attempts=2),
+        _route('draft', 'streaming', 'model', stages=chain),
+        _route(
+            'resume',
+            'streaming',
+            'model',
+            stages=chain,
+            resumable=True,
+            attempts=2,
+        ),
+        *(
+            _route(f'new{index}', 'safe', 'desk')
+            for index in range(extra_routes)
+        ),
+    ]
+    pieces = {
+        'slots': 1,
+        'queue': 2,
+        'batch': 6,
+        'call_ms': 30,
+        'item_ms': 1,
+        'headroom_mb': 1,
+        'handle_s': 4,
+    }
+    services = [
+        {'name': 'desk', 'max_connections': 100},
+        {'name': 'prepare', 'max_connections': 100, 'pieces': pieces},
+        {
+            'name': 'model',
+            'max_connections': 100,
+            'engine': {'slots': 32, 'kv_capacity': 100_000},
+        },
+    ]
+    teams = [{'name': team, 'api_keys': [key_of(team)]} for team in TEAMS]
+    content = {
+        'version': version,
+        'routes': routes,
+        'services': services,
+        'tenants': teams,
+    }
+    return json.dumps(content).encode()
+
+
+def _route(
+    name: str, kind: str, service: str, **changes: object
+) -> dict[str, object]:
+    plain: dict[str, object] = {
+        'name': name,
+        'hostname': HOST,
+        'prefix': f'/{name}/',
+        'kind': kind,
+        'service': service,
+        'timeout_ms': 4000,
+        'target_latency_ms': 1000,
+        'max_gap_ms': 500,
+    }
+    return {**plain, **changes}
+
+
+class Store:
+    """Answers reads and watches; ``publish`` and ``list_`` change it."""
+
+    def __init__(self) -> None:
+        self._items: dict[str, tuple[bytes | None, int]] = {}
+        self._revision = 0
+        self._changed = trio.Event()
+        self.server = _http_server.Server(
+            '127.0.0.1:0', self._serve, lambda: _LIMITS
+        )
+        self.version = 0
+
+    def publish(self, extra_routes: int) -> None:
+        """Put the next configuration in force."""
+        self.version += 1
+        self._put(
+            platform.CONFIGURATION_KEY, document(self.version, extra_routes)
+        )
+
+    def list_endpoint(self, endpoint: _endpoints.Endpoint) -> None:
+        """Publish what an endpoint says of itself."""
+        entry = stand_ins.entry(
+            endpoint.service,
+            endpoint.address,
+            8,
+            endpoint.born_ms,
+            ready=endpoint.ready,
+        )
+        self._put(f'{platform.ENDPOINT_PREFIX}{endpoint.name}', entry)
+
+    def drop_endpoint(self, endpoint: _endpoints.Endpoint) -> None:
+        """Remove the entry of an endpoint that is gone."""
+        self._put(f'{platform.ENDPOINT_PREFIX}{endpoint.name}', None)
+
+    def _put(self, key: str, payload: bytes | None) -> None:
+        self._revision += 1
+        self._items[key] = (payload, self._revision)
+        self._changed.set()
+        self._changed = trio.Event()
+
+    async def _serve(
+        self, request: _http_server.Request, reply: _http_server.Reply
+    ) -> None:
+        watches, prefix, after = stand_ins.query(request.target)
+        if watches:
+            with trio.move_on_after(_WATCH_S):
+                while not self._since(prefix, after):
+                    await self._changed.wait()
+            body = stand_ins.page(
+                'events', self._since(prefix, after), self._revision
+            )
+        else:
+            held = [
+                one for one in self._since(prefix, 0) if 'tombstone' not in one
+            ]
+            body = stand_ins.page('items', held, self._revision)
+        length = str(len(body)).encode()
+        await reply.whole(200, [(b'content-length', length)], body)
+
+    def _since(self, prefix: str, after: int) -> list[dict[str, object]]:
+        found = [
+            (revision, key, payload)
+            for key, (payload, revision) in self._items.items()
+            if key.startswith(prefix) and revision > after
+        ]
+        return [
+            stand_ins.item(key, payload, revision)
+            for revision, key, payload in sorted(found, key=lambda one: one[0])
+        ]
--- /dev/null
+++ b/soak/planted.py
@@ -0,0 +1,43 @@
+"""A gateway with a guard switched off, to see that the soak finds it."""
+
+import sys
+
+from lentilspool import serving
+from lentilspool.programs import gateway
+from lentilspool.serving import _inputs
+
+
+def _resend() -> None:
+    """Send again what may have run, as if every route could be repeated."""
+    usual = serving.next_step
+
+    def next_step(
+        route: serving.Route,
+        tally: serving.Tally,
+        end: serving.End,
+        status: int,
+        *,
+        may_retry: bool,
+    ) -> serving.Step:
+        if end is serving.End.unknown and tally.sent < 2:
+            return serving.Step.again
+        return usual(route, tally, end, status, may_retry=may_retry)
+
+    serving.next_step = next_step
+
+
+def _blind() -> None:
+    """Run pieces whose inputs were freed."""
+    _inputs.were_dropped = lambda stages, number: False
+    _inputs.are_held = _inputs.were_made
+
+
+def main() -> None:
+    """Switch a guard off and run the gateway."""
+    plant = sys.argv.pop(1).removeprefix('--plant=')
+    {'resend': _resend, 'blind': _blind}[plant]()
+    gateway.main()
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/soak/tests/test_soak.py
@@ -0,0 +1,75 @@
+"""A short run of the soak, and tests of what it takes for broken."""
+
+import pytest
+import trio
+
+from lentilspool.platform.tests import stand_ins
+from soak import _findings, _run
+
+# Findings about time; a busy machine may be late.
+_LIVENESS = ('recover', 'start')
+ASKED = _findings.Asked('r', 'brides', b'/once/r', b'b', 'desk', False)
+
+
+class TestSoak:
+    """Real gateways under faults; what they promise holds meanwhile."""
+
+    @pytest.mark.parametrize('seed', [3])
+    def test_no_promise_is_broken(self, seed: int) -> None:
+        plan = _run.Plan(seed, seconds=4, gateways=2, callers=4, settle_s=1)
+        findings, _ = trio.run(_run.run, plan)
+        broken = [
+            one for one in findings.broken if not one.startswith(_LIVENESS)
+        ]
+        assert not broken
+
+
+class TestFindings:
+    def test_answer_of_another_request_is_found(self) -> None:
+        body = _findings.body_of('other')
+        assert self.broken(200, body, 'stamp') == ['mixed']
+
+    def test_refusal_of_a_request_that_ran_is_found(self) -> None:
+        assert self.broken(503, b'', '', ran=1) == ['refused']
+
+    def test_second_run_is_found(self) -> None:
+        assert self.broken(502, b'', '', ran=2) == ['twice']
+
+    def test_right_answer_breaks_nothing(self) -> None:
+        body = _findings.body_of('r')
+        assert not self.broken(200, body, 'stamp', ran=1)
+
+    def test_inputs_of_another_stage_are_found(self) -> None:
+        async def check() -> None:
+            findings = _findings.Findings()
+            findings.asks(
+                _findings.Asked('r', 't', b'', b'', 'model', False, (1, 2))
+            )
+            findings.made('h', stand_ins.Piece('r', 1, 0, ()))
+            findings.piece(stand_ins.Piece('r', 1, 1, ('h',)))
+            assert findings.broken
+
+        trio.run(check)
+
+    def broken(
+        self, status: int, body: bytes, stamp: str, ran: int = 0
+    ) -> list[str]:
+        findings = _findings.Findings()
+
+        async def check() -> None:
+            findings.asks(ASKED)
+            for _ in range(ran):
+                findings.ran(_Desk(), _SENT, _REQUEST)
+            findings.answered(ASKED, status, body, stamp)
+
+        trio.run(check)
+        return [one.partition(':')[0] for one in findings.broken]
+
+
+class _Desk:
+    name = 'desk-1'
+    service = 'desk'
+
+
+_SENT = stand_ins.Sent('r', 'brides', '', 'desk-1', None, 0)
+_REQUEST = _findings.Received(b'/once/r', b'b')
