--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -8,13 +8,15 @@
 
 # Findings about time; a busy machine may be late.
 _LIVENESS = ('recover', 'start')
+# The usual short seed, and every seed that ever failed, with its cause.
+SEEDS = (3,)
 ASKED = _findings.Asked('r', 'brides', b'/once/r', b'b', 'desk', False)
 
 
 class TestSoak:
     """Real gateways under faults; what they promise holds meanwhile."""
 
-    @pytest.mark.parametrize('seed', [3])
+    @pytest.mark.parametrize('seed', SEEDS)
     def test_no_promise_is_broken(self, seed: int) -> None:
         plan = _run.Plan(seed, seconds=4, gateways=2, callers=4, settle_s=1)
         findings, _ = trio.run(_run.run, plan)
