Let late requests wait for a quarter of their time again

Cause: with half, late requests that got no work were held longer before they were refused, and no more of them were served.

--- a/src/lentilspool/serving/_plan_types.py
+++ b/src/lentilspool/serving/_plan_types.py
@@ -217,7 +217,7 @@
     busy_s: float = 0.3
     """Wait at a stage service from which on late requests are held back."""
 
-    late_wait_share: float = 0.5
+    late_wait_share: float = 0.25
     """Share of its time that a late request may wait before any work."""
 
     retry_share: float = 0.1
