Drop an unused field and a type for tests only from the soak

Found by reading the change again. The test uses the request type that endpoints receive. No product code; linters, types and the soak's tests run.

--- a/soak/_findings.py
+++ b/soak/_findings.py
@@ -38,17 +38,6 @@
         """Whole body."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Received:
-    """Path and body of a request, for tests."""
-
-    target: bytes
-    """Path and query."""
-
-    body: bytes
-    """Whole body."""
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Asked:
     """A request as its caller sent it."""
--- a/soak/_gateways.py
+++ b/soak/_gateways.py
@@ -38,7 +38,6 @@
         self._path = folder / f'{name}.jsonc'
         self._log = folder / f'{name}.log'
         self._process: subprocess.Popen[bytes] | None = None
-        self._paused = False
         self.starts = 0
         self.modules: tuple[str, ...] = ('lentilspool.programs.gateway',)
 
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -3,6 +3,7 @@
 import pytest
 import trio
 
+from lentilspool.gateway import _http_server
 from lentilspool.platform.tests import stand_ins
 from soak import _findings, _run
 
@@ -74,4 +75,4 @@
 
 
 _SENT = stand_ins.Sent('r', 'brides', '', 'desk-1', None, 0)
-_REQUEST = _findings.Received(b'/once/r', b'b')
+_REQUEST = _http_server.Request(b'POST', b'/once/r', (), b'b')
