Log which contents ran when an endpoint ended

Logs tied attempts to request ids, which change with each repeat of a caller, and told a lost answer and the end of an endpoint alike as 'unknown', so repeats of one content that ends endpoints could not be told from other failures.

Ruled out: counting each broken connection as a death (reset and garbled connections break without one); the listing (an entry lapses three heartbeats later); a health request (waits for a slot, and is charged).

Change: event 520 has the content's digest, event 823 the contents that ran at an endpoint that ended, found by one connection; explain marks it. The planner asks for the check of calls without an answer. No decision depends on it yet.

--- a/bench/_stage_world.py
+++ b/bench/_stage_world.py
@@ -110,7 +110,7 @@
                 self._free(action.number)
             elif isinstance(action, serving.RunAt):
                 self._run(action.key)
-            else:
+            elif isinstance(action, serving.Refuse):
                 self.tally.refused += 1
                 self.tally.wasted_s += self._spent.pop(action.key, 0)
 
--- a/src/lentilspool/explain/_request_trace.py
+++ b/src/lentilspool/explain/_request_trace.py
@@ -11,14 +11,14 @@
 def trace_request(lines: Sequence[_log_lines.Line], request: str) -> list[str]:
     """Return a row for each log line about a request, in order of time.
 
-    Lines about the endpoints and planners of the request, logged while it
-    was open, are included and marked with a star.
+    Lines about the endpoints, planners and content of the request, logged
+    while it was open, are included and marked with a star.
     """
     request_lines = [line for line in lines if line.concerns(request)]
     if not request_lines:
         return []
     begin = request_lines[0].time
-    names = _endpoints_and_planners(request_lines)
+    names = _related_names(request_lines)
     rows = []
     for line in lines:
         if line.concerns(request):
@@ -30,10 +30,10 @@
     return rows
 
 
-def _endpoints_and_planners(lines: Iterable[_log_lines.Line]) -> set[str]:
+def _related_names(lines: Iterable[_log_lines.Line]) -> set[str]:
     names = set()
     for line in lines:
-        for field in ('endpoint', 'planner'):
+        for field in ('endpoint', 'planner', 'content'):
             name = line.fields.get(field)
             if name:
                 names.add(str(name))
@@ -43,7 +43,10 @@
 def _mentions(line: _log_lines.Line, names: set[str]) -> bool:
     if 'request_id' in line.fields or 'requests' in line.fields:
         return False
-    mentioned = (line.fields.get('endpoint'), line.fields.get('planner'))
+    mentioned = {
+        line.fields.get(field) for field in ('endpoint', 'planner', 'content')
+    }
+    mentioned.update(line.fields.get('contents', ()))
     return not names.isdisjoint(mentioned)
 
 
--- a/src/lentilspool/explain/tests/test_explain.py
+++ b/src/lentilspool/explain/tests/test_explain.py
@@ -40,6 +40,16 @@
         rows = explain.trace_request(explain.read(LINES), 'r')
         assert [row[0] for row in rows] == [' ', ' ', '*', ' ', ' ']
 
+    def test_death_of_an_endpoint_under_the_content_is_marked(self) -> None:
+        lines = [
+            line(1, 'a', 520, request_id='r', content='c'),
+            line(2, 'b', 823, endpoint='e1', contents=['b', 'c']),
+            line(2.5, 'b', 823, endpoint='e2', contents=['d']),
+            line(3, 'a', 523, request_id='r', status=502),
+        ]
+        rows = explain.trace_request(explain.read(lines), 'r')
+        assert [row[0] for row in rows] == [' ', '*', ' ']
+
     def test_unknown_request_has_no_rows(self) -> None:
         assert not explain.trace_request(explain.read(LINES), 'x')
 
--- a/src/lentilspool/gateway/_connection.py
+++ b/src/lentilspool/gateway/_connection.py
@@ -94,6 +94,11 @@
         """Whether the endpoint may have read any byte of the request."""
         return self._sent
 
+    @property
+    def answering(self) -> bool:
+        """Whether the answer to the request has begun."""
+        return self._http.their_state is not h11.SEND_RESPONSE
+
     def is_stale(self, max_idle_s: float, now: float) -> bool:
         """Whether an idle connection is unsafe for another request.
 
--- /dev/null
+++ b/src/lentilspool/gateway/_endpoint_checks.py
@@ -0,0 +1,76 @@
+"""Checks whether an endpoint has ended while it ran requests."""
+
+import logging
+from collections.abc import Iterable
+from typing import Final
+
+import trio
+
+from lentilspool import serving, settings
+from lentilspool.gateway import _clock, _events, _metrics, _sockets
+
+_logger: Final = logging.getLogger(__name__)
+_GATHER_S: Final = 0.005
+
+
+class EndpointChecks:
+    """Tells the end of an endpoint from a lost answer or a broken connection.
+
+    Call ``check`` with the contents that ran at an endpoint without an answer,
+    and ``record_answer`` for each answer. An endpoint has ended if its port
+    refuses connections. One that does not respond has ended only if other
+    endpoints answer meanwhile; otherwise this host may be cut off.
+    """
+
+    def __init__(
+        self,
+        limits: settings.SendSettings,
+        metrics: _metrics.GatewayMetrics,
+        nursery: trio.Nursery,
+    ) -> None:
+        self._limits = limits
+        self._metrics = metrics
+        self._nursery = nursery
+        self._last_answer_at = 0.0
+        # Contents by the endpoints that are being checked.
+        self._checking: dict[str, set[str]] = {}
+
+    def record_answer(self) -> None:
+        """Record that some endpoint has answered."""
+        self._last_answer_at = _clock.now()
+
+    def check(
+        self, endpoint: serving.Endpoint, contents: Iterable[str]
+    ) -> None:
+        """Check an endpoint in the background, once at a time."""
+        checking = self._checking.get(endpoint.incarnation)
+        if checking is None:
+            checking = set()
+            self._checking[endpoint.incarnation] = checking
+            self._nursery.start_soon(self._check, endpoint, checking)
+        checking.update(contents)
+
+    async def _check(
+        self, endpoint: serving.Endpoint, contents: set[str]
+    ) -> None:
+        began_at = _clock.now()
+        # All connections of an endpoint that ended break at about this time.
+        await trio.sleep(_GATHER_S)
+        connected = await _sockets.try_connect(
+            endpoint.host, endpoint.port, self._limits.connect_s
+        )
+        self._checking.pop(endpoint.incarnation)
+        if isinstance(connected, trio.SocketStream):
+            await trio.aclose_forcefully(connected)
+            return
+        refused = connected is _sockets.Unreachable.refused
+        if refused or self._last_answer_at > began_at:
+            self._metrics.record_endpoint_death(endpoint.service)
+            _events.ENDPOINT_DIED.log(
+                _logger,
+                endpoint=endpoint.name,
+                incarnation=endpoint.incarnation,
+                service=endpoint.service,
+                cause=connected.value,
+                contents=sorted(contents),
+            )
--- a/src/lentilspool/gateway/_events.py
+++ b/src/lentilspool/gateway/_events.py
@@ -71,6 +71,11 @@
 CONNECTION_RETIRED: Final = _declare(
     821, logging.INFO, 'A connection to an endpoint is not used again.'
 )
+ENDPOINT_DIED: Final = _declare(
+    823,
+    logging.WARNING,
+    'An endpoint ended while it ran requests or pieces of these contents.',
+)
 CALLER_BROKEN: Final = _declare(
     822, logging.INFO, 'A connection of a caller violated HTTP.'
 )
--- a/src/lentilspool/gateway/_gateway.py
+++ b/src/lentilspool/gateway/_gateway.py
@@ -10,6 +10,7 @@
 from lentilspool import platform, serving, settings
 from lentilspool.gateway import (
     _clock,
+    _endpoint_checks,
     _events,
     _http_server,
     _in_flight,
@@ -62,15 +63,18 @@
         cluster = _peers.ClusterState(
             self._roster, self._published, gateway_settings.link
         )
+        self._metrics = _metrics.GatewayMetrics()
+        checks = _endpoint_checks.EndpointChecks(
+            gateway_settings.send, self._metrics, nursery
+        )
         local = _local_planning.LocalPlanning(
-            self._published, self._pool, serving.PlanLimits(), nursery
+            self._published, self._pool, checks, serving.PlanLimits(), nursery
         )
         self._local = local
         links = _planning.Links(gateway_settings, cluster, nursery)
         self._loads = serving.EndpointLoads(
             gateway_settings.zone, random.Random()
         )
-        self._metrics = _metrics.GatewayMetrics()
         self._repeat_callers = serving.RepeatCallerDetector()
         context = _in_flight.GatewayContext(
             gateway_settings,
@@ -81,6 +85,7 @@
             _in_flight.RetryBudgets(
                 gateway_settings.send, self._count_gateways
             ),
+            checks,
             self._metrics,
             self._planned_stop,
             self._repeat_callers,
--- a/src/lentilspool/gateway/_in_flight.py
+++ b/src/lentilspool/gateway/_in_flight.py
@@ -8,6 +8,7 @@
 from lentilspool import platform, retries, serving, settings
 from lentilspool.gateway import (
     _clock,
+    _endpoint_checks,
     _events,
     _http_server,
     _metrics,
@@ -52,6 +53,9 @@
     budgets: 'RetryBudgets'
     """Retry budgets of all services."""
 
+    checks: _endpoint_checks.EndpointChecks
+    """Checks of endpoints that did not answer."""
+
     metrics: _metrics.GatewayMetrics
     """Counters and histograms."""
 
@@ -107,6 +111,7 @@
         self.body = body
         self.reply = reply
         self.matched = matched
+        self.content = serving.content_digest(call, self.team, body)
         self.arrived_at = _clock.now()
         self.attempt_counts = serving.AttemptCounts()
         self.tried_incarnations: set[str] = set()
@@ -190,6 +195,10 @@
         self.attempt_open = False
         if outcome is not serving.AttemptOutcome.answered:
             self.tried_incarnations.add(endpoint.incarnation)
+        if outcome is serving.AttemptOutcome.unknown:
+            self.context.checks.check(endpoint, (self.content,))
+        elif outcome is not serving.AttemptOutcome.unsent:
+            self.context.checks.record_answer()
         _events.ATTEMPT_ENDED.log(
             _logger,
             request_id=self.call.request_id,
--- a/src/lentilspool/gateway/_ingress.py
+++ b/src/lentilspool/gateway/_ingress.py
@@ -67,6 +67,7 @@
             request_id=in_flight.call.request_id,
             route=in_flight.route.name,
             team=in_flight.team,
+            content=in_flight.content,
             left_ms=round(in_flight.time_left_s * _MS_PER_S),
             spent_ms=round(in_flight.prior_wait_s * _MS_PER_S),
             configuration=self._context.published.version,
--- a/src/lentilspool/gateway/_local_planning.py
+++ b/src/lentilspool/gateway/_local_planning.py
@@ -7,7 +7,14 @@
 import trio
 
 from lentilspool import platform, serving
-from lentilspool.gateway import _clock, _connection, _events, _pool, _published
+from lentilspool.gateway import (
+    _clock,
+    _connection,
+    _endpoint_checks,
+    _events,
+    _pool,
+    _published,
+)
 
 _logger: Final = logging.getLogger(__name__)
 _OK: Final = 200
@@ -22,6 +29,7 @@
 PlanDecision = serving.RunAt | serving.Refuse
 DecisionCallback = Callable[[PlanDecision], None]
 _Message = tuple[bytes, list[tuple[bytes, bytes]], bytes]
+_Answer = tuple[serving.AnswerHead, bytes]
 
 
 class LocalPlanning:
@@ -34,11 +42,13 @@
         self,
         published: _published.PublishedState,
         pool: _pool.ConnectionPool,
+        checks: _endpoint_checks.EndpointChecks,
         limits: serving.PlanLimits,
         nursery: trio.Nursery,
     ) -> None:
         self._published = published
         self._pool = pool
+        self._checks = checks
         self._nursery = nursery
         self._planner = serving.Planner(published.endpoint_index, limits)
         self._callbacks: dict[str, DecisionCallback] = {}
@@ -101,6 +111,8 @@
             self._nursery.start_soon(self._call, action)
         elif isinstance(action, serving.FreeResults):
             self._nursery.start_soon(self._free, action)
+        elif isinstance(action, serving.CheckEndpoint):
+            self._checks.check(action.endpoint, action.contents)
         else:
             callback = self._callbacks.pop(action.key, None)
             if callback:
@@ -121,13 +133,19 @@
                 for piece in call.pieces
             ],
         )
-        answer: tuple[serving.AnswerHead, bytes] | None = None
+        answer: _Answer | _connection.ExchangeFailure = (
+            _connection.ExchangeFailure('no answer in time', sent=True)
+        )
         with trio.move_on_after(_STAGE_CALL_TIMEOUT_S):
             answer = await self._exchange(call.endpoint, message)
-        results = _results(answer)
-        refused = answer is not None and answer[0].not_run
+        sent, ran = True, True
+        if isinstance(answer, _connection.ExchangeFailure):
+            sent = answer.sent
+        else:
+            ran = not answer[0].not_run
+            self._checks.record_answer()
         self._planner.call_ended(
-            call.number, results, _clock.now(), ran=not refused
+            call.number, _results(answer), _clock.now(), ran=ran, sent=sent
         )
         self._changed.set()
 
@@ -143,21 +161,21 @@
         )
         if producer is None:
             return
-        answer = None
+        answer: _Answer | _connection.ExchangeFailure | None = None
         with trio.move_on_after(_FREE_CALL_TIMEOUT_S):
             answer = await self._exchange(
                 producer, platform.encode_free_request(action.handles)
             )
-        if answer and answer[0].status == _OK:
+        if isinstance(answer, tuple) and answer[0].status == _OK:
             self._planner.results_freed(action.number)
             self._changed.set()
 
     async def _exchange(
         self, endpoint: serving.Endpoint, message: _Message
-    ) -> tuple[serving.AnswerHead, bytes] | None:
+    ) -> _Answer | _connection.ExchangeFailure:
         connection = await self._pool.acquire(endpoint, repeatable=True)
         if isinstance(connection, _connection.ExchangeFailure):
-            return None
+            return connection
         try:
             return await self._send_and_receive(connection, message)
         finally:
@@ -166,24 +184,24 @@
 
     async def _send_and_receive(
         self, connection: _connection.Connection, message: _Message
-    ) -> tuple[serving.AnswerHead, bytes] | None:
+    ) -> _Answer | _connection.ExchangeFailure:
         target, headers, body = message
         failure = await connection.send(
             _connection.Outgoing('POST', target, headers, body)
         )
         head = failure or await connection.receive_head()
-        if not isinstance(head, serving.AnswerHead):
-            return None
+        if isinstance(head, _connection.ExchangeFailure):
+            return head
         answer = await connection.receive_body(_MAX_ANSWER_BYTES)
         if isinstance(answer, _connection.ExchangeFailure):
-            return None
+            return answer
         return head, answer
 
 
 def _results(
-    answer: tuple[serving.AnswerHead, bytes] | None,
+    answer: _Answer | _connection.ExchangeFailure,
 ) -> tuple[serving.PieceResult, ...] | None:
-    if answer is None or answer[0].status != _OK:
+    if not isinstance(answer, tuple) or answer[0].status != _OK:
         return None
     try:
         outcomes = platform.decode_stage_answer(answer[1])
--- a/src/lentilspool/gateway/_metrics.py
+++ b/src/lentilspool/gateway/_metrics.py
@@ -17,6 +17,10 @@
         """Count an attempt at an endpoint by its outcome."""
         self._metrics.record_attempt(service, end)
 
+    def record_endpoint_death(self, service: str) -> None:
+        """Count an endpoint that ended while it ran requests."""
+        self._metrics.record_endpoint_death(service)
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return self._metrics.render()
--- a/src/lentilspool/gateway/_sockets.py
+++ b/src/lentilspool/gateway/_sockets.py
@@ -1,5 +1,6 @@
 """TCP sockets with options that detect unresponsive peers."""
 
+import enum
 import socket
 from typing import Final
 
@@ -12,6 +13,13 @@
 _ACCEPT_BACKLOG: Final = 1024
 
 
+class Unreachable(enum.Enum):
+    """Why a connection could not be opened."""
+
+    refused = 'refused'
+    no_response = 'no response'
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Return the IP address and port of ``IP:PORT``."""
     host, _, port = address.rpartition(':')
@@ -22,18 +30,28 @@
     host: str, port: int, limit_s: float
 ) -> trio.SocketStream | None:
     """Open a connection; return None if it fails or takes too long."""
+    connected = await try_connect(host, port, limit_s)
+    return None if isinstance(connected, Unreachable) else connected
+
+
+async def try_connect(
+    host: str, port: int, limit_s: float
+) -> trio.SocketStream | Unreachable:
+    """Open a connection, or return why that is not possible."""
     raw_socket = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    connected = False
+    failure: Unreachable | None = Unreachable.no_response
     with trio.move_on_after(limit_s):
         try:
             await raw_socket.connect((host, port))
+        except ConnectionRefusedError:
+            failure = Unreachable.refused
         except OSError:
-            connected = False
+            failure = Unreachable.no_response
         else:
-            connected = True
-    if not connected:
+            failure = None
+    if failure:
         raw_socket.close()
-        return None
+        return failure
     return _configured_stream(raw_socket)
 
 
--- a/src/lentilspool/gateway/_streams.py
+++ b/src/lentilspool/gateway/_streams.py
@@ -94,6 +94,7 @@
             priority=in_flight.matched.priority,
             zone=in_flight.context.gateway_settings.zone,
             avoid=tuple(in_flight.tried_incarnations),
+            content=in_flight.content,
         )
 
     async def _send(
--- a/src/lentilspool/gateway/tests/test_peers.py
+++ b/src/lentilspool/gateway/tests/test_peers.py
@@ -9,7 +9,9 @@
 
 from lentilspool import serving, settings, wire
 from lentilspool.gateway import (
+    _endpoint_checks,
     _local_planning,
+    _metrics,
     _peer_server,
     _peers,
     _planning,
@@ -69,6 +71,9 @@
         local = _local_planning.LocalPlanning(
             self.published,
             _pool.ConnectionPool(self.gateway_settings.send),
+            _endpoint_checks.EndpointChecks(
+                self.gateway_settings.send, _metrics.GatewayMetrics(), nursery
+            ),
             serving.PlanLimits(),
             nursery,
         )
--- a/src/lentilspool/serving/__init__.py
+++ b/src/lentilspool/serving/__init__.py
@@ -25,10 +25,12 @@
 from lentilspool.serving._configuration import ServiceShare as ServiceShare
 from lentilspool.serving._configuration import Stage as Stage
 from lentilspool.serving._configuration import Team as Team
+from lentilspool.serving._contents import content_digest as content_digest
 from lentilspool.serving._endpoint_loads import EndpointLoads as EndpointLoads
 from lentilspool.serving._endpoints import Endpoint as Endpoint
 from lentilspool.serving._endpoints import EndpointIndex as EndpointIndex
 from lentilspool.serving._plan_types import Action as Action
+from lentilspool.serving._plan_types import CheckEndpoint as CheckEndpoint
 from lentilspool.serving._plan_types import FreeResults as FreeResults
 from lentilspool.serving._plan_types import Piece as Piece
 from lentilspool.serving._plan_types import PieceResult as PieceResult
--- a/src/lentilspool/serving/_plan_types.py
+++ b/src/lentilspool/serving/_plan_types.py
@@ -62,6 +62,9 @@
     avoid: tuple[str, ...] = ()
     """Incarnations of engines that must not be chosen."""
 
+    content: str = ''
+    """Digest of the content; empty if the sender has an older release."""
+
     @property
     def shared_tokens(self) -> int:
         """Number of tokens in prompt parts that other requests may share."""
@@ -166,7 +169,18 @@
     """
 
 
-Action = StartCall | RunAt | Refuse | FreeResults
+@dataclasses.dataclass(frozen=True, slots=True)
+class CheckEndpoint:
+    """Order to check whether an endpoint ended under a call."""
+
+    endpoint: _endpoints.Endpoint
+    """Endpoint that has not answered the call."""
+
+    contents: frozenset[str]
+    """Digests of the contents whose pieces the call holds."""
+
+
+Action = StartCall | RunAt | Refuse | FreeResults | CheckEndpoint
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/lentilspool/serving/_planner.py
+++ b/src/lentilspool/serving/_planner.py
@@ -95,12 +95,14 @@
         now: float,
         *,
         ran: bool = True,
+        sent: bool = True,
     ) -> None:
         """Record the results of a call; None if there was no answer.
 
-        ``ran`` is False if the endpoint said that it did not run the call.
+        ``ran`` is False if the endpoint said that it did not run the call,
+        ``sent`` is False if the endpoint could not be reached.
         """
-        self._stages.finish_call(number, results, now, ran=ran)
+        self._stages.finish_call(number, results, now, ran=ran, sent=sent)
         self._refuse_failed(now)
 
     def results_freed(self, number: int) -> None:
--- a/src/lentilspool/serving/_stage_dispatch.py
+++ b/src/lentilspool/serving/_stage_dispatch.py
@@ -39,6 +39,7 @@
         self._limits = limits
         self.services: _estimates.Services = {}
         self._outgoing_calls: list[_plan_types.StartCall] = []
+        self._checks: list[_plan_types.CheckEndpoint] = []
         self._open_calls: dict[int, _stage_service.OpenCall] = {}
         self._last_number = 0
         self.releaser = _result_release.ResultReleaser(self.services)
@@ -64,7 +65,9 @@
         actions: list[_plan_types.Action] = [
             *self.releaser.actions,
             *self._outgoing_calls,
+            *self._checks,
         ]
+        self._checks.clear()
         self.releaser.actions.clear()
         self._outgoing_calls.clear()
         return actions
@@ -94,6 +97,7 @@
         now: float,
         *,
         ran: bool,
+        sent: bool = True,
     ) -> None:
         """Record the results of a call; None if there was no answer."""
         open_call = self._open_calls.pop(number, None)
@@ -104,7 +108,7 @@
             results = (_plan_types.PieceResult('', 'error'),) * len(
                 open_call.call_pieces
             )
-            self._record_call_failure(open_call, now, ran=ran)
+            self._record_call_failure(open_call, now, ran=ran, sent=sent)
         elif not open_call.overdue and all(one.handle for one in results):
             open_call.stage_endpoint.record_call_time(open_call, now)
             self.services[open_call.service].record_sufficient_memory()
@@ -157,6 +161,7 @@
                     listed=not delisted,
                     after_ms=round((now - open_call.started_at) * _MS_PER_S),
                 )
+                self._checks.append(_check_of(open_call))
                 for call_piece in open_call.call_pieces:
                     self.retries.retry(call_piece, now)
 
@@ -226,9 +231,16 @@
         return open_call.started_at + allowed_s + self._limits.overdue_s
 
     def _record_call_failure(
-        self, open_call: _stage_service.OpenCall, now: float, *, ran: bool
+        self,
+        open_call: _stage_service.OpenCall,
+        now: float,
+        *,
+        ran: bool,
+        sent: bool,
     ) -> None:
         block_s = self._limits.block_s
+        if ran and sent:
+            self._checks.append(_check_of(open_call))
         if ran:
             open_call.stage_endpoint.block_after_failure(block_s, now)
         else:
@@ -309,3 +321,13 @@
         return _estimates.starts_too_early(
             job, number, self.services, self._limits, now
         )
+
+
+def _check_of(open_call: _stage_service.OpenCall) -> _plan_types.CheckEndpoint:
+    return _plan_types.CheckEndpoint(
+        open_call.stage_endpoint.endpoint,
+        frozenset(
+            call_piece.job.plan_request.content
+            for call_piece in open_call.call_pieces
+        ),
+    )
--- a/src/lentilspool/telemetry/_metrics.py
+++ b/src/lentilspool/telemetry/_metrics.py
@@ -29,6 +29,10 @@
         self._attempts = meter.create_counter(
             'lentilspool_attempts', description='Stage attempts by outcome.'
         )
+        self._deaths = meter.create_counter(
+            'lentilspool_endpoint_deaths',
+            description='Endpoints that ended while they ran requests.',
+        )
 
     def record_request(
         self, pipeline: str, team: str, outcome: str, seconds: float
@@ -42,6 +46,10 @@
         """Count one attempt at a stage."""
         self._attempts.add(1, {'pool': pool, 'outcome': outcome})
 
+    def record_endpoint_death(self, pool: str) -> None:
+        """Count an endpoint that ended while it ran requests."""
+        self._deaths.add(1, {'pool': pool})
+
     def record_spend(
         self, team: str, stage: str, provider: str, cost: float
     ) -> None:
