--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -17,6 +17,17 @@
     ('draft', 'model', False, (1, 3)),
     ('resume', 'model', True, (2, 8)),
 )
+# Requests that end endpoints: route, service, repeatable, pieces, and how.
+HARMFUL: Final = (
+    ('once', 'desk', False, (), _findings.Harm.request),
+    ('again', 'desk', True, (), _findings.Harm.request),
+    ('draft', 'model', False, (1, 3), _findings.Harm.request),
+    ('resume', 'model', True, (2, 8), _findings.Harm.request),
+    ('resume', 'model', True, (2, 8), _findings.Harm.pieces),
+)
+
+
+Harmful = tuple[str, str, bool, tuple[int, ...], _findings.Harm]
 
 
 class Caller:
@@ -43,6 +54,28 @@
             await trio.sleep(self._rng.expovariate(1 / pause_s))
             await self._ask(self._next())
 
+    async def repeat(
+        self, number: int, harmful: Harmful, pause_s: float
+    ) -> None:
+        """Send a harmful request again and again, at any gateway."""
+        name, service, repeatable, counts, harm = harmful
+        content = f'harm-{number}'
+        while True:
+            self._count += 1
+            asked = _findings.Asked(
+                f'{content}-{self._count}',
+                _published.TEAMS[0],
+                f'/{name}/{content}'.encode(),
+                f'body of {content}'.encode(),
+                service,
+                repeatable,
+                counts,
+                harm,
+            )
+            await self._ask(asked)
+            await self._close()
+            await trio.sleep(self._rng.uniform(0, 2 * pause_s))
+
     def _next(self) -> _findings.Asked:
         self._count += 1
         name, service, repeatable, counts = self._rng.choice(_KINDS)
--- a/soak/_endpoints.py
+++ b/soak/_endpoints.py
@@ -1,6 +1,7 @@
 """Endpoints that keep a record of everything they were asked."""
 
 import itertools
+from collections.abc import Callable
 from typing import Final
 
 import trio
@@ -19,13 +20,19 @@
 class Endpoint:
     """One start of an endpoint: plain, stage or engine, as it is asked."""
 
-    def __init__(self, service: str, findings: _findings.Findings) -> None:
+    def __init__(
+        self,
+        service: str,
+        findings: _findings.Findings,
+        ended: Callable[['Endpoint'], None],
+    ) -> None:
         number = next(_names)
         self.name = f'{service}-{number}'
         self.service = service
         self.born_ms = number
         self.ready = True
         self._findings = findings
+        self._ended = ended
         self._server = _http_server.Server(
             '127.0.0.1:0', self._serve, lambda: _LIMITS
         )
@@ -79,6 +86,8 @@
         reply: _http_server.Reply,
     ) -> None:
         self._findings.ran(self, sent, request)
+        if self._findings.harms(sent.request_id, _findings.Harm.request):
+            await self._crash()
         headers = stand_ins.answer_headers(sent.request_id, self.name)
         if sent.results is None:
             await trio.sleep(_WORK_S)
@@ -96,6 +105,14 @@
         pieces = stand_ins.decode_pieces(body)
         for piece in pieces:
             self._findings.piece(piece)
+        requests = {one.request_id for one in pieces}
+        harmful = [
+            request_id
+            for request_id in requests
+            if self._findings.harms(request_id, _findings.Harm.pieces)
+        ]
+        if harmful:
+            await self._crash()
         await trio.sleep(_WORK_S)
         handles = []
         for piece in pieces:
@@ -104,6 +121,13 @@
             handles.append(handle)
         await self._whole(reply, [], stand_ins.encode_stage_answer(handles))
 
+    async def _crash(self) -> None:
+        """End as a crashed process does: its connections are reset."""
+        self.proxy.set_mode(_proxy.Mode.reset)
+        self.scope.cancel()
+        self._ended(self)
+        await trio.sleep_forever()
+
     async def _whole(
         self,
         reply: _http_server.Reply,
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -60,7 +60,7 @@
         await fault()
 
     async def _add(self, service: str) -> None:
-        endpoint = _endpoints.Endpoint(service, self._findings)
+        endpoint = _endpoints.Endpoint(service, self._findings, self._crashed)
         await self._nursery.start(endpoint.serve)
         self._endpoints.append(endpoint)
         self.store.list_endpoint(endpoint)
@@ -91,9 +91,13 @@
     async def _crash(self) -> None:
         """End an endpoint with all its results; another one starts."""
         endpoint = self._rng.choice(self._endpoints)
-        self._endpoints.remove(endpoint)
         endpoint.scope.cancel()
-        self._nursery.start_soon(self._replace, endpoint)
+        self._crashed(endpoint)
+
+    def _crashed(self, endpoint: _endpoints.Endpoint) -> None:
+        if endpoint in self._endpoints:
+            self._endpoints.remove(endpoint)
+            self._nursery.start_soon(self._replace, endpoint)
 
     async def _replace(self, gone: _endpoints.Endpoint) -> None:
         await trio.sleep(self._rng.uniform(0.2, 2))
--- a/soak/_findings.py
+++ b/soak/_findings.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import enum
 import json
 from typing import Final, Protocol
 
@@ -12,8 +13,20 @@
 # Statuses that promise: it has not run, and never will.
 _NOT_RUN: Final = frozenset((408, 421, 429, 503))
 _MOST_SHOWN: Final = 20
+# Deaths of endpoints by which a request must be known, and runs after them.
+_KNOWN_DEATHS: Final = 3
+_MOST_LATE_RUNS: Final = 3
 # Events of each stream.
 EVENTS: Final = 8
+Content = tuple[str, bytes, bytes]
+
+
+class Harm(enum.Enum):
+    """What ends each endpoint that runs it."""
+
+    none = 'none'
+    request = 'request'
+    pieces = 'pieces'
 
 
 class Runner(Protocol):
@@ -63,6 +76,14 @@
     counts: tuple[int, ...] = ()
     """Pieces of each of its stages."""
 
+    harm: Harm = Harm.none
+    """Which part of it ends endpoints."""
+
+    @property
+    def content(self) -> Content:
+        """What repeats of the request have in common."""
+        return self.team, self.target, self.body
+
 
 def body_of(request_id: str) -> bytes:
     """Return the only right answer to a plain request."""
@@ -82,9 +103,28 @@
         self._runs: collections.Counter[str] = collections.Counter()
         self._refused: set[str] = set()
         self._handles: dict[str, stand_ins.Piece] = {}
+        self._deaths: collections.Counter[Content] = collections.Counter()
+        self._late_runs: collections.Counter[Content] = collections.Counter()
         self.statuses: collections.Counter[str] = collections.Counter()
         self.broken: list[str] = []
 
+    @property
+    def deaths(self) -> int:
+        """Endpoints that ended under harmful requests."""
+        return self._deaths.total()
+
+    def harms(self, request_id: str, harm: Harm) -> bool:
+        """Whether that part of a request ends its endpoint now."""
+        asked = self._asked.get(request_id)
+        if asked is None or asked.harm is not harm:
+            return False
+        if self._deaths[asked.content] >= _KNOWN_DEATHS:
+            self._late_runs[asked.content] += 1
+            if self._late_runs[asked.content] > _MOST_LATE_RUNS:
+                self._break('fatal', f'{request_id} ran after its deaths')
+        self._deaths[asked.content] += 1
+        return True
+
     def asks(self, asked: Asked) -> None:
         """Note a request before it is sent."""
         self._asked[asked.request_id] = asked
@@ -165,6 +205,8 @@
             'seconds': seconds,
             'requests': len(self._asked),
             'statuses': dict(sorted(self.statuses.items())),
+            'fatal': len(self._deaths),
+            'deaths': self.deaths,
             'broken': dict(kinds),
             'first': self.broken[:_MOST_SHOWN],
         }
