Quarantine contents that end endpoints, in all gateways

Cause: a gateway counted attempts by request id, and a repeat has a new one. Nothing tied endpoint deaths to what ran there; admission.Quarantine does, but only the daemons used it. Class: a failure attributed to the endpoint alone, so the cause moves on to the next one (retry amplification).

Why it works: the gateway that finds an endpoint dead records the death against all contents in flight there; gateways send changes on their connections at once and pass on what is new to them, so all know within two hops. From the third death on the content is refused as not run, or fails if this attempt may have run. A complete answer clears a content.

--- a/soak/tests/test_fatal_requests.py
+++ b/soak/tests/test_fatal_requests.py
@@ -50,7 +50,6 @@
     return findings
 
 
-@pytest.mark.known_red
 class TestFatalRequests:
     @pytest.mark.parametrize(
         'harmful',
--- a/src/lentilspool/admission/_quarantine.py
+++ b/src/lentilspool/admission/_quarantine.py
@@ -1,6 +1,7 @@
 """Quarantine of contents that crash the endpoints they run on."""
 
 import dataclasses
+import itertools
 import logging
 from collections.abc import Iterable
 from typing import Final
@@ -21,6 +22,7 @@
     cleared: frozenset[str]
     expires_at: float
     earliest_run_at: float
+    version: int = 0
 
     @property
     def open_deaths(self) -> int:
@@ -34,14 +36,22 @@
     Call ``decide`` before each attempt, ``record_endpoint_death`` with all
     contents that were in flight at the endpoint, and ``clear_completed`` when
     a content has completed. ``suspicions_to_share`` and ``merge`` exchange
-    suspicions with other entries, on change and with heartbeats. A content
+    suspicions with other entries, on change and with heartbeats; with
+    ``suspicions_since`` only changes are sent. A content
     under suspicion runs alone at its endpoint, so that another death there
     cannot be caused by any other content.
     """
 
     def __init__(self, limits: types.QuarantineLimits | None = None) -> None:
         self._limits = limits or types.QuarantineLimits()
+        # In the order of their last change.
         self._records: dict[str, _SuspicionRecord] = {}
+        self._version = 0
+
+    @property
+    def version(self) -> int:
+        """Number of changes so far."""
+        return self._version
 
     @property
     def size(self) -> int:
@@ -65,6 +75,11 @@
             )
         )
 
+    def open_deaths(self, content_digest: str, now: float) -> int:
+        """Return the number of deaths that count against a content."""
+        record = self._find(content_digest, now)
+        return record.open_deaths if record else 0
+
     def record_endpoint_death(
         self, death: str, in_flight: Iterable[str], now: float
     ) -> None:
@@ -76,20 +91,41 @@
         for content_digest in in_flight:
             self._add(content_digest, frozenset((death,)), _NO_DEATHS, now)
 
-    def clear_completed(self, content_digest: str, now: float) -> bool:
-        """Clear a content; return whether it was under suspicion."""
+    def clear_completed(
+        self, content_digest: str, now: float, prefix: str = ''
+    ) -> bool:
+        """Clear a content; return whether it was under suspicion.
+
+        Only deaths whose name begins with the prefix are cleared.
+        """
         record = self._find(content_digest, now)
-        if record is None or not record.open_deaths:
+        if record is None:
             return False
-        self._records[content_digest] = dataclasses.replace(
-            record, cleared=record.deaths
+        completed = frozenset(
+            death for death in record.deaths if death.startswith(prefix)
+        )
+        if completed <= record.cleared:
+            return False
+        self._put(
+            content_digest,
+            dataclasses.replace(record, cleared=record.cleared | completed),
         )
-        _events.CLEARED.log(_logger, content=content_digest)
+        _events.CLEARED.log(_logger, content=content_digest, deaths=prefix)
         return True
 
     def suspicions_to_share(self, now: float) -> tuple[types.Suspicion, ...]:
         """Return all suspicions, for sending to other entries."""
+        return self.suspicions_since(-1, now)
+
+    def suspicions_since(
+        self, version: int, now: float
+    ) -> tuple[types.Suspicion, ...]:
+        """Return the suspicions that changed after a version, latest first."""
         self._forget_expired(now)
+        changed = itertools.takewhile(
+            lambda entry: entry[1].version > version,
+            reversed(self._records.items()),
+        )
         return tuple(
             types.Suspicion(
                 content_digest,
@@ -97,7 +133,7 @@
                 record.cleared,
                 record.expires_at - now,
             )
-            for content_digest, record in self._records.items()
+            for content_digest, record in changed
         )
 
     def merge(self, suspicions: Iterable[types.Suspicion], now: float) -> bool:
@@ -155,10 +191,20 @@
             event.log(
                 _logger, content=content_digest, deaths=sorted(merged.deaths)
             )
+        self._put(
+            content_digest,
+            dataclasses.replace(
+                merged,
+                expires_at=max(record.expires_at, now + lease_s),
+                earliest_run_at=earliest_run_at,
+            ),
+        )
+
+    def _put(self, content_digest: str, record: _SuspicionRecord) -> None:
+        self._version += 1
+        self._records.pop(content_digest, None)
         self._records[content_digest] = dataclasses.replace(
-            merged,
-            expires_at=max(record.expires_at, now + lease_s),
-            earliest_run_at=earliest_run_at,
+            record, version=self._version
         )
 
     def _find(self, content_digest: str, now: float) -> _SuspicionRecord | None:
--- a/src/lentilspool/admission/tests/test_quarantine.py
+++ b/src/lentilspool/admission/tests/test_quarantine.py
@@ -63,6 +63,24 @@
         assert quarantine.size == 3
         assert isinstance(quarantine.decide('poison', 9), admission.Quarantined)
 
+    def test_completion_at_one_service_leaves_other_deaths(self) -> None:
+        quarantine = make_quarantine()
+        quarantine.record_endpoint_death('search e1@1', ['content'], 10)
+        quarantine.record_endpoint_death('model e2@1', ['content'], 10)
+        assert quarantine.clear_completed('content', 11, 'search ')
+        assert quarantine.open_deaths('content', 11) == 1
+        assert not quarantine.clear_completed('content', 11, 'search ')
+
+    def test_only_changes_are_sent_again(self) -> None:
+        quarantine = make_quarantine()
+        quarantine.record_endpoint_death('e1@1', ['old', 'new'], 10)
+        version = quarantine.version
+        assert not quarantine.suspicions_since(version, 10)
+        quarantine.record_endpoint_death('e2@1', ['new'], 11)
+        (changed,) = quarantine.suspicions_since(version, 11)
+        assert changed.content_digest == 'new'
+        assert changed.deaths == {'e1@1', 'e2@1'}
+
     def test_entries_agree_after_an_exchange(self) -> None:
         first, second = make_quarantine(), make_quarantine()
         first.record_endpoint_death('e1@1', ['poison', 'innocent'], 10)
--- a/src/lentilspool/gateway/_endpoint_checks.py
+++ b/src/lentilspool/gateway/_endpoint_checks.py
@@ -7,7 +7,13 @@
 import trio
 
 from lentilspool import serving, settings
-from lentilspool.gateway import _clock, _events, _metrics, _sockets
+from lentilspool.gateway import (
+    _clock,
+    _content_quarantine,
+    _events,
+    _metrics,
+    _sockets,
+)
 
 _logger: Final = logging.getLogger(__name__)
 _GATHER_S: Final = 0.005
@@ -17,7 +23,8 @@
     """Tells the end of an endpoint from a lost answer or a broken connection.
 
     Call ``check`` with the contents that ran at an endpoint without an answer,
-    and ``record_answer`` for each answer. An endpoint has ended if its port
+    and ``record_answer`` for each answer. Deaths are recorded in the quarantine.
+    An endpoint has ended if its port
     refuses connections. One that does not respond has ended only if other
     endpoints answer meanwhile; otherwise this host may be cut off.
     """
@@ -26,10 +33,12 @@
         self,
         limits: settings.SendSettings,
         metrics: _metrics.GatewayMetrics,
+        quarantine: _content_quarantine.ContentQuarantine,
         nursery: trio.Nursery,
     ) -> None:
         self._limits = limits
         self._metrics = metrics
+        self._quarantine = quarantine
         self._nursery = nursery
         self._last_answer_at = 0.0
         # Contents by the endpoints that are being checked.
@@ -74,3 +83,6 @@
                 cause=connected.value,
                 contents=sorted(contents),
             )
+            self._quarantine.record_death(
+                endpoint.service, endpoint.incarnation, contents
+            )
--- a/src/lentilspool/gateway/_gateway.py
+++ b/src/lentilspool/gateway/_gateway.py
@@ -10,6 +10,7 @@
 from lentilspool import platform, serving, settings
 from lentilspool.gateway import (
     _clock,
+    _content_quarantine,
     _endpoint_checks,
     _events,
     _http_server,
@@ -60,12 +61,15 @@
             ),
             gateway_settings.link.forget_s,
         )
+        quarantine = _content_quarantine.ContentQuarantine(
+            gateway_settings.quarantine
+        )
         cluster = _peers.ClusterState(
-            self._roster, self._published, gateway_settings.link
+            self._roster, self._published, quarantine, gateway_settings.link
         )
         self._metrics = _metrics.GatewayMetrics()
         checks = _endpoint_checks.EndpointChecks(
-            gateway_settings.send, self._metrics, nursery
+            gateway_settings.send, self._metrics, quarantine, nursery
         )
         local = _local_planning.LocalPlanning(
             self._published, self._pool, checks, serving.PlanLimits(), nursery
@@ -85,6 +89,7 @@
             _in_flight.RetryBudgets(
                 gateway_settings.send, self._count_gateways
             ),
+            quarantine,
             checks,
             self._metrics,
             self._planned_stop,
--- a/src/lentilspool/gateway/_in_flight.py
+++ b/src/lentilspool/gateway/_in_flight.py
@@ -8,6 +8,7 @@
 from lentilspool import platform, retries, serving, settings
 from lentilspool.gateway import (
     _clock,
+    _content_quarantine,
     _endpoint_checks,
     _events,
     _http_server,
@@ -23,6 +24,8 @@
 # Time reserved for sending the answer back to the caller.
 _ANSWER_TRANSIT_S: Final = 0.02
 _DEFAULT_RETRY_AFTER_S: Final = 0.1
+_FIRST_SERVER_ERROR: Final = 500
+_DELIVERED: Final = 'delivered'
 # Share of the slack that requests may use for retries. The rest is for pieces
 # that planners resend, and for gateways that are not known here yet.
 _RETRY_SLACK_SHARE: Final = 0.7
@@ -53,6 +56,9 @@
     budgets: 'RetryBudgets'
     """Retry budgets of all services."""
 
+    quarantine: _content_quarantine.ContentQuarantine
+    """Contents that must not run because endpoints ended under them."""
+
     checks: _endpoint_checks.EndpointChecks
     """Checks of endpoints that did not answer."""
 
@@ -160,6 +166,11 @@
         target_s = self.route.target_s - self.prior_wait_s
         return self.arrived_at + target_s - _clock.now()
 
+    @property
+    def quarantine_s(self) -> float | None:
+        """Seconds for which the content is refused; None if it may run."""
+        return self.context.quarantine.refusal_s(self.content)
+
     def current_services(self) -> set[str]:
         """Return the services that the current routes allow for the request."""
         routes = self.context.published.routes
@@ -212,7 +223,7 @@
         """Send the caller the complete answer of an endpoint."""
         headers = [*head.headers, (b'content-length', str(len(body)).encode())]
         await self.reply.write_complete(head.status, headers, body)
-        self.record_final_answer(head.status, 'delivered')
+        self.record_final_answer(head.status, _DELIVERED)
 
     async def refuse(self, reason: str, retry_after_s: float | None) -> None:
         """Answer that the request has not run and when to send it again."""
@@ -226,6 +237,8 @@
 
     def record_final_answer(self, status: int, reason: str) -> None:
         """Log and count the final answer."""
+        if reason == _DELIVERED and status < _FIRST_SERVER_ERROR:
+            self.context.quarantine.record_completion(self.content)
         seconds = _clock.now() - self.arrived_at
         self.context.metrics.record_request(self.route.name, status, seconds)
         _events.ENDED.log(
--- a/src/lentilspool/gateway/_ingress.py
+++ b/src/lentilspool/gateway/_ingress.py
@@ -75,6 +75,10 @@
         if not self._context.stop.accepts(in_flight.route):
             await in_flight.refuse('stopping', None)
             return
+        quarantine_s = in_flight.quarantine_s
+        if quarantine_s is not None:
+            await in_flight.refuse('quarantined', quarantine_s)
+            return
         concluded = False
         scope = trio.move_on_after(max(in_flight.time_left_s, 0))
         try:
--- a/src/lentilspool/gateway/_peer_server.py
+++ b/src/lentilspool/gateway/_peer_server.py
@@ -50,6 +50,7 @@
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(session.send_to, stream)
+                nursery.start_soon(session.share_suspicions)
                 await session.receive_from(stream)
                 nursery.cancel_scope.cancel()
         finally:
@@ -73,6 +74,7 @@
             wire.GatewayBeat: self._handle_heartbeat,
             wire.PublishedAsk: self._send_published,
             wire.Published: cluster.merge_published,
+            wire.Suspicions: cluster.quarantine.merge,
             wire.PlanCall: self._handle_plan_call,
             wire.PlanNote: self._handle_plan_note,
         }
@@ -81,6 +83,10 @@
         """Send queued messages until the stream is broken."""
         await self._outbox.send_to(stream)
 
+    async def share_suspicions(self) -> None:
+        """Send suspicions as they change, until cancelled."""
+        await self._cluster.quarantine.share(self._enqueue)
+
     async def receive_from(self, stream: wire.MessageStream) -> None:
         """Handle messages until the stream ends."""
         message = await stream.receive()
--- a/src/lentilspool/gateway/_peers.py
+++ b/src/lentilspool/gateway/_peers.py
@@ -14,6 +14,7 @@
 from lentilspool import serving, settings, wire
 from lentilspool.gateway import (
     _clock,
+    _content_quarantine,
     _events,
     _local_planning,
     _published,
@@ -62,14 +63,16 @@
 
 
 class ClusterState:
-    """Roster and published state, updated from heartbeats."""
+    """What gateways tell each other: roster, published state, quarantine."""
 
     def __init__(
         self,
         roster: serving.Roster,
         published: _published.PublishedState,
+        quarantine: _content_quarantine.ContentQuarantine,
         peer_settings: settings.PeerSettings,
     ) -> None:
+        self.quarantine = quarantine
         self.roster = roster
         self.published = published
         self._catch_ups = [
@@ -255,6 +258,9 @@
                 nursery.start_soon(self._receive, stream, cancel)
                 nursery.start_soon(self._send, stream, cancel)
                 nursery.start_soon(self._send_heartbeats, stream, cancel)
+                nursery.start_soon(
+                    self._cluster.quarantine.share, self._enqueue
+                )
         finally:
             self._mark_lost('closed')
             await stream.aclose()
@@ -318,6 +324,8 @@
                 self._enqueue(self._cluster.export_published(message))
             case wire.Published():
                 self._cluster.merge_published(message)
+            case wire.Suspicions():
+                self._cluster.quarantine.merge(message)
             case wire.PlanAnswer():
                 self._handle_plan_answer(message)
             case _:
--- a/src/lentilspool/gateway/_plain.py
+++ b/src/lentilspool/gateway/_plain.py
@@ -37,7 +37,7 @@
 async def serve(in_flight: _in_flight.InFlightRequest) -> None:
     """Attempt a request at endpoints until it has its final answer."""
     service = serving.pick_service(in_flight.route, _rng)
-    while True:
+    while in_flight.quarantine_s is None:
         if service not in in_flight.current_services():
             service = serving.pick_service(in_flight.route, _rng)
         endpoints = in_flight.context.published.endpoint_index.ready(service)
@@ -45,13 +45,14 @@
             endpoints, in_flight.tried_incarnations, _clock.now()
         )
         if endpoint is None or in_flight.time_left_s < _MIN_ATTEMPT_S:
-            await _give_up(in_flight)
+            await _give_up(in_flight, 'no_endpoint', _NO_ENDPOINT_RETRY_AFTER_S)
             return
         answer = await _attempt(in_flight, endpoint)
         step = _decide(in_flight, endpoint, answer)
         if step is not serving.AttemptStep.again:
             await _conclude(in_flight, step, answer)
             return
+    await _give_up(in_flight, 'quarantined', in_flight.quarantine_s)
 
 
 async def _attempt(
@@ -168,9 +169,13 @@
         await in_flight.fail(status, 'unknown')
 
 
-async def _give_up(in_flight: _in_flight.InFlightRequest) -> None:
-    """End a request that has no endpoint or time for another attempt."""
+async def _give_up(
+    in_flight: _in_flight.InFlightRequest,
+    reason: str,
+    retry_after_s: float | None,
+) -> None:
+    """End a request that cannot have another attempt."""
     if in_flight.attempt_counts.may_have_run:
-        await in_flight.fail(_in_flight.BAD_GATEWAY, 'no_endpoint')
+        await in_flight.fail(_in_flight.BAD_GATEWAY, reason)
     else:
-        await in_flight.refuse('no_endpoint', _NO_ENDPOINT_RETRY_AFTER_S)
+        await in_flight.refuse(reason, retry_after_s)
--- a/src/lentilspool/gateway/_streams.py
+++ b/src/lentilspool/gateway/_streams.py
@@ -51,6 +51,9 @@
         if in_flight.time_left_s < _MIN_ATTEMPT_S:
             await self._fail('no_time')
             return False
+        if in_flight.quarantine_s is not None:
+            await self._fail('quarantined')
+            return False
         plan = in_flight.context.planning.plan(self._plan_request())
         self._plan = plan
         decision = await plan.wait_for_decision()
@@ -268,4 +271,4 @@
             )
             await in_flight.fail(status, reason)
         else:
-            await in_flight.refuse(reason, None)
+            await in_flight.refuse(reason, in_flight.quarantine_s)
--- a/src/lentilspool/gateway/tests/test_endpoint_checks.py
+++ b/src/lentilspool/gateway/tests/test_endpoint_checks.py
@@ -8,6 +8,7 @@
 
 from lentilspool import serving, settings
 from lentilspool.gateway import (
+    _content_quarantine,
     _endpoint_checks,
     _events,
     _metrics,
@@ -24,7 +25,12 @@
     """Check the endpoint at a port twice, with a content each time."""
     async with trio.open_nursery() as nursery:
         checks = _endpoint_checks.EndpointChecks(
-            settings.SendSettings(), _metrics.GatewayMetrics(), nursery
+            settings.SendSettings(),
+            _metrics.GatewayMetrics(),
+            _content_quarantine.ContentQuarantine(
+                settings.QuarantineSettings()
+            ),
+            nursery,
         )
         for content in CONTENTS:
             checks.check(endpoint_at(port), (content,))
--- a/src/lentilspool/gateway/tests/test_peers.py
+++ b/src/lentilspool/gateway/tests/test_peers.py
@@ -5,10 +5,12 @@
 from contextlib import asynccontextmanager
 
 import msgspec
+import pytest
 import trio
 
 from lentilspool import serving, settings, wire
 from lentilspool.gateway import (
+    _content_quarantine,
     _endpoint_checks,
     _local_planning,
     _metrics,
@@ -65,14 +67,23 @@
         )
         self.published = _published.PublishedState()
         self.roster = serving.Roster(member, 8)
+        self.quarantine = _content_quarantine.ContentQuarantine(
+            self.gateway_settings.quarantine
+        )
         cluster = _peers.ClusterState(
-            self.roster, self.published, self.gateway_settings.link
+            self.roster,
+            self.published,
+            self.quarantine,
+            self.gateway_settings.link,
         )
         local = _local_planning.LocalPlanning(
             self.published,
             _pool.ConnectionPool(self.gateway_settings.send),
             _endpoint_checks.EndpointChecks(
-                self.gateway_settings.send, _metrics.GatewayMetrics(), nursery
+                self.gateway_settings.send,
+                _metrics.GatewayMetrics(),
+                self.quarantine,
+                nursery,
             ),
             serving.PlanLimits(),
             nursery,
@@ -127,6 +138,14 @@
         nursery.cancel_scope.cancel()
 
 
+async def until_refused(
+    quarantine: _content_quarantine.ContentQuarantine, content: str
+) -> None:
+    with trio.fail_after(5):
+        while quarantine.refusal_s(content) is None:
+            await trio.sleep(0.01)
+
+
 class TestTwoGateways:
     def test_gateway_without_a_store_gets_the_published_state(self) -> None:
         async def check() -> None:
@@ -197,6 +216,22 @@
 
         trio.run(check)
 
+    @pytest.mark.parametrize('planner_reports', [True, False])
+    def test_deaths_under_a_content_reach_the_other_gateway(
+        self, planner_reports: bool
+    ) -> None:
+        async def check() -> None:
+            async with pair() as gateways:
+                reporter, other = (one.quarantine for one in gateways)
+                if not planner_reports:
+                    reporter, other = other, reporter
+                for number in range(3):
+                    reporter.record_death('model', f'e{number}/1', ['fatal'])
+                await until_refused(other, 'fatal')
+                assert other.refusal_s('other') is None
+
+        trio.run(check)
+
     def test_unreadable_message_closes_only_its_connection(self) -> None:
         async def check() -> None:
             async with pair() as (planner, requester):
--- a/src/lentilspool/settings/__init__.py
+++ b/src/lentilspool/settings/__init__.py
@@ -10,6 +10,9 @@
 from lentilspool.settings._errors import SettingsError as SettingsError
 from lentilspool.settings._gateway import GatewaySettings as GatewaySettings
 from lentilspool.settings._gateway import PeerSettings as PeerSettings
+from lentilspool.settings._gateway import (
+    QuarantineSettings as QuarantineSettings,
+)
 from lentilspool.settings._gateway import SendSettings as SendSettings
 from lentilspool.settings._gateway import StopSettings as StopSettings
 from lentilspool.settings._gateway import StoreSettings as StoreSettings
--- a/src/lentilspool/settings/_gateway.py
+++ b/src/lentilspool/settings/_gateway.py
@@ -89,6 +89,24 @@
     10 s, for all gateways together."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuarantineSettings:
+    """Quarantine of contents under which endpoints ended."""
+
+    deaths: int = 3
+    """Endpoints that must have ended before a content is refused; an innocent
+    content may lose two in a row to other requests and ordinary crashes."""
+
+    suspicion_s: float = 60.0
+    """Seconds for which a death counts against a content."""
+
+    refusal_s: float = 600.0
+    """Seconds for which a content is refused."""
+
+    max_contents: int = 1000
+    """Maximum number of contents on record."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StopSettings:
     """Time limits of a graceful stop."""
@@ -146,6 +164,9 @@
     send: SendSettings = SendSettings()
     """Connections to endpoints."""
 
+    quarantine: QuarantineSettings = QuarantineSettings()
+    """Contents under which endpoints ended."""
+
     stop: StopSettings = StopSettings()
     """Time limits of a graceful stop."""
 
