Stop pieces from ending one stage endpoint after another

Cause: PieceRetries bounds reruns of lost inputs and the retries of a service, which refill with every other request's successes; nothing counts the endpoints that ended under one request's pieces.

Why it works: pieces of a call without an answer wait for the check of the endpoint (some ms, at most 50), so the death is known before they run again. A content one death short of refusal runs in one call at a time without another such content, and at an engine without one if there is any, so that the next death shows who caused it. From the third death on the request is refused. A request that has passed all stages at a service is cleared there.

Ruled out: running suspects alone from the first death on (one ordinary crash makes 15 suspects, whose calls would go out nearly empty); holding pieces of overdue calls (a silent endpoint would cost 0.3 s more).

Also: pieces of an overdue call were queued again when the call failed later, though they had been already.

--- a/src/lentilspool/gateway/_content_quarantine.py
+++ b/src/lentilspool/gateway/_content_quarantine.py
@@ -25,6 +25,7 @@
     """
 
     def __init__(self, limits: settings.QuarantineSettings) -> None:
+        self._limits = limits
         self._quarantine = admission.Quarantine(
             admission.QuarantineLimits(
                 limits.max_contents,
@@ -56,6 +57,10 @@
         """Return how many deaths of endpoints count against a content."""
         return self._quarantine.open_deaths(content, _clock.now())
 
+    def runs_apart(self, content: str) -> bool:
+        """Whether one more death under a content leads to its refusal."""
+        return self.open_deaths(content) >= self._limits.deaths - 1
+
     def record_death(
         self, service: str, incarnation: str, contents: Iterable[str]
     ) -> None:
--- a/src/lentilspool/gateway/_endpoint_checks.py
+++ b/src/lentilspool/gateway/_endpoint_checks.py
@@ -1,5 +1,6 @@
 """Checks whether an endpoint has ended while it ran requests."""
 
+import dataclasses
 import logging
 from collections.abc import Iterable
 from typing import Final
@@ -19,6 +20,17 @@
 _GATHER_S: Final = 0.005
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Check:
+    """A check in progress."""
+
+    contents: set[str]
+    """Contents that ran at the endpoint without an answer."""
+
+    ended: trio.Event
+    """Set when the outcome is recorded."""
+
+
 class EndpointChecks:
     """Tells the end of an endpoint from a lost answer or a broken connection.
 
@@ -38,11 +50,10 @@
     ) -> None:
         self._limits = limits
         self._metrics = metrics
-        self._quarantine = quarantine
+        self.quarantine = quarantine
         self._nursery = nursery
         self._last_answer_at = 0.0
-        # Contents by the endpoints that are being checked.
-        self._checking: dict[str, set[str]] = {}
+        self._checks: dict[str, _Check] = {}
 
     def record_answer(self) -> None:
         """Record that some endpoint has answered."""
@@ -51,13 +62,25 @@
     def check(
         self, endpoint: serving.Endpoint, contents: Iterable[str]
     ) -> None:
-        """Check an endpoint in the background, once at a time."""
-        checking = self._checking.get(endpoint.incarnation)
-        if checking is None:
-            checking = set()
-            self._checking[endpoint.incarnation] = checking
-            self._nursery.start_soon(self._check, endpoint, checking)
-        checking.update(contents)
+        """Check an endpoint in the background."""
+        self._nursery.start_soon(self.wait, endpoint, frozenset(contents))
+
+    async def wait(
+        self, endpoint: serving.Endpoint, contents: frozenset[str]
+    ) -> None:
+        """Check an endpoint, or wait for the check that others began."""
+        check = self._checks.get(endpoint.incarnation)
+        if check:
+            check.contents.update(contents)
+            await check.ended.wait()
+            return
+        check = _Check(set(contents), trio.Event())
+        self._checks[endpoint.incarnation] = check
+        try:
+            await self._check(endpoint, check.contents)
+        finally:
+            self._checks.pop(endpoint.incarnation, None)
+            check.ended.set()
 
     async def _check(
         self, endpoint: serving.Endpoint, contents: set[str]
@@ -68,7 +91,8 @@
         connected = await _sockets.try_connect(
             endpoint.host, endpoint.port, self._limits.connect_s
         )
-        self._checking.pop(endpoint.incarnation)
+        # Contents that come later need another check.
+        self._checks.pop(endpoint.incarnation)
         if isinstance(connected, trio.SocketStream):
             await trio.aclose_forcefully(connected)
             return
@@ -83,6 +107,6 @@
                 cause=connected.value,
                 contents=sorted(contents),
             )
-            self._quarantine.record_death(
+            self.quarantine.record_death(
                 endpoint.service, endpoint.incarnation, contents
             )
--- a/src/lentilspool/gateway/_local_planning.py
+++ b/src/lentilspool/gateway/_local_planning.py
@@ -50,10 +50,13 @@
         self._pool = pool
         self._checks = checks
         self._nursery = nursery
-        self._planner = serving.Planner(published.endpoint_index, limits)
+        self._planner = serving.Planner(
+            published.endpoint_index, limits, checks.quarantine
+        )
         self._callbacks: dict[str, DecisionCallback] = {}
         self._changed = trio.Event()
         published.subscribe(self._apply_published_state)
+        checks.quarantine.subscribe(self._wake)
 
     @property
     def waiting(self) -> int:
@@ -106,13 +109,16 @@
             self._planner.configure(self._published.configuration.services)
         self._changed.set()
 
+    def _wake(self) -> None:
+        self._changed.set()
+
     def _execute(self, action: serving.Action) -> None:
         if isinstance(action, serving.StartCall):
             self._nursery.start_soon(self._call, action)
         elif isinstance(action, serving.FreeResults):
             self._nursery.start_soon(self._free, action)
         elif isinstance(action, serving.CheckEndpoint):
-            self._checks.check(action.endpoint, action.contents)
+            self._nursery.start_soon(self._check, action)
         else:
             callback = self._callbacks.pop(action.key, None)
             if callback:
@@ -149,6 +155,11 @@
         )
         self._changed.set()
 
+    async def _check(self, action: serving.CheckEndpoint) -> None:
+        await self._checks.wait(action.endpoint, action.contents)
+        self._planner.check_ended(action.number)
+        self._changed.set()
+
     async def _free(self, action: serving.FreeResults) -> None:
         host, _, port = action.address.rpartition(':')
         producer = next(
--- a/src/lentilspool/serving/__init__.py
+++ b/src/lentilspool/serving/__init__.py
@@ -51,3 +51,4 @@
 from lentilspool.serving._route_table import RouteTable as RouteTable
 from lentilspool.serving._route_table import UnknownKey as UnknownKey
 from lentilspool.serving._route_table import pick_service as pick_service
+from lentilspool.serving._suspects import Suspects as Suspects
--- a/src/lentilspool/serving/_engines.py
+++ b/src/lentilspool/serving/_engines.py
@@ -47,6 +47,9 @@
     tokens: int
     """Tokens of engine memory that it occupies."""
 
+    runs_apart: bool = False
+    """Whether it may have ended engines before."""
+
     started: bool = False
     """Whether its first event was seen."""
 
@@ -82,6 +85,11 @@
             or tokens >= self.limits.memory_tokens * _FULL_UTILIZATION
         )
 
+    @property
+    def has_suspect(self) -> bool:
+        """Whether it runs a request that may have ended engines before."""
+        return any(one.runs_apart for one in self.running.values())
+
     def cached_tokens(self, parts: tuple[_calls.PromptPart, ...]) -> int:
         """Return the number of leading tokens that the engine has cached."""
         tokens = 0
@@ -208,10 +216,14 @@
         plan_request: _plan_types.PlanRequest,
         sizes: dict[str, float],
         now: float,
+        *,
+        runs_apart: bool = False,
     ) -> Placement | None:
         """Return the engine with the least cost; None if none is available.
 
-        ``sizes`` holds the bytes of stage results by availability zone.
+        ``sizes`` holds the bytes of stage results by availability zone. A
+        request that runs apart goes to an engine without another one of
+        them, if there is any.
         """
         candidates = [
             engine
@@ -222,6 +234,9 @@
         ]
         if not candidates:
             return None
+        if runs_apart:
+            apart = [one for one in candidates if not one.has_suspect]
+            candidates = apart or candidates
         parts = plan_request.prompt.parts if plan_request.prompt else ()
         holder = max(candidates, key=lambda one: one.cached_tokens(parts))
         rank_costs = _rank_costs(candidates, parts)
@@ -241,13 +256,15 @@
         placement: Placement,
         plan_request: _plan_types.PlanRequest,
         now: float,
+        *,
+        runs_apart: bool = False,
     ) -> None:
         """Record that a request is assigned to an engine."""
         engine = placement.engine
         prompt = plan_request.prompt
         tokens = prompt.input_tokens + prompt.output_tokens if prompt else 0
         engine.running[plan_request.key] = RunningRequest(
-            now, placement.first_event_s, tokens
+            now, placement.first_event_s, tokens, runs_apart
         )
         prefill_s = self._prefill_s(placement.read_tokens, engine)
         engine.prefill_until = max(engine.prefill_until, now) + prefill_s
--- a/src/lentilspool/serving/_fleet.py
+++ b/src/lentilspool/serving/_fleet.py
@@ -7,6 +7,7 @@
     _jobs,
     _plan_types,
     _stage_dispatch,
+    _suspects,
 )
 
 
@@ -20,10 +21,11 @@
         self,
         endpoint_index: _endpoints.EndpointIndex,
         limits: _plan_types.PlanLimits,
+        suspects: _suspects.Suspects,
     ) -> None:
         self._endpoint_index = endpoint_index
         self._limits = limits
-        self.stages = _stage_dispatch.StageDispatcher(limits)
+        self.stages = _stage_dispatch.StageDispatcher(limits, suspects)
         self._pools: dict[str, _engines.EnginePool] = {}
         self._services: dict[str, _configuration.Service] = {}
         self._applied_generation = -1
--- a/src/lentilspool/serving/_jobs.py
+++ b/src/lentilspool/serving/_jobs.py
@@ -99,6 +99,8 @@
         ]
         self.begun = False
         self.closed = False
+        # Whether it may not share a call or an engine with another suspect.
+        self.runs_apart = False
         self.arrival_estimate = ArrivalEstimate()
         # Zone in which large results are made; empty until it is decided.
         self.zone = ''
@@ -141,6 +143,11 @@
         """Whether all stages are done."""
         return self.progress.done
 
+    @property
+    def in_flight(self) -> bool:
+        """Whether any piece is in an open call."""
+        return any(stage.in_flight for stage in self.stages)
+
     @property
     def results(self) -> tuple[str, ...]:
         """Handles of the results that the engine reads."""
--- a/src/lentilspool/serving/_plan_types.py
+++ b/src/lentilspool/serving/_plan_types.py
@@ -173,6 +173,9 @@
 class CheckEndpoint:
     """Order to check whether an endpoint ended under a call."""
 
+    number: int
+    """Number of the call, for ``Planner.check_ended``."""
+
     endpoint: _endpoints.Endpoint
     """Endpoint that has not answered the call."""
 
--- a/src/lentilspool/serving/_planner.py
+++ b/src/lentilspool/serving/_planner.py
@@ -14,6 +14,7 @@
     _jobs,
     _plan_types,
     _ranking,
+    _suspects,
 )
 
 _logger: Final = logging.getLogger(__name__)
@@ -24,6 +25,7 @@
 _BYTES_PER_KB: Final = 1000
 # Suggested to refused callers; also the wait for an engine past the target.
 _RETRY_AFTER_S: Final = 0.5
+_QUARANTINED: Final = 'quarantined'
 
 
 class Planner:
@@ -33,7 +35,7 @@
     Calls therefore hold pieces of several requests, pieces are collected
     while the endpoint is busy, and requests wait in the order of their worth.
 
-    ``submit`` adds a request; ``call_ended``, ``results_freed``,
+    ``submit`` adds a request; ``call_ended``, ``check_ended``, ``results_freed``,
     ``first_event_seen``, ``engine_ended`` and ``cancel`` report changes of
     calls and requests. After any of them, and at ``wake_at``, call ``step``
     and carry out its actions.
@@ -43,9 +45,12 @@
         self,
         endpoint_index: _endpoints.EndpointIndex,
         limits: _plan_types.PlanLimits | None = None,
+        suspects: _suspects.Suspects | None = None,
     ) -> None:
         self._limits = limits or _plan_types.PlanLimits()
-        self._fleet = _fleet.Fleet(endpoint_index, self._limits)
+        suspects = suspects or _suspects.NoSuspects()
+        self._suspicions = _suspects.JobSuspicions(suspects)
+        self._fleet = _fleet.Fleet(endpoint_index, self._limits, suspects)
         self._stages = self._fleet.stages
         self._forecast = _forecast.Forecast()
         self._jobs: dict[str, _jobs.Job] = {}
@@ -69,6 +74,10 @@
         """Add a request, or refuse it if it cannot finish in time."""
         self._fleet.update_endpoints()
         job = _jobs.Job(plan_request, now)
+        refusal_s = self._suspicions.apply(job)
+        if refusal_s is not None:
+            self._refuse(job, _QUARANTINED, refusal_s, now)
+            return
         job.arrival_estimate = _estimates.arrival_estimate(
             job, self._stages.services, self._limits
         )
@@ -105,6 +114,10 @@
         self._stages.finish_call(number, results, now, ran=ran, sent=sent)
         self._refuse_failed(now)
 
+    def check_ended(self, number: int) -> None:
+        """Record that the endpoint of a lost call was checked."""
+        self._stages.lost_calls.check_ended(number)
+
     def results_freed(self, number: int) -> None:
         """Record that an endpoint has dropped results."""
         self._stages.releaser.freed(number)
@@ -118,7 +131,7 @@
             self._forecast.record(
                 start_estimate.left_s, now - start_estimate.at
             )
-            self._free_results(job)
+            self._stages.close(job)
 
     def engine_ended(
         self, key: str, now: float, *, healthy: bool = True
@@ -129,13 +142,13 @@
             engine.running.pop(key, None)
             if not healthy:
                 engine.block_until(now + self._limits.block_s)
-            self._free_results(job)
+            self._stages.close(job)
 
     def cancel(self, key: str, now: float) -> None:
         """Remove a request whose caller has disconnected."""
         job = self._jobs.pop(key, None)
         if job:
-            self._free_results(job)
+            self._stages.close(job)
         self.engine_ended(key, now)
 
     def step(self, now: float) -> list[_plan_types.Action]:
@@ -143,7 +156,7 @@
         self._fleet.update_endpoints()
         self._stages.releaser.expire(now)
         self._refuse_late(now)
-        self._stages.retry_overdue(now)
+        self._stages.retry_lost(now)
         self._stages.retries.retry_deferred(now)
         self._stages.release_fetched_inputs(now)
         self._refuse_failed(now)
@@ -177,6 +190,9 @@
 
     def _refuse_late(self, now: float) -> None:
         """Refuse requests that cannot be served, or waited too long."""
+        refused = self._suspicions.apply_changes(self._jobs.values())
+        for suspect, refusal_s in refused:
+            self._refuse(suspect, _QUARANTINED, refusal_s, now)
         services = self._stages.services
         for job in list(self._jobs.values()):
             left_s = job.deadline_at - now
@@ -207,13 +223,15 @@
         """Choose the engine for a request whose stages are done."""
         plan_request = job.plan_request
         pool = self._fleet.pool(plan_request.service)
-        placement = pool.choose(plan_request, job.result_sizes, now)
+        placement = pool.choose(
+            plan_request, job.result_sizes, now, runs_apart=job.runs_apart
+        )
         if placement is None:
             if now > job.target_at + _RETRY_AFTER_S:
                 self._refuse(job, 'no_engine', _RETRY_AFTER_S, now)
             return
         self._jobs.pop(plan_request.key)
-        pool.assign(placement, plan_request, now)
+        pool.assign(placement, plan_request, now, runs_apart=job.runs_apart)
         self._running[plan_request.key] = (job, placement.engine)
         endpoint = placement.engine.endpoint
         results = job.results if job.stages else None
@@ -249,7 +267,7 @@
     ) -> None:
         plan_request = job.plan_request
         self._jobs.pop(plan_request.key, None)
-        self._free_results(job)
+        self._stages.close(job)
         self._outcomes.append(
             _plan_types.Refuse(plan_request.key, reason, retry_after_s)
         )
@@ -261,10 +279,3 @@
             waited_ms=round((now - job.arrived_at) * _MS_PER_S),
             waiting=len(self._jobs),
         )
-
-    def _free_results(self, job: _jobs.Job) -> None:
-        """Close a job and free all its results."""
-        job.closed = True
-        self._stages.releaser.release(
-            job.drop_results(list(range(len(job.stages))))
-        )
--- a/src/lentilspool/serving/_stage_dispatch.py
+++ b/src/lentilspool/serving/_stage_dispatch.py
@@ -10,12 +10,14 @@
     _events,
     _inputs,
     _jobs,
+    _lost_calls,
     _piece_retries,
     _plan_types,
     _result_release,
     _stage_graph,
     _stage_service,
     _stage_state,
+    _suspects,
 )
 
 _logger: Final = logging.getLogger(__name__)
@@ -35,11 +37,14 @@
     completed are in ``retries.failed_jobs``.
     """
 
-    def __init__(self, limits: _plan_types.PlanLimits) -> None:
+    def __init__(
+        self, limits: _plan_types.PlanLimits, suspects: _suspects.Suspects
+    ) -> None:
         self._limits = limits
+        self._suspects = suspects
         self.services: _estimates.Services = {}
         self._outgoing_calls: list[_plan_types.StartCall] = []
-        self._checks: list[_plan_types.CheckEndpoint] = []
+        self.lost_calls = _lost_calls.LostCalls()
         self._open_calls: dict[int, _stage_service.OpenCall] = {}
         self._last_number = 0
         self.releaser = _result_release.ResultReleaser(self.services)
@@ -65,9 +70,9 @@
         actions: list[_plan_types.Action] = [
             *self.releaser.actions,
             *self._outgoing_calls,
-            *self._checks,
+            *self.lost_calls.checks,
         ]
-        self._checks.clear()
+        self.lost_calls.checks.clear()
         self.releaser.actions.clear()
         self._outgoing_calls.clear()
         return actions
@@ -75,7 +80,7 @@
     def dispatch(self, jobs: list[_jobs.Job], now: float) -> None:
         """Fill calls for idle endpoints with pieces, in the order of jobs."""
         waiting: dict[str, list[_stage_service.ReadyStage]] = {}
-        for job in jobs:
+        for job in self.lost_calls.without_held(jobs):
             for number in job.ready_stages:
                 if self._starts_too_early(job, number, now):
                     continue
@@ -105,11 +110,10 @@
             return
         open_call.stage_endpoint.open_calls.pop(number, None)
         if results is None or len(results) != len(open_call.call_pieces):
-            results = (_plan_types.PieceResult('', 'error'),) * len(
-                open_call.call_pieces
-            )
-            self._record_call_failure(open_call, now, ran=ran, sent=sent)
-        elif not open_call.overdue and all(one.handle for one in results):
+            self._record_call_failure(open_call, now, ran=ran)
+            self._end_failed(open_call, now, ran=ran, sent=sent)
+            return
+        if not open_call.overdue and all(one.handle for one in results):
             open_call.stage_endpoint.record_call_time(open_call, now)
             self.services[open_call.service].record_sufficient_memory()
         if any(one.reason == 'room' for one in results):
@@ -119,10 +123,6 @@
         for call_piece, outcome in zip(open_call.call_pieces, results):
             call_piece.job.stages[call_piece.stage].end_call(call_piece.piece)
             open_call.stage_endpoint.free_bytes += call_piece.size
-            if not ran:
-                # Rejected calls cost the endpoint no work.
-                self.retries.requeue(call_piece)
-                continue
             self._piece_ended(open_call, call_piece, outcome, now)
 
     def release_fetched_inputs(self, now: float) -> None:
@@ -140,7 +140,7 @@
                         job.drop_results(_inputs.no_longer_read(job.stages))
                     )
 
-    def retry_overdue(self, now: float) -> None:
+    def retry_lost(self, now: float) -> None:
         """Retry the pieces of calls that are overdue or lost their endpoint."""
         for open_call in self._open_calls.values():
             stage_endpoints = self.services[open_call.service].stage_endpoints
@@ -161,18 +161,25 @@
                     listed=not delisted,
                     after_ms=round((now - open_call.started_at) * _MS_PER_S),
                 )
-                self._checks.append(_check_of(open_call))
+                self.lost_calls.check(open_call)
                 for call_piece in open_call.call_pieces:
                     self.retries.retry(call_piece, now)
+        for call_piece in self.lost_calls.take_released(now):
+            self.retries.retry(call_piece, now)
 
     def due_times(self) -> list[float]:
-        """Return the times at which open calls become overdue."""
-        return [
+        """Return the times at which pieces of open calls are due for retry."""
+        return self.lost_calls.due_times() + [
             self._due_at(open_call)
             for open_call in self._open_calls.values()
             if not open_call.overdue
         ]
 
+    def close(self, job: _jobs.Job) -> None:
+        """Close a job and free all its results."""
+        job.closed = True
+        self.releaser.release(job.drop_results(list(range(len(job.stages)))))
+
     def _send(
         self,
         name: str,
@@ -230,17 +237,34 @@
         allowed_s = open_call.expected_s * self._limits.overdue_factor
         return open_call.started_at + allowed_s + self._limits.overdue_s
 
-    def _record_call_failure(
+    def _end_failed(
         self,
         open_call: _stage_service.OpenCall,
         now: float,
         *,
         ran: bool,
         sent: bool,
+    ) -> None:
+        """End a call without results; pieces of overdue ones were retried."""
+        for call_piece in open_call.call_pieces:
+            call_piece.job.stages[call_piece.stage].end_call(call_piece.piece)
+            open_call.stage_endpoint.free_bytes += call_piece.size
+            if not ran:
+                # Rejected calls cost the endpoint no work.
+                self.retries.requeue(call_piece)
+            elif not sent:
+                self.retries.retry(call_piece, now)
+        if ran and sent and not open_call.overdue:
+            self.lost_calls.hold(open_call, now)
+
+    def _record_call_failure(
+        self,
+        open_call: _stage_service.OpenCall,
+        now: float,
+        *,
+        ran: bool,
     ) -> None:
         block_s = self._limits.block_s
-        if ran and sent:
-            self._checks.append(_check_of(open_call))
         if ran:
             open_call.stage_endpoint.block_after_failure(block_s, now)
         else:
@@ -309,25 +333,26 @@
             self.releaser.release([held])
             return
         stage.store_result(call_piece.piece, held)
+        self._clear_suspicion(call_piece.job, stage.stage_request.service)
         self.releaser.release(
             call_piece.job.drop_results(
                 _inputs.no_longer_read(call_piece.job.stages)
             )
         )
 
+    def _clear_suspicion(self, job: _jobs.Job, service: str) -> None:
+        """Clear the content of a request that has passed a service."""
+        content = job.plan_request.content
+        if self._suspects.open_deaths(content) and all(
+            stage.done
+            for stage in job.stages
+            if stage.stage_request.service == service
+        ):
+            self._suspects.record_completion(content, service)
+
     def _starts_too_early(
         self, job: _jobs.Job, number: int, now: float
     ) -> bool:
         return _estimates.starts_too_early(
             job, number, self.services, self._limits, now
         )
-
-
-def _check_of(open_call: _stage_service.OpenCall) -> _plan_types.CheckEndpoint:
-    return _plan_types.CheckEndpoint(
-        open_call.stage_endpoint.endpoint,
-        frozenset(
-            call_piece.job.plan_request.content
-            for call_piece in open_call.call_pieces
-        ),
-    )
--- a/src/lentilspool/serving/_stage_service.py
+++ b/src/lentilspool/serving/_stage_service.py
@@ -185,14 +185,19 @@
         self._free_bytes = stage_endpoint.free_bytes
         self._unclaimed_bytes = unclaimed_bytes
         self.call_pieces: list[CallPiece] = []
+        self._suspect: _jobs.Job | None = None
 
     def add(self, job: _jobs.Job, number: int) -> None:
         """Add the waiting pieces of a stage that still fit.
 
         A stage begins only if there is memory for all its results, besides
         those of stages that have begun. Otherwise requests that each hold a
-        part of the memory and wait for the rest would deadlock.
+        part of the memory and wait for the rest would deadlock. A suspect
+        runs in one call at a time, without other suspects, so that the end of
+        the endpoint shows which one caused it.
         """
+        if job.runs_apart and not self._admits_suspect(job):
+            return
         stage = job.stages[number]
         size = stage.stage_request.result_bytes * self._factor
         if not stage.begun:
@@ -208,6 +213,12 @@
                 self._free_bytes -= size
                 self.call_pieces.append(CallPiece(job, number, piece, size))
 
+    def _admits_suspect(self, job: _jobs.Job) -> bool:
+        if job.in_flight or self._suspect not in {None, job}:
+            return False
+        self._suspect = job
+        return True
+
 
 class StageService:
     """Endpoints of one stage service.
--- a/src/lentilspool/serving/tests/test_result_memory.py
+++ b/src/lentilspool/serving/tests/test_result_memory.py
@@ -3,7 +3,12 @@
 import dataclasses
 
 from lentilspool import serving
-from lentilspool.serving import _jobs, _stage_dispatch, _stage_service
+from lentilspool.serving import (
+    _jobs,
+    _stage_dispatch,
+    _stage_service,
+    _suspects,
+)
 from lentilspool.serving.tests import builders
 
 SEARCH = builders.endpoint('s1', 'search')
@@ -73,6 +78,8 @@
     def test_inputs_are_made_again_when_call_fails(self) -> None:
         planner, second = self.planner()
         planner.call_ended(second.number, None, 0.4)
+        assert not builders.calls(planner.step(0.4))
+        planner.check_ended(second.number)
         (again,) = builders.calls(planner.step(0.4))
         assert again.endpoint == SEARCH
         end_call(planner, again, 0.6)
@@ -170,7 +177,9 @@
         self, pieces: int
     ) -> _stage_service.StageService:
         limits = dataclasses.replace(builders.BATCHES, room_bytes=400_000)
-        dispatcher = _stage_dispatch.StageDispatcher(serving.PlanLimits())
+        dispatcher = _stage_dispatch.StageDispatcher(
+            serving.PlanLimits(), _suspects.NoSuspects()
+        )
         dispatcher.update_endpoints('search', limits, (SEARCH,))
         job = _jobs.Job(builders.plan_request('one', builders.stage(pieces)), 0)
         dispatcher.dispatch([job], 0)
@@ -187,7 +196,9 @@
     """A new configuration changes the batch size of a stage service."""
 
     def test_listed_endpoints_apply_new_limits(self) -> None:
-        dispatcher = _stage_dispatch.StageDispatcher(serving.PlanLimits())
+        dispatcher = _stage_dispatch.StageDispatcher(
+            serving.PlanLimits(), _suspects.NoSuspects()
+        )
         dispatcher.update_endpoints('search', builders.BATCHES, (SEARCH,))
         smaller = dataclasses.replace(builders.BATCHES, batch=2)
         dispatcher.update_endpoints('search', smaller, (SEARCH,))
