Send a first suspicion to other entries again before its content may run

Callers saw a third endpoint end under one content.

Cause: a message to an entry without a connection opens one and is lost; the next repetition came after 2 s, but a suspect runs after 0.5 s. A change is now sent three times within 0.3 s.

--- a/src/lentilspool/daemons/_shared_quarantine.py
+++ b/src/lentilspool/daemons/_shared_quarantine.py
@@ -9,6 +9,9 @@
 from lentilspool.daemons import _hosts
 
 _REPEAT_INTERVAL_S: Final = 2.0
+# A message that opens a connection is lost, so a change is sent again within
+# the time after which a suspect may run.
+_CHANGE_PAUSES_S: Final = (0.0, 0.1, 0.2)
 
 Send = Callable[[str, wire.Message], Awaitable[None]]
 
@@ -44,12 +47,12 @@
         self._quarantine.record_endpoint_death(
             death, (digest,), trio.current_time()
         )
-        self._nursery.start_soon(self._share)
+        self._nursery.start_soon(self._share_change)
 
     def record_completion(self, digest: str) -> None:
         """Clear suspicions against a content that has run to completion."""
         if self._quarantine.clear_completed(digest, trio.current_time()):
-            self._nursery.start_soon(self._share)
+            self._nursery.start_soon(self._share_change)
 
     def merge_suspicions(self, message: wire.Suspicions) -> None:
         """Merge the suspicions of another entry; malformed ones are skipped."""
@@ -79,6 +82,11 @@
             if self._quarantine.size:
                 await self._share()
 
+    async def _share_change(self) -> None:
+        for pause_s in _CHANGE_PAUSES_S:
+            await trio.sleep(pause_s)
+            await self._share()
+
     async def _share(self) -> None:
         shared = self._quarantine.suspicions_to_share(trio.current_time())
         message = wire.Suspicions(
