Quarantine deposits that end endpoints in the entry path too

Callers saw each repeat of a deposit end another endpoint of the older entry path.

Cause: the sidecar did not report the death of its endpoint under a call with a token ('is not sent again anyway': the caller sends it again with a new one), and the entry did not ask the quarantine before it obtained a token. With an existing token or a key only the ledger can answer, since the request may have run; those are left to it.

--- a/features/failures.feature
+++ b/features/failures.feature
@@ -11,6 +11,13 @@
     And the last answer is refused as "quarantined"
     And another day plan is complete
 
+  Scenario: A deposit that crashes its endpoints is refused everywhere
+    Given a deposit whose content crashes a bookings endpoint
+    When the deposit is sent 6 times through alternating entries
+    Then at most 2 endpoints of pool "bookings" died
+    And the last answer is refused as "quarantined"
+    And another day plan is complete
+
   Scenario: A patch is in force everywhere within seconds, under load
     When a patch is published while 30 day plans are sent
     Then every process holds version 2 within 6 seconds
--- a/features/steps/failure_steps.py
+++ b/features/steps/failure_steps.py
@@ -18,11 +18,26 @@
 
 @given('a request whose content crashes a model endpoint')
 def given_poison(context):
-    context.deaths = 0
-    for place in context.fleet.places.values():
-        if place.pool == 'model':
-            place.app.poison = POISON
-            place.app.on_poison = _killer(context, place)
+    _poison(context, 'model')
+
+
+@given('a deposit whose content crashes a bookings endpoint')
+def given_poisonous_deposit(context):
+    _poison(context, 'bookings')
+
+
+@when('the deposit is sent {count:d} times through alternating entries')
+def when_deposit_sent(context, count):
+    deposit = {'team': 'brides', 'input': {'subject': POISON}}
+    for number in range(count):
+        context.answers.append(
+            context.loop.run(
+                context.fleet.post,
+                f'entry-{number % 2}',
+                '/v1/pipelines/deposit/requests',
+                deposit,
+            )
+        )
 
 
 @when('it is sent {count:d} times through alternating entries')
@@ -57,6 +72,14 @@
     assert reply.status == 200, reply
 
 
+def _poison(context, pool):
+    context.deaths = 0
+    for place in context.fleet.places.values():
+        if place.pool == pool:
+            place.app.poison = POISON
+            place.app.on_poison = _killer(context, place)
+
+
 def _killer(context, place):
     def kill():
         context.deaths += 1
--- a/src/lentilspool/daemons/_executor.py
+++ b/src/lentilspool/daemons/_executor.py
@@ -77,7 +77,9 @@
         outcome: kernel.Outcome = _DRAINING
         ran = _endpoint.EndpointRun(_DRAINING)
         if call.token:
-            outcome = await self._at_most_once.run(call)
+            token_run = await self._at_most_once.run(call)
+            outcome = token_run.outcome
+            ran = _endpoint.EndpointRun(_DRAINING, death=token_run.death)
         elif self._order_busy() and not self._identity.leaving:
             outcome = _ORDER_BUSY
         elif not self._identity.leaving:
--- a/src/lentilspool/daemons/_once.py
+++ b/src/lentilspool/daemons/_once.py
@@ -9,6 +9,18 @@
 from lentilspool.daemons import _answers, _endpoint, _identity, _pulse
 
 _MS_PER_S = 1000
+_MAX_DEATHS = 100
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TokenRun:
+    """Outcome of a call with a token."""
+
+    outcome: kernel.Outcome
+    """Outcome of its only run, or why there was none."""
+
+    death: str = ''
+    """Name of the endpoint crash that ended the run; empty if none."""
 
 
 class AtMostOnceRunner:
@@ -42,6 +54,8 @@
         self._key_slots = admission.KeySlots(())
         self._key_home: admission.KeyHome | None = None
         self._end_events: dict[str, trio.Event] = {}
+        # Names of recent endpoint crashes by the request that ran.
+        self._deaths: dict[str, str] = {}
         pause_monitor.add_listener(self._on_pause)
 
     @property
@@ -81,15 +95,11 @@
             return wire.AdmitAnswer(call.call_id, 'issued', token, '', 0)
         return _admit_answer(call, answer.outcome)
 
-    async def run(self, call: wire.StageCall) -> kernel.Outcome:
-        """Run a call that carries a token, or wait for the run in progress.
-
-        An endpoint crash during an unrepeatable call is not attributed to
-        the content of the call, because the call is not sent again anyway.
-        """
+    async def run(self, call: wire.StageCall) -> TokenRun:
+        """Run a call that carries a token, or wait for the run in progress."""
         token = self._signer.verify(call.token or '')
         if isinstance(token, admission.TokenRefused):
-            return token.outcome
+            return TokenRun(token.outcome)
         while True:
             self._pause_monitor.check()
             answer = self._ledger.start(token, trio.current_time())
@@ -102,7 +112,8 @@
                 case admission.AlreadyRunning():
                     await self._end_events[token.request_id].wait()
                 case admission.Finished() | admission.Refused():
-                    return answer.outcome
+                    death = self._deaths.get(token.request_id, '')
+                    return TokenRun(answer.outcome, death)
 
     def dump(self) -> dict[str, object]:
         """Return the state as plain JSON types."""
@@ -131,6 +142,7 @@
             _discard_text,
             lambda: self._begin_call(token),
         )
+        self._record_death(token.request_id, ran.death)
         answer = ran.answer
         now = trio.current_time()
         outcome = _answers.endpoint_outcome(call, answer, self._endpoint.price)
@@ -141,6 +153,13 @@
         self._end_events.pop(token.request_id, None)
         ended.set()
 
+    def _record_death(self, request_id: str, death: str) -> None:
+        if not death:
+            return
+        self._deaths[request_id] = death
+        if len(self._deaths) > _MAX_DEATHS:
+            self._deaths.pop(next(iter(self._deaths)))
+
     def _begin_call(self, token: admission.AdmissionToken) -> bool:
         self._pause_monitor.check()
         return self._ledger.begin_call(token, trio.current_time())
--- a/src/lentilspool/daemons/_stages.py
+++ b/src/lentilspool/daemons/_stages.py
@@ -58,7 +58,7 @@
         if execution.stage.repeatable:
             outcome = await self._run_repeatable(request_state, router)
         else:
-            outcome = await self._unrepeatable.run(request_state, router)
+            outcome = await self._run_unrepeatable(request_state, router)
         if not isinstance(outcome, kernel.Complete):
             return self._final_outcome(request_state, outcome)
         for cost in outcome.cost_by_stage:
@@ -82,11 +82,31 @@
         router = self._directory.router(stage.pool)
         if router is None:
             return self._unknown_pool()
+        decision = await self._quarantine_decision(request_state.request.digest)
+        if isinstance(decision, admission.Quarantined):
+            return decision.outcome
         refusal = await self._unrepeatable.obtain_token(
             request_state, router, stage.pool
         )
         return refusal or request_state.token
 
+    async def _run_unrepeatable(
+        self,
+        request_state: _request_state.RequestState,
+        router: pipeline.PoolRouter,
+    ) -> kernel.Outcome:
+        """Run a stage at most once, unless its content is quarantined.
+
+        With a token or a key it may have run, so only the ledger can answer.
+        """
+        if not request_state.token and request_state.key is None:
+            decision = await self._quarantine_decision(
+                request_state.request.digest
+            )
+            if isinstance(decision, admission.Quarantined):
+                return decision.outcome
+        return await self._unrepeatable.run(request_state, router)
+
     async def _run_repeatable(
         self,
         request_state: _request_state.RequestState,
--- a/src/standins/_endpoints.py
+++ b/src/standins/_endpoints.py
@@ -4,6 +4,7 @@
 import pathlib
 import re
 from collections import Counter
+from collections.abc import Callable
 from typing import Any, Final
 
 import trio
@@ -74,6 +75,9 @@
 
     def __init__(self) -> None:
         self.executions: Counter[str] = Counter()
+        # A request about this subject ends the endpoint.
+        self.poison = ''
+        self.on_poison: Callable[[], None] = _ignore
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Serve ``POST /v1/OPERATION`` and ``GET /v1/executions``."""
@@ -86,6 +90,9 @@
         fields = json.loads(await _faults.body_of(receive))
         request_id = _header(scope, b'x-request-id')
         subject = str(fields.get('subject', request_id))
+        if self.poison and self.poison == subject:
+            self.on_poison()
+            await trio.sleep_forever()
         self.executions[subject] += 1
         await trio.sleep(_SERVICE_S * scope.get('slow_factor', 1))
         operation = scope['path'].rsplit('/', 1)[-1]
@@ -99,6 +106,10 @@
         )
 
 
+def _ignore() -> None:
+    """Do nothing at a poisonous request."""
+
+
 def _header(scope: Any, name: bytes) -> str:
     for held, text in scope['headers']:
         if held == name:
