Refuse requests whose numbers would end planners

A caller's number of pieces was not bounded; the planner makes a list of them (383 MB for ten million, measured), a gateway has 200 to 552 MB, and each gateway hands the request of a lost planner to the next one. Negative numbers left a request that can't end before its deadline, and numbers beyond 64 bits cannot be sent to the planner.

Such requests now get 400. The three cases of the new test failed before.

--- a/src/lentilspool/platform/_requests.py
+++ b/src/lentilspool/platform/_requests.py
@@ -11,6 +11,10 @@
 # Engines accept ranks from 0 to 9; a request without a rank has rank 5.
 _HIGHEST_RANK: Final = 9
 _Pairs = Iterable[tuple[bytes, bytes]]
+# Planners hold a few hundred bytes for each piece.
+_MAX_PIECES: Final = 10_000
+# Fits the integers of messages between processes.
+_MAX_NUMBER: Final = 9_007_199_254_740_992
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -59,7 +63,7 @@
         api_key=_text(by_name, _names.API_KEY),
         deadline_s=_seconds(by_name),
         prompt=_prompt(by_name),
-        pieces=_numbers(by_name, _names.PIECES),
+        pieces=_numbers(by_name, _names.PIECES, _MAX_PIECES),
         piece_key=_text(by_name, _names.PIECE_KEY),
         last_event=_last_event(by_name),
     )
@@ -134,14 +138,21 @@
         raise _errors.FormatError('Deadline-Ms', f'not a number: {text!r}')
 
 
-def _numbers(by_name: dict[bytes, bytes], name: bytes) -> tuple[int, ...]:
+def _numbers(
+    by_name: dict[bytes, bytes], name: bytes, limit: int = _MAX_NUMBER
+) -> tuple[int, ...]:
     text = _text(by_name, name)
     if not text:
         return ()
     try:
-        return tuple(int(part) for part in text.split(','))
+        numbers = tuple(int(part) for part in text.split(','))
     except ValueError:
         raise _errors.FormatError(name.decode(), f'not numbers: {text!r}')
+    if min(numbers) < 0 or max(numbers) > limit:
+        raise _errors.FormatError(
+            name.decode(), f'not between 0 and {limit}: {text!r}'
+        )
+    return numbers
 
 
 def _last_event(by_name: dict[bytes, bytes]) -> int | None:
--- a/src/lentilspool/platform/tests/test_formats.py
+++ b/src/lentilspool/platform/tests/test_formats.py
@@ -104,6 +104,20 @@
         decoded = call((name, b'forged'))
         assert name.lower() not in dict(decoded.headers)
 
+    @pytest.mark.parametrize(
+        'header',
+        [
+            (b'Pieces', b'2,10000000000'),
+            (b'Pieces', b'-1'),
+            (b'Token-Counts', b'1,99999999999999999999'),
+        ],
+    )
+    def test_number_that_would_end_a_planner_is_refused(
+        self, header: tuple[bytes, bytes]
+    ) -> None:
+        with pytest.raises(platform.FormatError):
+            call(header)
+
     def test_header_named_by_connection_is_not_forwarded(self) -> None:
         decoded = call((b'Connection', b'x-hop'), (b'X-Hop', b'1'))
         assert b'x-hop' not in dict(decoded.headers)
