Refuse a request after three lost planners

A request whose planner was lost was submitted again without end, in the worst case to each gateway in turn; if it were the cause, it would end them all. Known causes are bounded in the adapter; this bounds the unknown ones.

Ruled out: counting planner deaths by content as those of endpoints: all requests of a planner, some hundreds, would be suspects at each restart.

--- a/src/lentilspool/gateway/_planning.py
+++ b/src/lentilspool/gateway/_planning.py
@@ -17,6 +17,9 @@
 _logger: Final = logging.getLogger(__name__)
 _MAX_HEARTBEAT_AGE_S: Final = 2.0
 _UNRESPONSIVE_BLOCK_S: Final = 1.0
+# Planners that may be lost under one request before it is refused.
+_MAX_PLANNERS: Final = 3
+_LOST_RETRY_AFTER_S: Final = 0.5
 
 
 class Links:
@@ -113,9 +116,10 @@
     async def wait_for_decision(self) -> _local_planning.PlanDecision:
         """Return where to run the request, or why it is refused.
 
-        The request is submitted again if its planner is lost.
+        The request is submitted again if its planner is lost, but not
+        without end: it may be what ends the planners.
         """
-        while True:
+        for _ in range(_MAX_PLANNERS):
             self._decided = trio.Event()
             self._decision = None
             self._submit()
@@ -127,6 +131,10 @@
                 request_id=self._request.request_id,
                 planner=self._link.address if self._link else '',
             )
+        self._open = False
+        return serving.Refuse(
+            self._request.key, 'planners_lost', _LOST_RETRY_AFTER_S
+        )
 
     def report_event(self, event: str) -> None:
         """Report to the planner how far the request has come.
