Check endpoints that fall silent in the middle of a stream

The end of a silent endpoint was found only under requests without any answer; a stream that may not resume has no time limit between events, so its caller leaves, and a content that silences engines after the first event was never suspected. The time of the last bytes decides now.

--- a/src/lentilspool/gateway/_connection.py
+++ b/src/lentilspool/gateway/_connection.py
@@ -76,6 +76,8 @@
         self._outgoing: Outgoing | None = None
         self._sent = False
         self._answer_complete = False
+        # When the request was sent or the last bytes arrived.
+        self.last_active_at = _clock.now()
         self.idle_since = _clock.now()
         self.keep_alive_s: float | None = None
 
@@ -94,11 +96,6 @@
         """Whether the endpoint may have read any byte of the request."""
         return self._sent
 
-    @property
-    def answering(self) -> bool:
-        """Whether the answer to the request has begun."""
-        return self._http.their_state is not h11.SEND_RESPONSE
-
     def is_stale(self, max_idle_s: float, now: float) -> bool:
         """Whether an idle connection is unsafe for another request.
 
@@ -127,6 +124,7 @@
             # Set before the write, because a failed write may still have
             # reached the endpoint.
             self._sent = True
+            self.last_active_at = _clock.now()
             await self._stream.send_all(head + outgoing.body)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             return ExchangeFailure(f'broken while sending: {error}', sent=True)
@@ -273,6 +271,7 @@
                 trio.ClosedResourceError,
             ) as error:
                 return ExchangeFailure(f'reset: {error}', sent=True)
+            self.last_active_at = _clock.now()
             self._http.receive_data(received)
 
 
--- a/src/lentilspool/gateway/_exchange.py
+++ b/src/lentilspool/gateway/_exchange.py
@@ -9,7 +9,7 @@
 from lentilspool import platform, serving
 from lentilspool.gateway import _clock, _connection, _in_flight
 
-# A cancelled attempt without any answer for so long may have lost its endpoint.
+# A cancelled attempt that was silent for so long may have lost its endpoint.
 _SILENT_S: Final = 1.0
 ConnectionOrFailure = _connection.Connection | _connection.ExchangeFailure
 
@@ -41,12 +41,11 @@
         call.request_id,
     )
     in_flight.record_sent(endpoint, options.time_left_s)
-    sent_at = _clock.now()
     try:
         failure = await connection.send(outgoing)
         yield failure or connection
     except trio.Cancelled:
-        if not connection.answering and _clock.now() - sent_at > _SILENT_S:
+        if _clock.now() - connection.last_active_at > _SILENT_S:
             in_flight.context.checks.check(endpoint, (in_flight.content,))
         raise
     finally:
