--- a/src/lentilspool/gateway/_events.py
+++ b/src/lentilspool/gateway/_events.py
@@ -42,6 +42,19 @@
 LEARNED: Final = _declare(
     227, logging.INFO, 'Published state was received from another gateway.'
 )
+ERA: Final = _declare(
+    228, logging.WARNING, 'The store came back from an older copy.'
+)
+ERA_INVALID: Final = _declare(
+    229,
+    logging.WARNING,
+    'The era of an answer of the store is invalid or out of date.',
+)
+ENTRY_OUTDATED: Final = _declare(
+    230,
+    logging.INFO,
+    'The entry of an endpoint is older than what is known of it.',
+)
 PEER_LOST: Final = _declare(
     320, logging.WARNING, 'Another gateway does not answer.'
 )
--- a/src/lentilspool/gateway/_peers.py
+++ b/src/lentilspool/gateway/_peers.py
@@ -27,6 +27,7 @@
 _KINDS: Final = (_published.CONFIGURATION, _published.ENDPOINTS)
 # One heartbeat in this many lists all known gateways; the others are short.
 _HEARTBEATS_PER_GOSSIP: Final = 4
+_REVISION_BITS: Final = 40
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -46,6 +47,15 @@
     revision: int
     """Revision of the sender's listing of endpoints."""
 
+    era: int = 0
+    """Era of the store in which that revision was given out; 0 from gateways
+    of an older release."""
+
+    @property
+    def listing(self) -> int:
+        """Position of the listing as one number."""
+        return _listing_number((self.era, self.revision))
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlanReply:
@@ -62,6 +72,11 @@
 _PLAN_REPLY_DECODER: Final = msgspec.msgpack.Decoder(PlanReply)
 
 
+def _listing_number(position: serving.Position) -> int:
+    era, revision = position
+    return (era << _REVISION_BITS) + revision
+
+
 class ClusterState:
     """What gateways tell each other: roster, published state, quarantine."""
 
@@ -94,6 +109,7 @@
             others,
             self.published.version,
             self.published.revision,
+            self.published.position[0],
         )
         return msgspec.msgpack.encode(view)
 
@@ -109,10 +125,14 @@
         self.roster.record_heartbeat(view.own, 0, now)
         for member, age_s in view.others:
             self.roster.record_heartbeat(member, age_s, now)
-        own = (self.published.version, self.published.revision)
-        theirs = (view.version, view.revision)
+        own = (
+            self.published.version,
+            _listing_number(self.published.position),
+        )
+        theirs = (view.version, view.listing)
+        known = (self.published.version, self.published.revision)
         return [
-            wire.PublishedAsk(kind, own[index])
+            wire.PublishedAsk(kind, known[index])
             for index, kind in enumerate(_KINDS)
             if self._catch_ups[index].should_request(
                 own[index], theirs[index], now
--- a/src/lentilspool/gateway/_store.py
+++ b/src/lentilspool/gateway/_store.py
@@ -36,6 +36,12 @@
         self._published = published
         self._connection: _connection.Connection | None = None
         self._revision: int | None = None
+        # Eras of the last listing and of the last answer.
+        self._era: int | None = None
+        self._answered_era = 0
+        # Until then, endpoints that the store lacks after its return are kept.
+        self._restored_at = 0.0
+        self._relist_at: float | None = None
         self._lost_at: float | None = None
         self._recovered_at = 0.0
         self._calls = 0
@@ -54,15 +60,14 @@
                 await trio.sleep(self._settings.retry_s)
 
     async def _read_once(self) -> bool:
-        if self._revision is None:
+        if self._revision is None or self._is_relist_due():
             return await self._list()
-        target = platform.watch_target(
-            self._prefix, self._revision, self._settings.watch_s
-        )
-        answer = await self._get(
-            target, self._settings.watch_s + _WATCH_MARGIN_S
-        )
-        if answer == _GONE:
+        watch_s = self._settings.watch_s
+        if self._relist_at is not None:
+            watch_s = min(watch_s, max(self._relist_at - _clock.now(), 0))
+        target = platform.watch_target(self._prefix, self._revision, watch_s)
+        answer = await self._get(target, watch_s + _WATCH_MARGIN_S)
+        if answer == _GONE or self._era != self._answered_era:
             self._revision = None
             return True
         if isinstance(answer, int):
@@ -73,9 +78,14 @@
             await trio.sleep(self._settings.gather_s)
         return True
 
+    def _is_relist_due(self) -> bool:
+        return self._relist_at is not None and self._relist_at <= _clock.now()
+
     async def _list(self) -> bool:
         items: list[platform.Item] = []
-        revision: int | None = None
+        # Pages are not one snapshot, so the watch starts at the revision of
+        # the first page.
+        position: serving.Position | None = None
         after = ''
         while True:
             page = await self._get(
@@ -84,31 +94,44 @@
             )
             if isinstance(page, int):
                 return False
-            # Pages are not one snapshot, so the watch starts at the revision
-            # of the first page.
-            revision = page.revision if revision is None else revision
+            position = position or (self._answered_era, page.revision)
+            if position[0] != self._answered_era:
+                # The pages before belong to the former era.
+                return await self._list()
             items.extend(page.items)
             if not page.more or not page.items:
                 break
             after = page.items[-1].key
-        self._apply_listing(items, revision)
+        self._apply_listing(items, position)
         return True
 
-    def _apply_listing(self, items: list[platform.Item], revision: int) -> None:
-        self._revision = revision
-        stored = [_stored_item(item) for item in items]
+    def _apply_listing(
+        self, items: list[platform.Item], position: serving.Position
+    ) -> None:
+        now = _clock.now()
+        self._relist_at = None
+        restored = self._era is not None and position[0] != self._era
+        self._era = position[0]
+        if restored and self._prefix == platform.ENDPOINT_PREFIX:
+            self._restored_at = now + self._settings.restore_s
+            # By then the endpoints have written again what the copy lacks.
+            self._relist_at = self._restored_at
+        self._revision = position[1]
+        stored = [_stored_item(item, position[0]) for item in items]
         if self._prefix == platform.ENDPOINT_PREFIX:
             until = self._keep_missing_until()
-            self._published.apply_listing(stored, revision, until)
+            self._published.apply_listing(stored, position, until)
         else:
             self._configure(stored)
 
     def _apply_changes(self, page: platform.Page) -> None:
         self._revision = page.revision
-        stored = [_stored_item(item) for item in page.items]
+        era = self._answered_era
+        stored = [_stored_item(item, era) for item in page.items]
         if self._prefix == platform.ENDPOINT_PREFIX:
             until = self._keep_missing_until()
-            self._published.apply_changes(stored, page.revision, until)
+            position = (era, page.revision)
+            self._published.apply_changes(stored, position, until)
         else:
             self._configure(stored)
 
@@ -121,9 +144,12 @@
         """Return until when missing endpoints are kept; 0 for not at all.
 
         Entries that lapsed during an outage of the store, or within
-        ``lapse_s`` after it, are kept for another ``lapse_s``.
+        ``lapse_s`` after it, are kept for another ``lapse_s``. Those that the
+        store lacks after it came back from a copy are kept for ``restore_s``.
         """
         now = _clock.now()
+        if now < self._restored_at:
+            return self._restored_at
         if (
             self._lost_at is not None
             or now - self._recovered_at < self._settings.lapse_s
@@ -180,11 +206,34 @@
         head = failure or await connection.receive_head()
         if not isinstance(head, serving.AnswerHead):
             return 0, b''
+        if self._order_of(head) is serving.EraOrder.older:
+            return 0, b''
         body = await connection.receive_body(_MAX_ANSWER_BYTES)
         if isinstance(body, _connection.ExchangeFailure):
             return 0, b''
         return head.status, body
 
+    def _order_of(self, head: serving.AnswerHead) -> serving.EraOrder:
+        """Record the era of an answer; an older one is late or stale."""
+        era: int | None = None
+        problem = ''
+        try:
+            era = platform.decode_era(head.headers)
+        except platform.FormatError as error:
+            problem = str(error)
+        known = self._published.store_era.number
+        if era is None and known and not problem:
+            problem = 'not stated'
+        order = self._published.store_era.observe(era)
+        if order is serving.EraOrder.older:
+            problem = f'era {era} after {self._published.store_era.number}'
+        if problem:
+            _events.ERA_INVALID.log(
+                _logger, prefix=self._prefix, problem=problem
+            )
+        self._answered_era = self._published.store_era.number
+        return order
+
     async def _connect(self) -> _connection.Connection | None:
         host, port = _sockets.split_address(self._settings.address)
         stream = await _sockets.connect(host, port, _CONNECT_TIMEOUT_S)
@@ -194,5 +243,5 @@
 _HEADERS: Final = ((b'host', b'store'),)
 
 
-def _stored_item(item: platform.Item) -> _published.StoredItem:
-    return _published.StoredItem(item.key, item.payload, item.revision)
+def _stored_item(item: platform.Item, era: int) -> _published.StoredItem:
+    return _published.StoredItem(item.key, item.payload, item.revision, era)
--- a/src/lentilspool/gateway/tests/test_peers.py
+++ b/src/lentilspool/gateway/tests/test_peers.py
@@ -114,7 +114,7 @@
         entry = _published.StoredItem(
             'servers/e', msgspec.json.encode(ENTRY), 4
         )
-        self.published.apply_listing([entry], 4, 0)
+        self.published.apply_listing([entry], (0, 4), 0)
 
 
 @asynccontextmanager
--- a/src/lentilspool/gateway/tests/test_published.py
+++ b/src/lentilspool/gateway/tests/test_published.py
@@ -56,27 +56,27 @@
 class TestEndpoints:
     def test_older_change_is_ignored(self) -> None:
         published = _published.PublishedState()
-        published.apply_listing([entry('a', 9, state='draining')], 9, 0)
-        published.apply_changes([entry('a', 5)], 5, 0)
+        published.apply_listing([entry('a', 9, state='draining')], (0, 9), 0)
+        published.apply_changes([entry('a', 5)], (0, 5), 0)
         assert not names(published)
 
     def test_older_entry_does_not_restore_a_deleted_endpoint(self) -> None:
         published = _published.PublishedState()
-        published.apply_listing([entry('a', 3)], 3, 0)
-        published.apply_changes([deleted('a', 7)], 7, 0)
-        published.apply_changes([entry('a', 3)], 3, 0)
+        published.apply_listing([entry('a', 3)], (0, 3), 0)
+        published.apply_changes([deleted('a', 7)], (0, 7), 0)
+        published.apply_changes([entry('a', 3)], (0, 3), 0)
         assert not names(published)
 
     def test_endpoint_missing_from_a_listing_is_removed(self) -> None:
         published = _published.PublishedState()
-        published.apply_listing([entry('a', 3), entry('b', 4)], 4, 0)
-        published.apply_listing([entry('b', 4)], 8, 0)
+        published.apply_listing([entry('a', 3), entry('b', 4)], (0, 4), 0)
+        published.apply_listing([entry('b', 4)], (0, 8), 0)
         assert names(published) == ['b']
 
     def test_missing_endpoint_is_kept_until_its_time_expires(self) -> None:
         published = _published.PublishedState()
-        published.apply_listing([entry('a', 3)], 3, 0)
-        published.apply_listing([], 8, 100)
+        published.apply_listing([entry('a', 3)], (0, 3), 0)
+        published.apply_listing([], (0, 8), 100)
         published.drop_expired(99)
         assert names(published) == ['a']
         published.drop_expired(101)
@@ -84,9 +84,9 @@
 
     def test_endpoint_that_returns_in_time_does_not_expire(self) -> None:
         published = _published.PublishedState()
-        published.apply_listing([entry('a', 3)], 3, 0)
-        published.apply_listing([], 8, 100)
-        published.apply_changes([entry('a', 9)], 9, 0)
+        published.apply_listing([entry('a', 3)], (0, 3), 0)
+        published.apply_listing([], (0, 8), 100)
+        published.apply_changes([entry('a', 9)], (0, 9), 0)
         published.drop_expired(101)
         assert names(published) == ['a']
 
@@ -94,7 +94,7 @@
         published = _published.PublishedState()
         published.apply_listing(
             [_published.StoredItem('servers/x', b'\xff', 3), entry('a', 3)],
-            3,
+            (0, 3),
             0,
         )
         assert names(published) == ['a']
@@ -102,7 +102,7 @@
     def test_exported_state_can_be_merged_by_another_gateway(self) -> None:
         one = _published.PublishedState()
         one.apply_configuration(document(5, 10), 'store')
-        one.apply_listing([entry('a', 3), entry('b', 4)], 4, 0)
+        one.apply_listing([entry('a', 3), entry('b', 4)], (0, 4), 0)
         other = _published.PublishedState()
         for kind in (_published.CONFIGURATION, _published.ENDPOINTS):
             other.merge(kind, *one.export(kind))
--- a/src/lentilspool/gateway/tests/test_store.py
+++ b/src/lentilspool/gateway/tests/test_store.py
@@ -1,8 +1,10 @@
 """Tests of the store reader, against a fake store on loopback."""
 
 import base64
+from collections.abc import Awaitable, Callable
 
 import msgspec
+import pytest
 import trio
 
 from lentilspool import platform, serving, settings
@@ -92,3 +94,116 @@
     async def all_listed(self, published: _published.PublishedState) -> None:
         while len(published.endpoint_index.ready('s')) < CHANGE_COUNT:
             await trio.sleep(CHANGE_INTERVAL_S)
+
+
+class RestoredStore:
+    """Store that comes back from an older copy when it is told to."""
+
+    def __init__(self) -> None:
+        self.era: bytes | None = b'1'
+        self.revision = 50
+        self.version = 5
+        self.changed = trio.Event()
+
+    def restore(self) -> None:
+        self.era = b'2'
+        self.revision = 10
+        self.version = 4
+
+    def write(self, version: int) -> None:
+        self.revision += 1
+        self.version = version
+        self.changed.set()
+        self.changed = trio.Event()
+
+    async def serve(
+        self, request: _http_server.Request, reply: _http_server.Reply
+    ) -> None:
+        watches = request.target.startswith(b'/kv-watch')
+        if watches:
+            with trio.move_on_after(0.1):
+                await self.changed.wait()
+        content = msgspec.json.encode(
+            {'version': self.version, 'routes': [], 'services': []}
+        )
+        item = {
+            'key': platform.CONFIGURATION_KEY,
+            'value': base64.b64encode(content).decode(),
+            'rev': self.revision,
+        }
+        after = int(request.target.partition(b'after=')[2].split(b'&')[0] or 0)
+        items = [item] if self.revision > after else []
+        kind = 'events' if watches else 'items'
+        body = msgspec.json.encode({'current_rev': self.revision, kind: items})
+        headers = [(b'content-length', str(len(body)).encode())]
+        if self.era is not None:
+            headers.append((b'Store-Era', self.era))
+        await reply.write_complete(200, headers, body)
+
+
+async def until_version(
+    published: _published.PublishedState, version: int
+) -> None:
+    with trio.fail_after(5):
+        while published.version != version:
+            await trio.sleep(0.01)
+
+
+class TestRestoredStore:
+    def test_next_change_is_in_force_though_its_revision_is_lower(
+        self,
+    ) -> None:
+        async def change(store: RestoredStore) -> None:
+            store.restore()
+            await trio.sleep(0.3)
+            store.write(6)
+
+        assert self.version_after(change) == 6
+
+    def test_older_copy_does_not_replace_the_configuration(self) -> None:
+        async def change(store: RestoredStore) -> None:
+            store.restore()
+
+        assert self.version_after(change) == 5
+
+    def test_answer_of_a_former_era_is_dropped(self) -> None:
+        async def change(store: RestoredStore) -> None:
+            store.era = b'0'
+            store.write(6)
+
+        assert self.version_after(change) == 5
+
+    @pytest.mark.parametrize('era', [None, b'x', b'-1', b'9' * 30])
+    def test_invalid_era_keeps_the_state(self, era: bytes | None) -> None:
+        async def change(store: RestoredStore) -> None:
+            store.era = era
+            await trio.sleep(0.2)
+            store.write(6)
+
+        assert self.version_after(change) == 6
+
+    def version_after(
+        self, change: Callable[[RestoredStore], Awaitable[None]]
+    ) -> int:
+        """Return the version in force a second after a change."""
+
+        async def run() -> int:
+            store = RestoredStore()
+            published = _published.PublishedState()
+            async with trio.open_nursery() as nursery:
+                server = _http_server.Server(
+                    '127.0.0.1:0', store.serve, lambda: LIMITS
+                )
+                await nursery.start(server.serve)
+                own = settings.StoreSettings(f'127.0.0.1:{server.port}')
+                reader = _store.StoreReader(
+                    platform.CONFIGURATION_KEY, own, published
+                )
+                nursery.start_soon(reader.serve)
+                await until_version(published, store.version)
+                await change(store)
+                await trio.sleep(1)
+                nursery.cancel_scope.cancel()
+            return published.version
+
+        return trio.run(run)
--- a/src/lentilspool/platform/__init__.py
+++ b/src/lentilspool/platform/__init__.py
@@ -11,6 +11,9 @@
     decode_configuration as decode_configuration,
 )
 from lentilspool.platform._endpoints import decode_endpoint as decode_endpoint
+from lentilspool.platform._endpoints import (
+    decode_entry_state as decode_entry_state,
+)
 from lentilspool.platform._errors import FormatError as FormatError
 from lentilspool.platform._names import READY_PATH as READY_PATH
 from lentilspool.platform._names import settings_path as settings_path
@@ -35,6 +38,7 @@
 from lentilspool.platform._store import ENDPOINT_PREFIX as ENDPOINT_PREFIX
 from lentilspool.platform._store import Item as Item
 from lentilspool.platform._store import Page as Page
+from lentilspool.platform._store import decode_era as decode_era
 from lentilspool.platform._store import decode_page as decode_page
 from lentilspool.platform._store import range_target as range_target
 from lentilspool.platform._store import watch_target as watch_target
--- a/src/lentilspool/platform/_endpoints.py
+++ b/src/lentilspool/platform/_endpoints.py
@@ -19,6 +19,14 @@
     born: int = 0
 
 
+class _EntryState(msgspec.Struct):
+    """Fields by which writes of one endpoint are ordered."""
+
+    born: int = 0
+    sequence: int = 0
+    state: str = ''
+
+
 def decode_endpoint(name: str, payload: bytes) -> serving.Endpoint:
     """Decode the entry that an endpoint wrote under its name.
 
@@ -44,3 +52,14 @@
         ready=entry.state == 'ready',
         born_ms=entry.born,
     )
+
+
+def decode_entry_state(payload: bytes) -> serving.EntryState | None:
+    """Decode which write of its endpoint an entry is; None if unreadable."""
+    try:
+        entry = msgspec.json.decode(payload, type=_EntryState)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
+    return serving.EntryState(
+        entry.born, entry.sequence, entry.state == 'ready'
+    )
--- a/src/lentilspool/platform/_names.py
+++ b/src/lentilspool/platform/_names.py
@@ -21,6 +21,7 @@
 PIECE_KEY: Final = b'piece-key'
 STAGE_RESULTS: Final = b'inputs'
 CACHE_SOURCE: Final = b'kv-fetch'
+STORE_ERA: Final = b'store-era'
 
 # Headers that only this system may set, and that callers cannot forge.
 OWN_HEADERS: Final = frozenset(
--- a/src/lentilspool/platform/_store.py
+++ b/src/lentilspool/platform/_store.py
@@ -3,16 +3,18 @@
 import base64
 import binascii
 import dataclasses
+from collections.abc import Iterable
 from typing import Final
 from urllib import parse
 
 import msgspec
 
-from lentilspool.platform import _errors
+from lentilspool.platform import _errors, _names
 
 CONFIGURATION_KEY: Final = 'op/config'
 ENDPOINT_PREFIX: Final = 'servers/'
 _MS_PER_S: Final = 1000
+_MAX_ERA_DIGITS: Final = 9
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -81,6 +83,20 @@
     return f'/kv-watch?{parse.urlencode(query, safe="/")}'
 
 
+def decode_era(headers: Iterable[tuple[bytes, bytes]]) -> int | None:
+    """Return the era of the store's history; None if it is not stated.
+
+    It rises each time that the store comes back from an older copy. Raises
+    ``FormatError`` if it is not a number.
+    """
+    text = dict(headers).get(_names.STORE_ERA)
+    if text is None:
+        return None
+    if not text.isdigit() or len(text) > _MAX_ERA_DIGITS:
+        raise _errors.FormatError('era of the store', f'invalid: {text!r}')
+    return int(text)
+
+
 def decode_page(body: bytes) -> Page:
     """Decode the answer to a read or to a watch.
 
--- a/src/lentilspool/serving/__init__.py
+++ b/src/lentilspool/serving/__init__.py
@@ -29,6 +29,11 @@
 from lentilspool.serving._endpoint_loads import EndpointLoads as EndpointLoads
 from lentilspool.serving._endpoints import Endpoint as Endpoint
 from lentilspool.serving._endpoints import EndpointIndex as EndpointIndex
+from lentilspool.serving._entry_order import EntryState as EntryState
+from lentilspool.serving._entry_order import EraOrder as EraOrder
+from lentilspool.serving._entry_order import Position as Position
+from lentilspool.serving._entry_order import is_outdated as is_outdated
+from lentilspool.serving._entry_order import order_of_era as order_of_era
 from lentilspool.serving._plan_types import Action as Action
 from lentilspool.serving._plan_types import CheckEndpoint as CheckEndpoint
 from lentilspool.serving._plan_types import FreeResults as FreeResults
--- a/src/lentilspool/settings/_gateway.py
+++ b/src/lentilspool/settings/_gateway.py
@@ -26,6 +26,10 @@
     lapse_s: float = 1.3
     """Seconds for which endpoints that expired in a store outage are kept."""
 
+    restore_s: float = 2.0
+    """Seconds for which endpoints are kept that the store lacks after it came
+    back from an older copy; by then they have written their entries again."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerSettings:
