End the check of an endpoint before the next one begins

Found in a reading of the diff: a check removed itself from the table a second time after its connection was closed; contents that came in between had begun another check, whose own removal would then have failed and ended the gateway. One removal now. A socket that cannot be created counts as no response, with a log line, instead of ending a background task.

--- a/src/lentilspool/gateway/_endpoint_checks.py
+++ b/src/lentilspool/gateway/_endpoint_checks.py
@@ -28,17 +28,20 @@
     """Contents that ran at the endpoint without an answer."""
 
     ended: trio.Event
-    """Set when the outcome is recorded."""
+    """Set when the check has ended."""
+
+    began_at: float
+    """When the check began."""
 
 
 class EndpointChecks:
     """Tells the end of an endpoint from a lost answer or a broken connection.
 
-    Call ``check`` with the contents that ran at an endpoint without an answer,
-    and ``record_answer`` for each answer. Deaths are recorded in the quarantine.
-    An endpoint has ended if its port
-    refuses connections. One that does not respond has ended only if other
-    endpoints answer meanwhile; otherwise this host may be cut off.
+    Call ``check`` or ``wait`` with the contents that ran at an endpoint without
+    an answer, and ``record_answer`` for each answer. Deaths are recorded in the
+    quarantine. An endpoint has ended if its port refuses connections. One that
+    does not respond has ended only if other endpoints answer meanwhile;
+    otherwise this host may be cut off.
     """
 
     def __init__(
@@ -74,39 +77,49 @@
             check.contents.update(contents)
             await check.ended.wait()
             return
-        check = _Check(set(contents), trio.Event())
+        check = _Check(set(contents), trio.Event(), _clock.now())
         self._checks[endpoint.incarnation] = check
         try:
-            await self._check(endpoint, check.contents)
+            connected = await self._connect(endpoint)
         finally:
-            self._checks.pop(endpoint.incarnation, None)
+            # Contents that come later need another check.
+            self._checks.pop(endpoint.incarnation)
             check.ended.set()
+        if isinstance(connected, trio.SocketStream):
+            await trio.aclose_forcefully(connected)
+        elif self._has_ended(connected, check.began_at):
+            self._record_death(endpoint, connected, check.contents)
 
-    async def _check(
-        self, endpoint: serving.Endpoint, contents: set[str]
-    ) -> None:
-        began_at = _clock.now()
+    async def _connect(
+        self, endpoint: serving.Endpoint
+    ) -> trio.SocketStream | _sockets.Unreachable:
         # All connections of an endpoint that ended break at about this time.
         await trio.sleep(_GATHER_S)
-        connected = await _sockets.try_connect(
+        return await _sockets.try_connect(
             endpoint.host, endpoint.port, self._limits.connect_s
         )
-        # Contents that come later need another check.
-        self._checks.pop(endpoint.incarnation)
-        if isinstance(connected, trio.SocketStream):
-            await trio.aclose_forcefully(connected)
-            return
-        refused = connected is _sockets.Unreachable.refused
-        if refused or self._last_answer_at > began_at:
-            self._metrics.record_endpoint_death(endpoint.service)
-            _events.ENDPOINT_DIED.log(
-                _logger,
-                endpoint=endpoint.name,
-                incarnation=endpoint.incarnation,
-                service=endpoint.service,
-                cause=connected.value,
-                contents=sorted(contents),
-            )
-            self.quarantine.record_death(
-                endpoint.service, endpoint.incarnation, contents
-            )
+
+    def _has_ended(
+        self, failure: _sockets.Unreachable, began_at: float
+    ) -> bool:
+        refused = failure is _sockets.Unreachable.refused
+        return refused or self._last_answer_at > began_at
+
+    def _record_death(
+        self,
+        endpoint: serving.Endpoint,
+        failure: _sockets.Unreachable,
+        contents: set[str],
+    ) -> None:
+        self._metrics.record_endpoint_death(endpoint.service)
+        _events.ENDPOINT_DIED.log(
+            _logger,
+            endpoint=endpoint.name,
+            incarnation=endpoint.incarnation,
+            service=endpoint.service,
+            cause=failure.value,
+            contents=sorted(contents),
+        )
+        self.quarantine.record_death(
+            endpoint.service, endpoint.incarnation, contents
+        )
--- a/src/lentilspool/gateway/_sockets.py
+++ b/src/lentilspool/gateway/_sockets.py
@@ -1,11 +1,14 @@
 """TCP sockets with options that detect unresponsive peers."""
 
 import enum
+import logging
 import socket
 from typing import Final
 
 import trio
 
+_logger: Final = logging.getLogger(__name__)
+
 _KEEP_ALIVE_IDLE_S: Final = 1
 _KEEP_ALIVE_PROBES: Final = 2
 # Bytes that stay unacknowledged for this long break the connection.
@@ -38,7 +41,11 @@
     host: str, port: int, limit_s: float
 ) -> trio.SocketStream | Unreachable:
     """Open a connection, or return why that is not possible."""
-    raw_socket = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        raw_socket = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    except OSError as error:
+        _logger.warning('cannot create a socket: %s', error)
+        return Unreachable.no_response
     failure: Unreachable | None = Unreachable.no_response
     with trio.move_on_after(limit_s):
         try:
