Notice a new era before a long watch ends; drill it in the soak

Change: after a lost connection the first watch does not wait; a sign of a new era, from the other reader or from another gateway's heartbeat, ends a waiting watch, and the reader lists anew. A gateway's era is a sign only once and is not believed, so a wrong one costs one listing.

The soak restores the store from older copies, sends requests that end their endpoints, and at its end checks that the first changes after a restore are in force.

--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -11,6 +11,7 @@
 
 _DEADLINE_S: Final = 5.0
 _BYTES: Final = 65536
+NOT_FOUND: Final = 404
 _KINDS: Final = (
     ('once', 'desk', False, ()),
     ('again', 'desk', True, ()),
@@ -76,6 +77,22 @@
             await self._close()
             await trio.sleep(self._rng.uniform(0, 2 * pause_s))
 
+    async def status_of(self, route: str) -> int:
+        """Ask for a route of the plain service; return the status, or 0."""
+        self._count += 1
+        request_id = f'{route}-{self._number}-{self._count}'
+        asked = _findings.Asked(
+            request_id,
+            _published.TEAMS[0],
+            f'/{route}/{request_id}'.encode(),
+            b'',
+            'desk',
+            repeatable=True,
+        )
+        await self._ask(asked)
+        await self._close()
+        return self._findings.status_of.get(request_id, 0)
+
     def _next(self) -> _findings.Asked:
         self._count += 1
         name, service, repeatable, counts = self._rng.choice(_KINDS)
--- a/soak/_endpoints.py
+++ b/soak/_endpoints.py
@@ -31,6 +31,7 @@
         self.service = service
         self.born_ms = number
         self.ready = True
+        self._sequence = 0
         self._findings = findings
         self._ended = ended
         self._server = _http_server.Server(
@@ -52,6 +53,11 @@
         """Address that it publishes."""
         return f'127.0.0.1:{self.proxy.port}'
 
+    def next_sequence(self) -> int:
+        """Return the number of the next write of its entry."""
+        self._sequence += 1
+        return self._sequence
+
     async def serve(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -5,7 +5,14 @@
 
 import trio
 
-from soak import _endpoints, _findings, _gateways, _proxy, _published
+from soak import (
+    _drills,
+    _endpoints,
+    _findings,
+    _gateways,
+    _proxy,
+    _published,
+)
 
 _SERVICES: Final = (('desk', 3), ('prepare', 3), ('model', 3))
 _MODES: Final = (
@@ -32,7 +39,9 @@
         self._nursery = nursery
         self.store = _published.Store()
         self.gateways: list[_gateways.Gateway] = []
-        self._endpoints: list[_endpoints.Endpoint] = []
+        self.endpoints: list[_endpoints.Endpoint] = []
+        self.gone: list[_endpoints.Endpoint] = []
+        self._drills = _drills.Drills(self, findings, rng, nursery)
 
     async def start(self) -> None:
         """Start store and endpoints, and publish the first configuration."""
@@ -55,6 +64,8 @@
                 self._crash,
                 self._drain,
                 self._configure,
+                self._drills.restore,
+                self._drills.harm,
             )
         )
         await fault()
@@ -62,7 +73,7 @@
     async def _add(self, service: str) -> None:
         endpoint = _endpoints.Endpoint(service, self._findings, self._crashed)
         await self._nursery.start(endpoint.serve)
-        self._endpoints.append(endpoint)
+        self.endpoints.append(endpoint)
         self.store.list_endpoint(endpoint)
 
     async def _kill(self) -> None:
@@ -76,7 +87,7 @@
         self._nursery.start_soon(gateway.pause, self._rng.uniform(0.5, 3))
 
     async def _hurt_link(self) -> None:
-        endpoint = self._rng.choice(self._endpoints)
+        endpoint = self._rng.choice(self.endpoints)
         self._nursery.start_soon(self._hurt, endpoint.proxy)
 
     async def _hurt_store(self) -> None:
@@ -90,31 +101,35 @@
 
     async def _crash(self) -> None:
         """End an endpoint with all its results; another one starts."""
-        endpoint = self._rng.choice(self._endpoints)
+        endpoint = self._rng.choice(self.endpoints)
         endpoint.scope.cancel()
         self._crashed(endpoint)
 
     def _crashed(self, endpoint: _endpoints.Endpoint) -> None:
-        if endpoint in self._endpoints:
-            self._endpoints.remove(endpoint)
+        if endpoint in self.endpoints:
+            self.endpoints.remove(endpoint)
             self._nursery.start_soon(self._replace, endpoint)
 
     async def _replace(self, gone: _endpoints.Endpoint) -> None:
         await trio.sleep(self._rng.uniform(0.2, 2))
-        self.store.drop_endpoint(gone)
+        self._drop(gone)
         await self._add(gone.service)
 
     async def _drain(self) -> None:
-        endpoint = self._rng.choice(self._endpoints)
+        endpoint = self._rng.choice(self.endpoints)
         await self._add(endpoint.service)
-        self._endpoints.remove(endpoint)
+        self.endpoints.remove(endpoint)
         endpoint.ready = False
         self.store.list_endpoint(endpoint)
         self._nursery.start_soon(self._leave, endpoint)
 
+    def _drop(self, endpoint: _endpoints.Endpoint) -> None:
+        self.gone.append(endpoint)
+        self.store.drop_endpoint(endpoint)
+
     async def _leave(self, endpoint: _endpoints.Endpoint) -> None:
         await trio.sleep(_DRAIN_S)
-        self.store.drop_endpoint(endpoint)
+        self._drop(endpoint)
         endpoint.scope.cancel()
 
     async def _configure(self) -> None:
--- a/soak/_findings.py
+++ b/soak/_findings.py
@@ -106,6 +106,9 @@
         self._deaths: collections.Counter[Content] = collections.Counter()
         self._late_runs: collections.Counter[Content] = collections.Counter()
         self.statuses: collections.Counter[str] = collections.Counter()
+        self.status_of: dict[str, int] = {}
+        self.restores = 0
+        self.last_run_at: dict[str, float] = {}
         self.broken: list[str] = []
 
     @property
@@ -138,6 +141,7 @@
         """Note that an endpoint begins to run a request."""
         asked = self._asked.get(sent.request_id)
         name = sent.request_id
+        self.last_run_at[endpoint.name] = trio.current_time()
         if asked is None:
             self._break('unasked', f'{name!r} at {endpoint.name}')
             return
@@ -184,6 +188,7 @@
         """Note a whole answer that a caller got."""
         name = asked.request_id
         self.statuses[str(status)] += 1
+        self.status_of[name] = status
         if status in _NOT_RUN and not stamp:
             self._refused.add(name)
             if self._runs[name] and not asked.repeatable:
@@ -205,6 +210,7 @@
             'seconds': seconds,
             'requests': len(self._asked),
             'statuses': dict(sorted(self.statuses.items())),
+            'restores': self.restores,
             'fatal': len(self._deaths),
             'deaths': self.deaths,
             'broken': dict(kinds),
--- a/soak/_published.py
+++ b/soak/_published.py
@@ -12,6 +12,7 @@
 
 _LIMITS: Final = serving.CallLimits(65536, 65536, 5, 60)
 _WATCH_S: Final = 5.0
+_MOST_COPIES: Final = 200
 HOST: Final = 'soak.example'
 TEAMS: Final = ('brides', 'clerks')
 
@@ -88,24 +89,57 @@
     return {**plain, **changes}
 
 
+Items = dict[str, tuple[bytes | None, int]]
+
+
 class Store:
-    """Answers reads and watches; ``publish`` and ``list_`` change it."""
+    """Answers reads and watches; ``publish`` and ``list_`` change it.
+
+    ``restore`` brings it back from an older copy, in a new era.
+    """
 
     def __init__(self) -> None:
-        self._items: dict[str, tuple[bytes | None, int]] = {}
+        self._items: Items = {}
         self._revision = 0
+        # Time until which each copy was current, its revision and its items.
+        self._copies: list[tuple[float, int, Items]] = []
+        self.era = 1
+        self._away = False
         self._changed = trio.Event()
         self.server = _http_server.Server(
             '127.0.0.1:0', self._serve, lambda: _LIMITS
         )
         self.version = 0
+        self._document = b''
 
     def publish(self, extra_routes: int) -> None:
         """Put the next configuration in force."""
         self.version += 1
-        self._put(
-            platform.CONFIGURATION_KEY, document(self.version, extra_routes)
-        )
+        self._document = document(self.version, extra_routes)
+        self.publish_again()
+
+    def publish_again(self) -> None:
+        """Write the latest configuration, as the operator does after a loss."""
+        self._put(platform.CONFIGURATION_KEY, self._document)
+
+    def restore(self, age_s: float) -> None:
+        """Come back as it was some seconds ago."""
+        now = trio.current_time()
+        copies = [one for one in self._copies if one[0] <= now - age_s]
+        if copies:
+            latest = copies[-1]
+            self._revision = latest[1]
+            self._items = latest[2]
+            self._copies = copies
+        self.era += 1
+
+    async def leave(self, seconds: float) -> None:
+        """Be away for a time: waiting watches are cut, calls are refused."""
+        self._away = True
+        self._changed.set()
+        self._changed = trio.Event()
+        await trio.sleep(seconds)
+        self._away = False
 
     def list_endpoint(self, endpoint: _endpoints.Endpoint) -> None:
         """Publish what an endpoint says of itself."""
@@ -115,6 +149,7 @@
             8,
             endpoint.born_ms,
             ready=endpoint.ready,
+            sequence=endpoint.next_sequence(),
         )
         self._put(f'{platform.ENDPOINT_PREFIX}{endpoint.name}', entry)
 
@@ -123,6 +158,10 @@
         self._put(f'{platform.ENDPOINT_PREFIX}{endpoint.name}', None)
 
     def _put(self, key: str, payload: bytes | None) -> None:
+        self._copies.append(
+            (trio.current_time(), self._revision, dict(self._items))
+        )
+        self._copies = self._copies[-_MOST_COPIES:]
         self._revision += 1
         self._items[key] = (payload, self._revision)
         self._changed.set()
@@ -132,10 +171,19 @@
         self, request: _http_server.Request, reply: _http_server.Reply
     ) -> None:
         watches, prefix, after = stand_ins.parse_store_query(request.target)
+        era = stand_ins.era_header(self.era)
+        if self._away or after > self._revision:
+            status = 503 if self._away else 410
+            headers = [era, (b'content-length', b'0')]
+            await reply.write_complete(status, headers, b'')
+            return
         if watches:
             with trio.move_on_after(_WATCH_S):
-                while not self._since(prefix, after):
+                while not (self._away or self._since(prefix, after)):
                     await self._changed.wait()
+            if self._away:
+                reply.abort()
+                return
             body = stand_ins.encode_page(
                 'events', self._since(prefix, after), self._revision
             )
@@ -145,7 +193,8 @@
             ]
             body = stand_ins.encode_page('items', held, self._revision)
         length = str(len(body)).encode()
-        await reply.write_complete(200, [(b'content-length', length)], body)
+        headers = [era, (b'content-length', length)]
+        await reply.write_complete(200, headers, body)
 
     def _since(self, prefix: str, after: int) -> list[dict[str, object]]:
         found = [
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from soak import _callers, _faults, _findings, _gateways
+from soak import _callers, _drills, _faults, _findings, _gateways
 
 _START_S: Final = 15.0
 _CALM_S: Final = 6.0
@@ -80,6 +80,7 @@
                 await trio.sleep(rng.uniform(0.1, 1))
                 await world.disturb()
         await _recover(findings, plan.settle_s)
+        await _drills.check_last_restore(world, findings)
         nursery.cancel_scope.cancel()
 
 
--- a/soak/planted.py
+++ b/soak/planted.py
@@ -2,7 +2,8 @@
 
 import sys
 
-from lentilspool import serving
+from lentilspool import platform, serving
+from lentilspool.gateway import _content_quarantine
 from lentilspool.programs import gateway
 from lentilspool.serving import _inputs
 
@@ -32,10 +33,34 @@
     _inputs.are_held = _inputs.were_made
 
 
+def _era() -> None:
+    """Take all revisions of the store for one history."""
+    platform.decode_era = lambda headers: None
+
+
+def _fatal() -> None:
+    """Let requests run however many endpoints ended under them."""
+    setattr(  # noqa: B010
+        _content_quarantine.ContentQuarantine, 'refusal_s', _never_refused
+    )
+
+
+def _never_refused(
+    quarantine: _content_quarantine.ContentQuarantine, content: str
+) -> None:
+    """Refuse nothing."""
+
+
 def main() -> None:
     """Switch a guard off and run the gateway."""
     plant = sys.argv.pop(1).removeprefix('--plant=')
-    {'resend': _resend, 'blind': _blind}[plant]()
+    plants = {
+        'resend': _resend,
+        'blind': _blind,
+        'era': _era,
+        'fatal': _fatal,
+    }
+    plants[plant]()
     gateway.main()
 
 
--- a/src/lentilspool/gateway/_peers.py
+++ b/src/lentilspool/gateway/_peers.py
@@ -125,6 +125,7 @@
         self.roster.record_heartbeat(view.own, 0, now)
         for member, age_s in view.others:
             self.roster.record_heartbeat(member, age_s, now)
+        self.published.store_era.hear(view.era)
         own = (
             self.published.version,
             _listing_number(self.published.position),
--- a/src/lentilspool/gateway/_store.py
+++ b/src/lentilspool/gateway/_store.py
@@ -62,11 +62,7 @@
     async def _read_once(self) -> bool:
         if self._revision is None or self._is_relist_due():
             return await self._list()
-        watch_s = self._settings.watch_s
-        if self._relist_at is not None:
-            watch_s = min(watch_s, max(self._relist_at - _clock.now(), 0))
-        target = platform.watch_target(self._prefix, self._revision, watch_s)
-        answer = await self._get(target, watch_s + _WATCH_MARGIN_S)
+        answer = await self._watch(self._revision)
         if answer == _GONE or self._era != self._answered_era:
             self._revision = None
             return True
@@ -78,6 +74,32 @@
             await trio.sleep(self._settings.gather_s)
         return True
 
+    async def _watch(self, revision: int) -> platform.Page | int:
+        """Wait for changes; return 410 if a new era may have begun."""
+        watch_s = self._settings.watch_s
+        if self._relist_at is not None:
+            watch_s = min(watch_s, max(self._relist_at - _clock.now(), 0))
+        if self._lost_at is not None:
+            # The answer states the era; a long watch would state it too late.
+            watch_s = 0
+        target = platform.watch_target(self._prefix, revision, watch_s)
+        answer: platform.Page | int | None = None
+        with trio.CancelScope() as scope:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._stop_at_era, scope)
+                answer = await self._get(target, watch_s + _WATCH_MARGIN_S)
+                nursery.cancel_scope.cancel()
+        if answer is not None:
+            return answer
+        if self._connection:
+            await self._connection.close()
+            self._connection = None
+        return _GONE
+
+    async def _stop_at_era(self, scope: trio.CancelScope) -> None:
+        await self._published.store_era.wait_for_news()
+        scope.cancel()
+
     def _is_relist_due(self) -> bool:
         return self._relist_at is not None and self._relist_at <= _clock.now()
 
--- a/src/lentilspool/gateway/tests/test_store.py
+++ b/src/lentilspool/gateway/tests/test_store.py
@@ -99,7 +99,10 @@
 class RestoredStore:
     """Store that comes back from an older copy when it is told to."""
 
-    def __init__(self) -> None:
+    def __init__(self, watch_s: float) -> None:
+        self._watch_s = watch_s
+        # State of the reader, which hears of eras from other gateways too.
+        self.published = _published.PublishedState()
         self.era: bytes | None = b'1'
         self.revision = 50
         self.version = 5
@@ -121,7 +124,7 @@
     ) -> None:
         watches = request.target.startswith(b'/kv-watch')
         if watches:
-            with trio.move_on_after(0.1):
+            with trio.move_on_after(self._watch_s):
                 await self.changed.wait()
         content = msgspec.json.encode(
             {'version': self.version, 'routes': [], 'services': []}
@@ -160,6 +163,19 @@
 
         assert self.version_after(change) == 6
 
+    def test_change_with_a_known_revision_is_in_force_after_a_hint(
+        self,
+    ) -> None:
+        """A watch that the store still holds would wait for a higher one."""
+
+        async def change(store: RestoredStore) -> None:
+            store.era = b'2'
+            store.version = 6
+            await trio.sleep(0.1)
+            store.published.store_era.hear(2)
+
+        assert self.version_after(change, watch_s=5) == 6
+
     def test_older_copy_does_not_replace_the_configuration(self) -> None:
         async def change(store: RestoredStore) -> None:
             store.restore()
@@ -183,13 +199,15 @@
         assert self.version_after(change) == 6
 
     def version_after(
-        self, change: Callable[[RestoredStore], Awaitable[None]]
+        self,
+        change: Callable[[RestoredStore], Awaitable[None]],
+        watch_s: float = 0.1,
     ) -> int:
         """Return the version in force a second after a change."""
 
         async def run() -> int:
-            store = RestoredStore()
-            published = _published.PublishedState()
+            store = RestoredStore(watch_s)
+            published = store.published
             async with trio.open_nursery() as nursery:
                 server = _http_server.Server(
                     '127.0.0.1:0', store.serve, lambda: LIMITS
--- a/src/lentilspool/platform/tests/stand_ins.py
+++ b/src/lentilspool/platform/tests/stand_ins.py
@@ -97,7 +97,13 @@
 
 
 def encode_entry(
-    service: str, address: str, slots: int, born_ms: int, *, ready: bool
+    service: str,
+    address: str,
+    slots: int,
+    born_ms: int,
+    *,
+    ready: bool,
+    sequence: int = 0,
 ) -> bytes:
     """Return the encoded entry that an endpoint publishes."""
     state = 'ready' if ready else 'draining'
@@ -109,6 +115,7 @@
             'slots': slots,
             'state': state,
             'born': born_ms,
+            'sequence': sequence,
         }
     )
 
@@ -130,6 +137,11 @@
     return msgspec.json.encode({'current_rev': revision, kind: items})
 
 
+def era_header(era: int) -> tuple[bytes, bytes]:
+    """Return the header with which the store states its era."""
+    return _names.STORE_ERA, str(era).encode()
+
+
 def parse_store_query(target: bytes) -> tuple[bool, str, int]:
     """Parse a read of the store: whether it is a watch, prefix, revision."""
     path, _, text = target.decode().partition('?')
