--- a/features/environment.py
+++ b/features/environment.py
@@ -1,5 +1,6 @@
 """Runs a small fleet in a trio loop beside behave's own thread."""
 
+import tempfile
 import threading
 
 import trio
@@ -44,6 +45,10 @@
 
 
 def before_scenario(context, scenario):
+    if 'store' in scenario.effective_tags:
+        context.loop = Loop()
+        context.temporary = tempfile.TemporaryDirectory()
+        context.folder = context.temporary.name
     if 'fleet' not in scenario.effective_tags:
         return
     context.loop = Loop()
@@ -62,5 +67,7 @@
 
 
 def after_scenario(context, scenario):
-    if 'fleet' in scenario.effective_tags:
+    if scenario.effective_tags & {'fleet', 'store'}:
         context.loop.close()
+    if 'store' in scenario.effective_tags:
+        context.temporary.cleanup()
--- a/soak/_drills.py
+++ b/soak/_drills.py
@@ -30,8 +30,8 @@
     endpoints: list[_endpoints.Endpoint]
     """Endpoints that live."""
 
-    gone: list[_endpoints.Endpoint]
-    """Endpoints that ended."""
+    def write_again(self) -> None:
+        """Write what the operator and the endpoints last wrote."""
 
 
 class Drills:
@@ -65,15 +65,7 @@
         await store.leave(self._rng.uniform(0.1, 1))
         store.restore(self._rng.uniform(0.5, 6))
         await trio.sleep(self._rng.uniform(0.2, 1.5))
-        self._write_again()
-
-    def _write_again(self) -> None:
-        store = self._world.store
-        store.publish_again()
-        for endpoint in self._world.gone:
-            store.drop_endpoint(endpoint)
-        for endpoint in self._world.endpoints:
-            store.list_endpoint(endpoint)
+        self._world.write_again()
 
     async def _repeat_harmful(self) -> None:
         """Send a request that ends its endpoints, again and again."""
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -48,9 +48,17 @@
         await self._nursery.start(self.store.server.serve)
         for service, count in _SERVICES:
             for _ in range(count):
-                await self._add(service)
+                await self.add(service)
         self.store.publish(0)
 
+    def write_again(self) -> None:
+        """Write what the operator and the endpoints last wrote."""
+        self.store.publish_again()
+        for endpoint in self.gone:
+            self.store.drop_endpoint(endpoint)
+        for endpoint in self.endpoints:
+            self.store.list_endpoint(endpoint)
+
     async def disturb(self) -> None:
         """Do one fault, drawn at random; some go on in the background."""
         fault = self._rng.choice(
@@ -70,7 +78,8 @@
         )
         await fault()
 
-    async def _add(self, service: str) -> None:
+    async def add(self, service: str) -> None:
+        """Start an endpoint and list it."""
         endpoint = _endpoints.Endpoint(service, self._findings, self._crashed)
         await self._nursery.start(endpoint.serve)
         self.endpoints.append(endpoint)
@@ -113,11 +122,11 @@
     async def _replace(self, gone: _endpoints.Endpoint) -> None:
         await trio.sleep(self._rng.uniform(0.2, 2))
         self._drop(gone)
-        await self._add(gone.service)
+        await self.add(gone.service)
 
     async def _drain(self) -> None:
         endpoint = self._rng.choice(self.endpoints)
-        await self._add(endpoint.service)
+        await self.add(endpoint.service)
         self.endpoints.remove(endpoint)
         endpoint.ready = False
         self.store.list_endpoint(endpoint)
