--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -18,8 +18,9 @@
     ('draft', 'model', False, (1, 3)),
     ('resume', 'model', True, (2, 8)),
 )
-# Requests that end endpoints: route, service, repeatable, pieces, and how.
-HARMFUL: Final = (
+# Route, service, whether it may repeat, pieces by stage, and what ends endpoints.
+Harmful = tuple[str, str, bool, tuple[int, ...], _findings.Harm]
+HARMFUL: Final[tuple[Harmful, ...]] = (
     ('once', 'desk', False, (), _findings.Harm.request),
     ('again', 'desk', True, (), _findings.Harm.request),
     ('draft', 'model', False, (1, 3), _findings.Harm.request),
@@ -28,9 +29,6 @@
 )
 
 
-Harmful = tuple[str, str, bool, tuple[int, ...], _findings.Harm]
-
-
 class Caller:
     """One caller; uses its connection again while it stays open."""
 
