Answer a request whose handler raises an exception

What callers saw: a whole request that got neither an answer nor a refusal. Cause (one of those that reading found; no exception has been seen in a log): an exception in a handler closed the connection without a byte.

Change: the exception is logged as before (event 127) and the caller gets 500, which promises nothing, with Connection: close. An answer that has begun is left without its end.

The test that expected no bytes at all is replaced by one that expects exactly one answer, status 500, the close header, one call of the handler and a server that goes on; it failed before (no bytes). A second one holds the case of an answer that has begun.

--- a/src/lentilspool/gateway/_http_server.py
+++ b/src/lentilspool/gateway/_http_server.py
@@ -243,20 +243,36 @@
             await self._refuse(request)
             return False
         self.busy = True
+        handled = False
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(
                     self._cancel_on_disconnect, nursery.cancel_scope
                 )
-                await self._server.handler(request, Reply(self))
+                handled = await self._handle(request)
                 nursery.cancel_scope.cancel()
         finally:
             self.busy = False
-        done = self._http.our_state is h11.DONE
-        return done and not self.broken and self._may_continue()
+        ends_here = self._server.stopping or self.broken or not handled
+        states = {self._http.our_state, self._http.their_state}
+        return states == {h11.DONE} and not ends_here
 
-    def _may_continue(self) -> bool:
-        return self._http.their_state is h11.DONE and not self._server.stopping
+    async def _handle(self, request: Request) -> bool:
+        """Call the handler; answer with an error if it raises an exception.
+
+        Returns whether the connection may carry another request.
+        """
+        try:
+            await self._server.handler(request, Reply(self))
+            return True
+        except Exception:
+            _events.UNEXPECTED.log(_logger, traceback=traceback.format_exc())
+            if self._http.our_state is h11.SEND_RESPONSE:
+                await self._refuse(
+                    _RequestError(http.HTTPStatus.INTERNAL_SERVER_ERROR)
+                )
+            self.broken = self._http.our_state is not h11.DONE
+            return False
 
     async def _cancel_on_disconnect(self, scope: trio.CancelScope) -> None:
         """Cancel the handler of a request when its caller disconnects."""
--- a/src/lentilspool/gateway/tests/test_http_server.py
+++ b/src/lentilspool/gateway/tests/test_http_server.py
@@ -33,6 +33,9 @@
         if request.target == b'/half':
             await reply.write_head(200, [], b'part')
             reply.abort()
+        elif request.target == b'/half-error':
+            await reply.write_head(200, [], b'part')
+            raise RuntimeError('a fault of the program')
         elif request.target == b'/error':
             raise RuntimeError('a fault of the program')
         else:
@@ -139,16 +142,32 @@
 
         trio.run(check)
 
-    def test_server_survives_an_exception_of_a_handler(self) -> None:
+    def test_exception_of_a_handler_is_answered(self) -> None:
         async def check() -> None:
             async with serving_harness() as harness:
-                assert not await harness.exchange(
-                    b'GET /error HTTP/1.1\r\nHost: h\r\n\r\n'
+                answer = await harness.exchange(
+                    b'GET /error HTTP/1.1\r\nHost: h\r\n\r\n' * 2
                 )
+                assert answer.split()[1] == b'500'
+                assert b'connection: close' in answer.lower()
+                assert answer.count(b'HTTP/1.1') == 1
+                assert harness.handler.bodies == [b'']
                 assert b'200' in await harness.exchange(REQUEST)
 
         trio.run(check)
 
+    def test_exception_within_an_answer_does_not_end_it(self) -> None:
+        async def check() -> None:
+            async with serving_harness() as harness:
+                answer = await harness.exchange(
+                    b'GET /half-error HTTP/1.1\r\nHost: h\r\n\r\n'
+                )
+                assert answer.count(b'HTTP/1.1') == 1
+                assert b'part' in answer
+                assert not answer.endswith(b'0\r\n\r\n')
+
+        trio.run(check)
+
 
 class TestStop:
     def test_stop_closes_idle_connections_and_limits_new_ones(self) -> None:
