Serve requests that have arrived before an idle connection is closed

What callers saw: a connection that closed on a request that it had just carried, beside a planned stop or a change of the idle timeout. Cause: a stop closed connections whose last answer had not announced it and which did not look idle to the caller; a wait began with the idle timeout of its start, so one that the configuration had lengthened since ended early, while callers use connections for up to four fifths of the timeout in force.

Change: before an idle connection is closed, input that has arrived is read and served; an answer without Connection: close leaves the connection open for one more request; an expired wait goes on if the timeout is longer by now; a head that is being read during a stop is read to its end.

--- a/src/lentilspool/gateway/_http_server.py
+++ b/src/lentilspool/gateway/_http_server.py
@@ -188,6 +188,7 @@
             max_incomplete_event_size=server.limits().max_header_bytes,
         )
         self._read_scope = trio.CancelScope()
+        self._close_announced = False
         self.busy = False
         self.broken = False
 
@@ -203,7 +204,7 @@
 
     def close_if_idle(self) -> None:
         """Close the connection if it is idle."""
-        if not self.busy and self._http.their_state is h11.IDLE:
+        if not self.busy and self._is_idle:
             self._read_scope.cancel()
 
     async def write(self, *events: h11.Event | None) -> None:
@@ -231,6 +232,7 @@
 
     def _with_close_header(self, event: h11.Event) -> h11.Event:
         if isinstance(event, h11.Response) and self._server.stopping:
+            self._close_announced = True
             headers = [*event.headers, (b'connection', b'close')]
             return h11.Response(status_code=event.status_code, headers=headers)
         return event
@@ -253,7 +255,7 @@
                 nursery.cancel_scope.cancel()
         finally:
             self.busy = False
-        ends_here = self._server.stopping or self.broken or not handled
+        ends_here = self._close_announced or self.broken or not handled
         states = {self._http.our_state, self._http.their_state}
         return states == {h11.DONE} and not ends_here
 
@@ -287,23 +289,38 @@
                 return
             self._http.receive_data(received)
 
+    @property
+    def _is_idle(self) -> bool:
+        """Whether no byte of a request has been read."""
+        waits = self._http.their_state is h11.IDLE
+        return waits and not self._http.trailing_data[0]
+
     async def _read_with_timeout(self) -> Request | _RequestError | None:
-        limits = self._server.limits()
-        wait_s = limits.idle_timeout_s
+        waiting_since = trio.current_time()
+        while True:
+            limits = self._server.limits()
+            self._read_scope = trio.CancelScope(
+                deadline=waiting_since + self._idle_limit_s(limits)
+            )
+            with self._read_scope:
+                return await self._read_request(limits)
+            if not self._is_idle:
+                return _RequestError(http.HTTPStatus.REQUEST_TIMEOUT)
+            if _sockets.has_input(self._stream):
+                # A request that has arrived is served before the close.
+                waiting_since = trio.current_time()
+                continue
+            # The configuration may allow a longer wait by now.
+            idle_limit_s = self._idle_limit_s(self._server.limits())
+            expired = trio.current_time() >= waiting_since + idle_limit_s
+            if expired or self._server.stopping:
+                return None
+
+    def _idle_limit_s(self, limits: Limits) -> float:
         if self._server.stopping:
             # A connection accepted during the stop gets one request.
-            wait_s = min(wait_s, _LAST_REQUEST_WAIT_S)
-        self._read_scope = trio.CancelScope(
-            deadline=trio.current_time() + wait_s
-        )
-        with self._read_scope:
-            return await self._read_request(limits)
-        if self._http.their_state is h11.IDLE and not self._has_partial_head():
-            return None
-        return _RequestError(http.HTTPStatus.REQUEST_TIMEOUT)
-
-    def _has_partial_head(self) -> bool:
-        return bool(self._http.trailing_data[0])
+            return min(limits.idle_timeout_s, _LAST_REQUEST_WAIT_S)
+        return limits.idle_timeout_s
 
     async def _read_request(
         self, limits: Limits
@@ -361,7 +378,7 @@
 
     def _start_head_timeout(self, limit_s: float) -> None:
         """Start the time limit of a head at its first byte."""
-        if not self._has_partial_head():
+        if self._is_idle:
             self._read_scope.deadline = trio.current_time() + limit_s
 
     async def _refuse(self, error: _RequestError) -> None:
@@ -380,19 +397,20 @@
         with trio.CancelScope(shield=True) as scope:
             scope.deadline = trio.current_time() + _CLOSE_TIMEOUT_S
             if not self.broken:
-                await self._finish_sending()
+                await _finish_sending(self._stream)
             await trio.aclose_forcefully(self._stream)
 
-    async def _finish_sending(self) -> None:
-        """Close our side and read until the caller closes its own.
 
-        Closing with unread bytes would reset the connection, and the caller
-        could lose the answer.
-        """
-        try:
-            await self._stream.send_eof()
-            received = await self._stream.receive_some(_RECEIVE_BYTES)
-            while received:
-                received = await self._stream.receive_some(_RECEIVE_BYTES)
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
-            return
+async def _finish_sending(stream: trio.SocketStream) -> None:
+    """Close our side and read until the caller closes its own.
+
+    Closing with unread bytes would reset the connection, and the caller
+    could lose the answer.
+    """
+    try:
+        await stream.send_eof()
+        received = await stream.receive_some(_RECEIVE_BYTES)
+        while received:
+            received = await stream.receive_some(_RECEIVE_BYTES)
+    except (trio.BrokenResourceError, trio.ClosedResourceError):
+        return
--- a/src/lentilspool/gateway/tests/test_http_server.py
+++ b/src/lentilspool/gateway/tests/test_http_server.py
@@ -1,5 +1,7 @@
 """Tests of the HTTP server, over loopback sockets."""
 
+import dataclasses
+import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -47,8 +49,9 @@
 
     def __init__(self) -> None:
         self.handler = ScriptedHandler()
+        self.limits = LIMITS
         self.server = _http_server.Server(
-            '127.0.0.1:0', self.handler.serve, lambda: LIMITS
+            '127.0.0.1:0', self.handler.serve, lambda: self.limits
         )
 
     async def open(self) -> trio.SocketStream:
@@ -169,6 +172,39 @@
         trio.run(check)
 
 
+class TestIdleTimeout:
+    def test_longer_timeout_holds_for_connections_that_wait(self) -> None:
+        async def check() -> None:
+            async with serving_harness() as harness:
+                stream = await harness.open()
+                await stream.send_all(REQUEST)
+                assert b'200' in await stream.receive_some(1000)
+                await trio.sleep(LIMITS.idle_timeout_s / 2)
+                harness.limits = dataclasses.replace(LIMITS, idle_timeout_s=5)
+                await trio.sleep(LIMITS.idle_timeout_s)
+                await stream.send_all(REQUEST)
+                assert b'200' in await stream.receive_some(1000)
+
+        trio.run(check)
+
+    @pytest.mark.parametrize('stopping', [False, True])
+    def test_request_that_has_arrived_is_served(self, stopping: bool) -> None:
+        async def check() -> None:
+            async with serving_harness() as harness:
+                stream = await harness.open()
+                await stream.send_all(REQUEST)
+                assert b'200' in await stream.receive_some(1000)
+                await stream.send_all(REQUEST)
+                # The loop is late, so that the request is not read in time.
+                time.sleep(0 if stopping else LIMITS.idle_timeout_s)
+                if stopping:
+                    harness.server.close_idle()
+                with trio.fail_after(1):
+                    assert b'200' in await stream.receive_some(1000)
+
+        trio.run(check)
+
+
 class TestStop:
     def test_stop_closes_idle_connections_and_limits_new_ones(self) -> None:
         async def check() -> None:
