Time the parts of a request's body apart from its head

What callers saw: 408 for a body that took longer than header_timeout_ms, on a narrow link for example. Cause: the time limit that began with the first byte of the head was still in force while the body was read.

Change: each part of a body has the idle timeout.

Before: the case of a slow body failed with 408; after: both cases pass (a stalled body still gets 408).

--- a/src/lentilspool/gateway/_http_server.py
+++ b/src/lentilspool/gateway/_http_server.py
@@ -325,7 +325,7 @@
     async def _read_request(
         self, limits: Limits
     ) -> Request | _RequestError | None:
-        head = await self._next_event(limits.header_timeout_s)
+        head = await self._next_event(limits)
         if not isinstance(head, h11.Request):
             return head if isinstance(head, _RequestError) else None
         names = [name for name, _ in head.headers]
@@ -344,7 +344,10 @@
         chunks: list[bytes] = []
         size = 0
         while True:
-            event = await self._next_event(limits.idle_timeout_s)
+            self._read_scope.deadline = (
+                trio.current_time() + limits.idle_timeout_s
+            )
+            event = await self._next_event(limits)
             if isinstance(event, h11.EndOfMessage):
                 return b''.join(chunks)
             if not isinstance(event, h11.Data):
@@ -355,14 +358,14 @@
             chunks.append(bytes(event.data))
 
     async def _next_event(
-        self, limit_s: float
+        self, limits: Limits
     ) -> h11.Event | _RequestError | None:
         """Return the next event; None if the caller has closed."""
         event = self._parse_event()
         while event is h11.NEED_DATA:
             received = await self._stream.receive_some(_RECEIVE_BYTES)
             if received and self._http.their_state is h11.IDLE:
-                self._start_head_timeout(limit_s)
+                self._start_head_timeout(limits.header_timeout_s)
             self._http.receive_data(received)
             event = self._parse_event()
         if isinstance(event, h11.ConnectionClosed):
--- a/src/lentilspool/gateway/tests/test_http_server.py
+++ b/src/lentilspool/gateway/tests/test_http_server.py
@@ -172,6 +172,34 @@
         trio.run(check)
 
 
+class TestBodyTimeout:
+    @pytest.mark.parametrize(
+        ('parts', 'idle_s', 'status'),
+        [(3, 5, b'200'), (2, 0.5, b'408')],
+        ids=['slow', 'stalled'],
+    )
+    def test_each_part_of_a_body_has_the_idle_timeout(
+        self, parts: int, idle_s: float, status: bytes
+    ) -> None:
+        async def check() -> None:
+            async with serving_harness() as harness:
+                harness.limits = dataclasses.replace(
+                    LIMITS, idle_timeout_s=idle_s
+                )
+                stream = await harness.open()
+                await stream.send_all(
+                    b'POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\n'
+                )
+                for _ in range(parts):
+                    await trio.sleep(LIMITS.header_timeout_s)
+                    await stream.send_all(b'x')
+                with trio.fail_after(4):
+                    answer = await stream.receive_some(1000)
+                assert answer.split()[1] == status
+
+        trio.run(check)
+
+
 class TestIdleTimeout:
     def test_longer_timeout_holds_for_connections_that_wait(self) -> None:
         async def check() -> None:
