Regard an endpoint as ended only after some seconds without a connection

What callers saw: a content that is refused although nobody's endpoint ended under it (quarantine after three deaths). Cause: one attempt to connect of 0.3 s stood for the end of an endpoint, if another endpoint answered meanwhile; a sound endpoint that is silent for a second counted as dead.

Change: an endpoint that does not respond is tried again for 2 s before its death is recorded. A refused connection still counts at once.

Before: the case of a pause of 1.5 s failed (a death was recorded); after: both cases pass.

--- a/src/lentilspool/gateway/_endpoint_checks.py
+++ b/src/lentilspool/gateway/_endpoint_checks.py
@@ -18,6 +18,9 @@
 
 _logger: Final = logging.getLogger(__name__)
 _GATHER_S: Final = 0.005
+# A sound endpoint may be silent for a second or two and then go on.
+_MAX_SILENCE_S: Final = 2.0
+_RECONNECT_S: Final = 0.1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -40,8 +43,8 @@
     Call ``check`` or ``wait`` with the contents that ran at an endpoint without
     an answer, and ``record_answer`` for each answer. Deaths are recorded in the
     quarantine. An endpoint has ended if its port refuses connections. One that
-    does not respond has ended only if other endpoints answer meanwhile;
-    otherwise this host may be cut off.
+    does not respond for some seconds has ended only if other endpoints answer
+    meanwhile; otherwise this host may be cut off.
     """
 
     def __init__(
@@ -95,6 +98,19 @@
     ) -> trio.SocketStream | _sockets.Unreachable:
         # All connections of an endpoint that ended break at about this time.
         await trio.sleep(_GATHER_S)
+        give_up_at = trio.current_time() + _MAX_SILENCE_S
+        connected = await self._try_connect(endpoint)
+        while (
+            connected is _sockets.Unreachable.no_response
+            and trio.current_time() < give_up_at
+        ):
+            await trio.sleep(_RECONNECT_S)
+            connected = await self._try_connect(endpoint)
+        return connected
+
+    async def _try_connect(
+        self, endpoint: serving.Endpoint
+    ) -> trio.SocketStream | _sockets.Unreachable:
         return await _sockets.try_connect(
             endpoint.host, endpoint.port, self._limits.connect_s
         )
--- a/src/lentilspool/gateway/tests/test_endpoint_checks.py
+++ b/src/lentilspool/gateway/tests/test_endpoint_checks.py
@@ -5,6 +5,7 @@
 
 import pytest
 import trio
+from trio import testing
 
 from lentilspool import serving, settings
 from lentilspool.gateway import (
@@ -12,6 +13,7 @@
     _endpoint_checks,
     _events,
     _metrics,
+    _sockets,
 )
 
 CONTENTS = ('one', 'two')
@@ -36,6 +38,41 @@
             checks.check(endpoint_at(port), (content,))
 
 
+class SilentEndpoint:
+    """An endpoint that accepts a connection only at a later attempt."""
+
+    def __init__(self, silent_attempts: int) -> None:
+        self._silent_attempts = silent_attempts
+        self.attempts = 0
+
+    async def try_connect(
+        self, host: str, port: int, limit_s: float
+    ) -> trio.SocketStream | _sockets.Unreachable:
+        self.attempts += 1
+        await trio.sleep(limit_s)
+        if self.attempts <= self._silent_attempts:
+            return _sockets.Unreachable.no_response
+        near, far = trio.socket.socketpair()
+        far.close()
+        return trio.SocketStream(near)
+
+
+async def check_silent() -> None:
+    """Check an endpoint while another one answers."""
+    async with trio.open_nursery() as nursery:
+        checks = _endpoint_checks.EndpointChecks(
+            settings.SendSettings(),
+            _metrics.GatewayMetrics(),
+            _content_quarantine.ContentQuarantine(
+                settings.QuarantineSettings()
+            ),
+            nursery,
+        )
+        checks.check(endpoint_at(9), CONTENTS)
+        await trio.sleep(0.1)
+        checks.record_answer()
+
+
 class TestEndpointChecks:
     def deaths(self, caplog: pytest.LogCaptureFixture) -> list[object]:
         return [
@@ -59,3 +96,22 @@
         with socket.create_server(('127.0.0.1', 0)) as listener:
             trio.run(check, listener.getsockname()[1])
         assert not self.deaths(caplog)
+
+    @pytest.mark.parametrize(
+        ('silent_s', 'died'), [(1.5, False), (60, True)], ids=['pause', 'dark']
+    )
+    def test_endpoint_that_is_silent_for_a_second_has_not_ended(
+        self,
+        silent_s: float,
+        died: bool,
+        caplog: pytest.LogCaptureFixture,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        attempts = int(silent_s / settings.SendSettings().connect_s)
+        silent = SilentEndpoint(attempts)
+        monkeypatch.setattr(_sockets, 'try_connect', silent.try_connect)
+        with caplog.at_level(logging.WARNING):
+            trio.run(
+                check_silent, clock=testing.MockClock(autojump_threshold=0)
+            )
+        assert bool(self.deaths(caplog)) is died
