Keep an answer that arrives in the moment in which its time ends

Cause: the two tasks that wait for a replacement were joined before the answer was used.

Change: such tasks run in the nursery of the request and are cancelled at the end of the attempt without being awaited; a grant that comes too late is given back.

--- a/src/lentilspool/gateway/_http_server.py
+++ b/src/lentilspool/gateway/_http_server.py
@@ -5,11 +5,12 @@
 was written.
 """
 
+import contextlib
 import dataclasses
 import http
 import logging
 import traceback
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Iterator, Sequence
 from typing import Final, Protocol
 
 import h11
@@ -73,8 +74,9 @@
 class Reply:
     """Writes the answer to one request, at once or in chunks."""
 
-    def __init__(self, connection: 'Connection') -> None:
+    def __init__(self, connection: 'Connection', nursery: trio.Nursery) -> None:
         self._connection = connection
+        self._nursery = nursery
         self._begun = False
 
     @property
@@ -112,6 +114,27 @@
         """Write the end of a complete answer."""
         await self._connection.write(h11.EndOfMessage())
 
+    @contextlib.contextmanager
+    def background(
+        self, task: Callable[..., Awaitable[None]], *arguments: object
+    ) -> Iterator[None]:
+        """Run a task of the request within this context.
+
+        It is cancelled at the end, but not awaited there: a checkpoint could
+        discard an answer that has just arrived.
+        """
+        scope = trio.CancelScope()
+
+        async def run() -> None:
+            with scope:
+                await task(*arguments)
+
+        self._nursery.start_soon(run)
+        try:
+            yield
+        finally:
+            scope.cancel()
+
     def abort(self) -> None:
         """Close the connection without ending the answer.
 
@@ -251,7 +274,7 @@
                 nursery.start_soon(
                     self._cancel_on_disconnect, nursery.cancel_scope
                 )
-                handled = await self._handle(request)
+                handled = await self._handle(request, Reply(self, nursery))
                 nursery.cancel_scope.cancel()
         finally:
             self.busy = False
@@ -259,13 +282,13 @@
         states = {self._http.our_state, self._http.their_state}
         return states == {h11.DONE} and not ends_here
 
-    async def _handle(self, request: Request) -> bool:
+    async def _handle(self, request: Request, reply: Reply) -> bool:
         """Call the handler; answer with an error if it raises an exception.
 
         Returns whether the connection may carry another request.
         """
         try:
-            await self._server.handler(request, Reply(self))
+            await self._server.handler(request, reply)
             return True
         except Exception:
             _events.UNEXPECTED.log(_logger, traceback=traceback.format_exc())
--- a/src/lentilspool/gateway/_plain.py
+++ b/src/lentilspool/gateway/_plain.py
@@ -74,13 +74,10 @@
     answer: _Answer | None = None
     try:
         with trio.move_on_after(in_flight.time_left_s) as scope:
-            async with trio.open_nursery() as nursery:
-                if in_flight.route.repeatable:
-                    nursery.start_soon(
-                        _cancel_when_replaceable, in_flight, endpoint, scope
-                    )
+            with in_flight.reply.background(
+                _cancel_when_replaceable, in_flight, endpoint, scope
+            ):
                 answer = await _send_and_receive(in_flight, endpoint)
-                nursery.cancel_scope.cancel()
         if answer is None:
             answer = _Answer(
                 _connection.ExchangeFailure(
@@ -110,6 +107,8 @@
     Its answer is awaited otherwise: an endpoint may be silent for seconds
     and still answer in time.
     """
+    if not in_flight.route.repeatable:
+        return
     share = in_flight.context.gateway_settings.send.attempt_share
     await trio.sleep(in_flight.time_left_s * share)
     while not _has_replacement(in_flight, endpoint):
--- a/src/lentilspool/gateway/_streams.py
+++ b/src/lentilspool/gateway/_streams.py
@@ -187,12 +187,11 @@
         answer: serving.AnswerHead | _connection.ExchangeFailure = (
             _connection.ExchangeFailure('silent', sent=True)
         )
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(
-                self._replace_when_silent, endpoint, nursery.cancel_scope
-            )
-            answer = await self._receive(connection, plan)
-            nursery.cancel_scope.cancel()
+        with trio.CancelScope() as scope:
+            with self._in_flight.reply.background(
+                self._replace_when_silent, endpoint, scope
+            ):
+                answer = await self._receive(connection, plan)
         return answer
 
     async def _replace_when_silent(
@@ -233,6 +232,8 @@
         granted = False
         try:
             decision = await plan.wait_for_decision()
+            # The attempt may have ended at the same moment.
+            await trio.lowlevel.checkpoint_if_cancelled()
             granted = isinstance(
                 decision, serving.RunAt
             ) and _next_attempt.spend_retry(in_flight, endpoint)
