--- a/src/lentilspool/gateway/_http_server.py
+++ b/src/lentilspool/gateway/_http_server.py
@@ -5,11 +5,12 @@
 was written.
 """
 
+import contextlib
 import dataclasses
 import http
 import logging
 import traceback
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Iterator, Sequence
 from typing import Final, Protocol
 
 import h11
@@ -73,8 +74,9 @@
 class Reply:
     """Writes the answer to one request, at once or in chunks."""
 
-    def __init__(self, connection: 'Connection') -> None:
+    def __init__(self, connection: 'Connection', nursery: trio.Nursery) -> None:
         self._connection = connection
+        self._nursery = nursery
         self._begun = False
 
     @property
@@ -112,6 +114,27 @@
         """Write the end of a complete answer."""
         await self._connection.write(h11.EndOfMessage())
 
+    @contextlib.contextmanager
+    def background(
+        self, task: Callable[..., Awaitable[None]], *arguments: object
+    ) -> Iterator[None]:
+        """Run a task of the request within this context.
+
+        It is cancelled at the end, but not awaited there: a checkpoint could
+        discard an answer that has just arrived.
+        """
+        scope = trio.CancelScope()
+
+        async def run() -> None:
+            with scope:
+                await task(*arguments)
+
+        self._nursery.start_soon(run)
+        try:
+            yield
+        finally:
+            scope.cancel()
+
     def abort(self) -> None:
         """Close the connection without ending the answer.
 
@@ -188,6 +211,7 @@
             max_incomplete_event_size=server.limits().max_header_bytes,
         )
         self._read_scope = trio.CancelScope()
+        self._close_announced = False
         self.busy = False
         self.broken = False
 
@@ -203,7 +227,7 @@
 
     def close_if_idle(self) -> None:
         """Close the connection if it is idle."""
-        if not self.busy and self._http.their_state is h11.IDLE:
+        if not self.busy and self._is_idle:
             self._read_scope.cancel()
 
     async def write(self, *events: h11.Event | None) -> None:
@@ -231,6 +255,7 @@
 
     def _with_close_header(self, event: h11.Event) -> h11.Event:
         if isinstance(event, h11.Response) and self._server.stopping:
+            self._close_announced = True
             headers = [*event.headers, (b'connection', b'close')]
             return h11.Response(status_code=event.status_code, headers=headers)
         return event
@@ -243,20 +268,36 @@
             await self._refuse(request)
             return False
         self.busy = True
+        handled = False
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(
                     self._cancel_on_disconnect, nursery.cancel_scope
                 )
-                await self._server.handler(request, Reply(self))
+                handled = await self._handle(request, Reply(self, nursery))
                 nursery.cancel_scope.cancel()
         finally:
             self.busy = False
-        done = self._http.our_state is h11.DONE
-        return done and not self.broken and self._may_continue()
+        ends_here = self._close_announced or self.broken or not handled
+        states = {self._http.our_state, self._http.their_state}
+        return states == {h11.DONE} and not ends_here
 
-    def _may_continue(self) -> bool:
-        return self._http.their_state is h11.DONE and not self._server.stopping
+    async def _handle(self, request: Request, reply: Reply) -> bool:
+        """Call the handler; answer with an error if it raises an exception.
+
+        Returns whether the connection may carry another request.
+        """
+        try:
+            await self._server.handler(request, reply)
+            return True
+        except Exception:
+            _events.UNEXPECTED.log(_logger, traceback=traceback.format_exc())
+            if self._http.our_state is h11.SEND_RESPONSE:
+                await self._refuse(
+                    _RequestError(http.HTTPStatus.INTERNAL_SERVER_ERROR)
+                )
+            self.broken = self._http.our_state is not h11.DONE
+            return False
 
     async def _cancel_on_disconnect(self, scope: trio.CancelScope) -> None:
         """Cancel the handler of a request when its caller disconnects."""
@@ -271,28 +312,43 @@
                 return
             self._http.receive_data(received)
 
+    @property
+    def _is_idle(self) -> bool:
+        """Whether no byte of a request has been read."""
+        waits = self._http.their_state is h11.IDLE
+        return waits and not self._http.trailing_data[0]
+
     async def _read_with_timeout(self) -> Request | _RequestError | None:
-        limits = self._server.limits()
-        wait_s = limits.idle_timeout_s
+        waiting_since = trio.current_time()
+        while True:
+            limits = self._server.limits()
+            self._read_scope = trio.CancelScope(
+                deadline=waiting_since + self._idle_limit_s(limits)
+            )
+            with self._read_scope:
+                return await self._read_request(limits)
+            if not self._is_idle:
+                return _RequestError(http.HTTPStatus.REQUEST_TIMEOUT)
+            if _sockets.has_input(self._stream):
+                # A request that has arrived is served before the close.
+                waiting_since = trio.current_time()
+                continue
+            # The configuration may allow a longer wait by now.
+            idle_limit_s = self._idle_limit_s(self._server.limits())
+            expired = trio.current_time() >= waiting_since + idle_limit_s
+            if expired or self._server.stopping:
+                return None
+
+    def _idle_limit_s(self, limits: Limits) -> float:
         if self._server.stopping:
             # A connection accepted during the stop gets one request.
-            wait_s = min(wait_s, _LAST_REQUEST_WAIT_S)
-        self._read_scope = trio.CancelScope(
-            deadline=trio.current_time() + wait_s
-        )
-        with self._read_scope:
-            return await self._read_request(limits)
-        if self._http.their_state is h11.IDLE and not self._has_partial_head():
-            return None
-        return _RequestError(http.HTTPStatus.REQUEST_TIMEOUT)
-
-    def _has_partial_head(self) -> bool:
-        return bool(self._http.trailing_data[0])
+            return min(limits.idle_timeout_s, _LAST_REQUEST_WAIT_S)
+        return limits.idle_timeout_s
 
     async def _read_request(
         self, limits: Limits
     ) -> Request | _RequestError | None:
-        head = await self._next_event(limits.header_timeout_s)
+        head = await self._next_event(limits)
         if not isinstance(head, h11.Request):
             return head if isinstance(head, _RequestError) else None
         names = [name for name, _ in head.headers]
@@ -311,7 +367,10 @@
         chunks: list[bytes] = []
         size = 0
         while True:
-            event = await self._next_event(limits.idle_timeout_s)
+            self._read_scope.deadline = (
+                trio.current_time() + limits.idle_timeout_s
+            )
+            event = await self._next_event(limits)
             if isinstance(event, h11.EndOfMessage):
                 return b''.join(chunks)
             if not isinstance(event, h11.Data):
@@ -322,14 +381,14 @@
             chunks.append(bytes(event.data))
 
     async def _next_event(
-        self, limit_s: float
+        self, limits: Limits
     ) -> h11.Event | _RequestError | None:
         """Return the next event; None if the caller has closed."""
         event = self._parse_event()
         while event is h11.NEED_DATA:
             received = await self._stream.receive_some(_RECEIVE_BYTES)
             if received and self._http.their_state is h11.IDLE:
-                self._start_head_timeout(limit_s)
+                self._start_head_timeout(limits.header_timeout_s)
             self._http.receive_data(received)
             event = self._parse_event()
         if isinstance(event, h11.ConnectionClosed):
@@ -345,7 +404,7 @@
 
     def _start_head_timeout(self, limit_s: float) -> None:
         """Start the time limit of a head at its first byte."""
-        if not self._has_partial_head():
+        if self._is_idle:
             self._read_scope.deadline = trio.current_time() + limit_s
 
     async def _refuse(self, error: _RequestError) -> None:
@@ -364,19 +423,20 @@
         with trio.CancelScope(shield=True) as scope:
             scope.deadline = trio.current_time() + _CLOSE_TIMEOUT_S
             if not self.broken:
-                await self._finish_sending()
+                await _finish_sending(self._stream)
             await trio.aclose_forcefully(self._stream)
 
-    async def _finish_sending(self) -> None:
-        """Close our side and read until the caller closes its own.
 
-        Closing with unread bytes would reset the connection, and the caller
-        could lose the answer.
-        """
-        try:
-            await self._stream.send_eof()
-            received = await self._stream.receive_some(_RECEIVE_BYTES)
-            while received:
-                received = await self._stream.receive_some(_RECEIVE_BYTES)
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
-            return
+async def _finish_sending(stream: trio.SocketStream) -> None:
+    """Close our side and read until the caller closes its own.
+
+    Closing with unread bytes would reset the connection, and the caller
+    could lose the answer.
+    """
+    try:
+        await stream.send_eof()
+        received = await stream.receive_some(_RECEIVE_BYTES)
+        while received:
+            received = await stream.receive_some(_RECEIVE_BYTES)
+    except (trio.BrokenResourceError, trio.ClosedResourceError):
+        return
--- a/src/lentilspool/gateway/_in_flight.py
+++ b/src/lentilspool/gateway/_in_flight.py
@@ -171,13 +171,6 @@
         """Seconds for which the content is refused; None if it may run."""
         return self.context.quarantine.refusal_s(self.content)
 
-    def current_services(self) -> set[str]:
-        """Return the services that the current routes allow for the request."""
-        routes = self.context.published.routes
-        call = self.call
-        route = routes.route_of(call.host, call.path) if routes else None
-        return {share.service for share in route.shares} if route else set()
-
     def record_sent(
         self, endpoint: serving.Endpoint, time_left_s: float
     ) -> None:
--- a/src/lentilspool/gateway/tests/test_http_server.py
+++ b/src/lentilspool/gateway/tests/test_http_server.py
@@ -1,5 +1,7 @@
 """Tests of the HTTP server, over loopback sockets."""
 
+import dataclasses
+import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -33,6 +35,9 @@
         if request.target == b'/half':
             await reply.write_head(200, [], b'part')
             reply.abort()
+        elif request.target == b'/half-error':
+            await reply.write_head(200, [], b'part')
+            raise RuntimeError('a fault of the program')
         elif request.target == b'/error':
             raise RuntimeError('a fault of the program')
         else:
@@ -44,8 +49,9 @@
 
     def __init__(self) -> None:
         self.handler = ScriptedHandler()
+        self.limits = LIMITS
         self.server = _http_server.Server(
-            '127.0.0.1:0', self.handler.serve, lambda: LIMITS
+            '127.0.0.1:0', self.handler.serve, lambda: self.limits
         )
 
     async def open(self) -> trio.SocketStream:
@@ -139,16 +145,93 @@
 
         trio.run(check)
 
-    def test_server_survives_an_exception_of_a_handler(self) -> None:
+    def test_exception_of_a_handler_is_answered(self) -> None:
         async def check() -> None:
             async with serving_harness() as harness:
-                assert not await harness.exchange(
-                    b'GET /error HTTP/1.1\r\nHost: h\r\n\r\n'
+                answer = await harness.exchange(
+                    b'GET /error HTTP/1.1\r\nHost: h\r\n\r\n' * 2
                 )
+                assert answer.split()[1] == b'500'
+                assert b'connection: close' in answer.lower()
+                assert answer.count(b'HTTP/1.1') == 1
+                assert harness.handler.bodies == [b'']
                 assert b'200' in await harness.exchange(REQUEST)
 
         trio.run(check)
 
+    def test_exception_within_an_answer_does_not_end_it(self) -> None:
+        async def check() -> None:
+            async with serving_harness() as harness:
+                answer = await harness.exchange(
+                    b'GET /half-error HTTP/1.1\r\nHost: h\r\n\r\n'
+                )
+                assert answer.count(b'HTTP/1.1') == 1
+                assert b'part' in answer
+                assert not answer.endswith(b'0\r\n\r\n')
+
+        trio.run(check)
+
+
+class TestBodyTimeout:
+    @pytest.mark.parametrize(
+        ('parts', 'idle_s', 'status'),
+        [(3, 5, b'200'), (2, 0.5, b'408')],
+        ids=['slow', 'stalled'],
+    )
+    def test_each_part_of_a_body_has_the_idle_timeout(
+        self, parts: int, idle_s: float, status: bytes
+    ) -> None:
+        async def check() -> None:
+            async with serving_harness() as harness:
+                harness.limits = dataclasses.replace(
+                    LIMITS, idle_timeout_s=idle_s
+                )
+                stream = await harness.open()
+                await stream.send_all(
+                    b'POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\n'
+                )
+                for _ in range(parts):
+                    await trio.sleep(LIMITS.header_timeout_s)
+                    await stream.send_all(b'x')
+                with trio.fail_after(4):
+                    answer = await stream.receive_some(1000)
+                assert answer.split()[1] == status
+
+        trio.run(check)
+
+
+class TestIdleTimeout:
+    def test_longer_timeout_holds_for_connections_that_wait(self) -> None:
+        async def check() -> None:
+            async with serving_harness() as harness:
+                stream = await harness.open()
+                await stream.send_all(REQUEST)
+                assert b'200' in await stream.receive_some(1000)
+                await trio.sleep(LIMITS.idle_timeout_s / 2)
+                harness.limits = dataclasses.replace(LIMITS, idle_timeout_s=5)
+                await trio.sleep(LIMITS.idle_timeout_s)
+                await stream.send_all(REQUEST)
+                assert b'200' in await stream.receive_some(1000)
+
+        trio.run(check)
+
+    @pytest.mark.parametrize('stopping', [False, True])
+    def test_request_that_has_arrived_is_served(self, stopping: bool) -> None:
+        async def check() -> None:
+            async with serving_harness() as harness:
+                stream = await harness.open()
+                await stream.send_all(REQUEST)
+                assert b'200' in await stream.receive_some(1000)
+                await stream.send_all(REQUEST)
+                # The loop is late, so that the request is not read in time.
+                time.sleep(0 if stopping else LIMITS.idle_timeout_s)
+                if stopping:
+                    harness.server.close_idle()
+                with trio.fail_after(1):
+                    assert b'200' in await stream.receive_some(1000)
+
+        trio.run(check)
+
 
 class TestStop:
     def test_stop_closes_idle_connections_and_limits_new_ones(self) -> None:
