Decode the software version of endpoints and name it in log lines

The adapter dropped the version of an entry, so that neither the choice of an endpoint nor a log line could name it. The id of the request that began a resumed stream is decoded and passed on as sent. No decision uses either yet.

--- a/src/lentilspool/gateway/_in_flight.py
+++ b/src/lentilspool/gateway/_in_flight.py
@@ -189,6 +189,7 @@
             request_id=self.call.request_id,
             endpoint=endpoint.name,
             service=endpoint.service,
+            version=endpoint.version,
             attempt=self.attempt_counts.sent + 1,
             left_ms=round(time_left_s * _MS_PER_S),
             configuration=self.context.published.version,
--- a/src/lentilspool/gateway/_published.py
+++ b/src/lentilspool/gateway/_published.py
@@ -248,6 +248,7 @@
             endpoint=name,
             service=endpoint.service,
             address=endpoint.address,
+            version=endpoint.version,
             ready=endpoint.ready,
             revision=item.revision,
         )
--- a/src/lentilspool/platform/_endpoints.py
+++ b/src/lentilspool/platform/_endpoints.py
@@ -17,6 +17,7 @@
     slots: int
     state: str
     born: int = 0
+    version: str = ''
 
 
 class _EntryState(msgspec.Struct):
@@ -51,6 +52,7 @@
         slots=entry.slots,
         ready=entry.state == 'ready',
         born_ms=entry.born,
+        version=entry.version,
     )
 
 
--- a/src/lentilspool/platform/_requests.py
+++ b/src/lentilspool/platform/_requests.py
@@ -66,6 +66,7 @@
         pieces=_numbers(by_name, _names.PIECES, _MAX_PIECES),
         piece_key=_text(by_name, _names.PIECE_KEY),
         last_event=_last_event(by_name),
+        resumed_id=_text(by_name, _names.RESUMED_ID),
     )
 
 
--- a/src/lentilspool/platform/tests/test_formats.py
+++ b/src/lentilspool/platform/tests/test_formats.py
@@ -122,6 +122,12 @@
         decoded = call((b'Connection', b'x-hop'), (b'X-Hop', b'1'))
         assert b'x-hop' not in dict(decoded.headers)
 
+    def test_resumed_stream_is_named_and_the_name_passed_on(self) -> None:
+        decoded = call((b'Resumes', b'7a12'), (b'Last-Event-Id', b'3'))
+        assert decoded.resumed_id == '7a12'
+        assert decoded.last_event == 3
+        assert (b'resumes', b'7a12') in decoded.headers
+
     def test_request_id_cannot_be_dropped_by_the_caller(self) -> None:
         decoded = call((b'Connection', b'request-id, host'))
         assert {b'request-id', b'host'} <= set(dict(decoded.headers))
@@ -223,6 +229,12 @@
         decoded = platform.decode_endpoint('i-1', msgspec.json.encode(ENTRY))
         assert decoded.address == '10.0.0.9:8080'
         assert decoded.ready and decoded.born_ms == 1700000000000
+        assert decoded.version == 'v1'
+
+    def test_entry_without_a_version_is_kept(self) -> None:
+        plain = {key: held for key, held in ENTRY.items() if key != 'version'}
+        decoded = platform.decode_endpoint('i-1', msgspec.json.encode(plain))
+        assert not decoded.version
 
     @pytest.mark.parametrize(
         'change',
@@ -231,6 +243,8 @@
             {'address': 'nowhere'},
             {'slots': 'many'},
             {'service': None},
+            {'version': 12},
+            {'version': None},
         ],
     )
     def test_invalid_entry_is_refused(self, change: dict[str, object]) -> None:
--- a/src/lentilspool/serving/_calls.py
+++ b/src/lentilspool/serving/_calls.py
@@ -72,3 +72,6 @@
 
     last_event: int | None = None
     """Last event that the caller received of the stream it resumes."""
+
+    resumed_id: str = ''
+    """Identity of the request whose answer began that stream."""
--- a/src/lentilspool/serving/_endpoints.py
+++ b/src/lentilspool/serving/_endpoints.py
@@ -31,6 +31,9 @@
     born_ms: int
     """Start of the process, Unix milliseconds; 0 if unknown."""
 
+    version: str = ''
+    """Version of its software; empty if not stated."""
+
     @property
     def address(self) -> str:
         """IP address and port; results name their endpoint by it."""
