Send records of streams to gateways of different zones

A disruption of a whole zone would end the gateway of a stream and, where the first three in the order of planners are in its zone, all that hold its record. The three are now spread over zones. The longest timeout of the routes is computed once for each configuration, not for each stream.

--- a/src/lentilspool/gateway/_planning.py
+++ b/src/lentilspool/gateway/_planning.py
@@ -44,11 +44,18 @@
         return link if link and link.is_up else None
 
     def up(self) -> list[_peers.Link]:
-        """Return the connections that are up, in the order of planners."""
+        """Return the connections that are up, spread over zones.
+
+        Otherwise they are in the order of planners.
+        """
         planners = self._cluster.roster.planners(
             self._settings.link.forget_s, _clock.now()
         )
-        links = (self.find(member.address) for member in planners)
+        reached = [one for one in planners if self.find(one.address)]
+        links = (
+            self.find(member.address)
+            for member in serving.spread_over_zones(reached)
+        )
         return [link for link in links if link]
 
     async def serve(self) -> None:
--- a/src/lentilspool/gateway/_stream_records.py
+++ b/src/lentilspool/gateway/_stream_records.py
@@ -111,7 +111,8 @@
         self._changed = trio.Event()
         self._questions: dict[int, _Question] = {}
         self._last_number = 0
-        published.subscribe(self._update_history)
+        self._longest_s = _DEFAULT_TIMEOUT_S
+        published.subscribe(self._apply_published_state)
 
     def record(self, key: str, begun: serving.StreamVersion) -> None:
         """Record where a stream was begun, here and at linked gateways."""
@@ -174,7 +175,7 @@
                     question.add(note)
 
     def _keep(self, key: str, begun: serving.StreamVersion) -> None:
-        keep_s = _KEEP_FACTOR * self._longest_s() + _SPARE_S
+        keep_s = _KEEP_FACTOR * self._longest_s + _SPARE_S
         self._streams.record(key, begun, keep_s, _clock.now())
 
     async def _ask(self, key: str, services: list[str]) -> list[_Answered]:
@@ -198,7 +199,7 @@
     def _answer(self, number: int, key: str, services: list[str]) -> _Answered:
         now = _clock.now()
         begun = self._streams.find(key, now)
-        seconds = _HISTORY_FACTOR * self._longest_s() + _SPARE_S
+        seconds = _HISTORY_FACTOR * self._longest_s + _SPARE_S
         return _Answered(
             number,
             (begun.service, begun.version) if begun else None,
@@ -206,17 +207,13 @@
             self._history.covers(seconds, now),
         )
 
-    def _update_history(self) -> None:
+    def _apply_published_state(self) -> None:
         self._history.update(
             self._published.endpoint_index.endpoints, _clock.now()
         )
-
-    def _longest_s(self) -> float:
         configuration = self._published.configuration
-        routes = configuration.routes if configuration else ()
-        return max(
-            (one.timeout_s for one in routes), default=_DEFAULT_TIMEOUT_S
-        )
+        if configuration and configuration.routes:
+            self._longest_s = max(one.timeout_s for one in configuration.routes)
 
 
 def _encode(note: _Note) -> str:
--- a/src/lentilspool/serving/__init__.py
+++ b/src/lentilspool/serving/__init__.py
@@ -51,6 +51,7 @@
 )
 from lentilspool.serving._roster import Member as Member
 from lentilspool.serving._roster import Roster as Roster
+from lentilspool.serving._roster import spread_over_zones as spread_over_zones
 from lentilspool.serving._route_table import Matched as Matched
 from lentilspool.serving._route_table import NoRoute as NoRoute
 from lentilspool.serving._route_table import RouteTable as RouteTable
--- a/src/lentilspool/serving/_roster.py
+++ b/src/lentilspool/serving/_roster.py
@@ -7,7 +7,9 @@
 is broken, because only the gateway of a caller sends the caller's request.
 """
 
+import collections
 import dataclasses
+from collections.abc import Iterable
 from typing import Final
 
 import xxhash
@@ -142,6 +144,17 @@
         return sorted([*eligible, self._own], key=_preference)
 
 
+def spread_over_zones(members: Iterable[Member]) -> list[Member]:
+    """Return the first member of each zone, then the second, and so on."""
+    counts: collections.Counter[str] = collections.Counter()
+    places: list[tuple[int, Member]] = []
+    for member in members:
+        places.append((counts[member.zone], member))
+        counts[member.zone] += 1
+    ordered = sorted(places, key=lambda one: one[0])
+    return [one for _, one in ordered]
+
+
 @dataclasses.dataclass(frozen=True, slots=True, order=True)
 class _Preference:
     """Sort key of a gateway in the order of planners; the least goes first."""
--- a/src/lentilspool/serving/tests/test_tables.py
+++ b/src/lentilspool/serving/tests/test_tables.py
@@ -112,6 +112,21 @@
             chosen.add(roster.planners(2, 0)[0].name)
         assert len(chosen) == 1
 
+    def test_records_do_not_all_go_to_one_zone(self) -> None:
+        members = [
+            self.member(f'{zone}{index}', zone=zone)
+            for index, zone in enumerate('aaabcb')
+        ]
+        spread = serving.spread_over_zones(members)
+        assert [one.name for one in spread] == [
+            'a0',
+            'b3',
+            'c4',
+            'a1',
+            'b5',
+            'a2',
+        ]
+
     def test_unresponsive_and_stale_gateways_do_not_plan(self) -> None:
         roster = serving.Roster(self.member('own'), 8)
         roster.record_heartbeat(self.member('silent', strength=2), 0, 0)
