--- a/src/lentilspool/gateway/_gateway.py
+++ b/src/lentilspool/gateway/_gateway.py
@@ -158,6 +158,8 @@
             'revision': self._published.revision,
             'endpoints': len(self._published.endpoint_index.endpoints),
             'members': len(self._roster.members(_clock.now())),
+            'links': len(self._links.up()),
+            'streams': self._streams.count,
             'plans': self._local.waiting,
             'open_requests': self._caller_server.open_requests,
             'connections_opened': self._pool.opened,
--- a/src/lentilspool/gateway/_stream_records.py
+++ b/src/lentilspool/gateway/_stream_records.py
@@ -114,6 +114,11 @@
         self._longest_s = _DEFAULT_TIMEOUT_S
         published.subscribe(self._apply_published_state)
 
+    @property
+    def count(self) -> int:
+        """Number of streams on record."""
+        return len(self._streams)
+
     def record(self, key: str, begun: serving.StreamVersion) -> None:
         """Record where a stream was begun, here and at linked gateways."""
         self._keep(key, begun)
