Soak endpoints of two software versions and callers that take up streams

The soak's endpoints had no version and its callers never took up a stream, so it could not see events of two versions joined. Endpoints now have one of two versions in turn, events name it, and callers take up resumable streams that broke, at any gateway.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -51,7 +51,7 @@
         seconds: Time with faults in each.
         gateways: Gateway processes.
         callers: Callers at the same time.
-        plant: Guard to switch off: resend, blind, era or fatal.
+        plant: Guard to switch off: resend, blind, era, fatal or version.
         logs: Folder for the gateways' logs.
     """
     plan = _run.Plan(seed, seconds, gateways, callers, plant, logs)
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -1,5 +1,6 @@
 """Callers: open load, connections that are kept, whole answers read."""
 
+import dataclasses
 import random
 from typing import Final
 
@@ -12,6 +13,9 @@
 _DEADLINE_S: Final = 5.0
 _BYTES: Final = 65536
 NOT_FOUND: Final = 404
+_OK: Final = 200
+_MOST_RESUMED: Final = 3
+_RESUME_S: Final = 0.1
 _KINDS: Final = (
     ('once', 'desk', False, ()),
     ('again', 'desk', True, ()),
@@ -44,6 +48,8 @@
         self._findings = findings
         self._rng = rng
         self._count = 0
+        # What came of an answer to a request with stages.
+        self._partial = b''
         self._stream: trio.SocketStream | None = None
         self._http = h11.Connection(h11.CLIENT)
 
@@ -51,7 +57,10 @@
         """Ask again and again until cancelled."""
         while True:
             await trio.sleep(self._rng.expovariate(1 / pause_s))
-            await self._ask(self._next())
+            asked = self._next()
+            await self._ask(asked)
+            if asked.repeatable and asked.counts:
+                await self._take_up(asked)
 
     async def repeat(
         self, number: int, harmful: Harmful, pause_s: float
@@ -91,6 +100,25 @@
         await self._close()
         return self._findings.status_of.get(request_id, 0)
 
+    async def _take_up(self, first: _findings.Asked) -> None:
+        """Take up a stream that broke, at any gateway."""
+        received = b''
+        for attempt in range(_MOST_RESUMED):
+            received += self._partial
+            have = received.count(_findings.EVENT_END)
+            if not received or have == _findings.EVENTS:
+                return
+            await trio.sleep(_RESUME_S)
+            await self._close()
+            await self._ask(
+                dataclasses.replace(
+                    first,
+                    request_id=f'{first.request_id}-{attempt}',
+                    resumed_id=first.request_id,
+                    received=received,
+                )
+            )
+
     def _next(self) -> _findings.Asked:
         self._count += 1
         name, service, repeatable, counts = self._rng.choice(_KINDS)
@@ -107,6 +135,7 @@
 
     async def _ask(self, asked: _findings.Asked) -> None:
         self._findings.asks(asked)
+        self._partial = b''
         reason = 'deadline'
         with trio.move_on_after(_DEADLINE_S):
             try:
@@ -116,7 +145,8 @@
             except h11.RemoteProtocolError:
                 reason = 'not whole'
         if reason:
-            self._findings.unanswered(asked, reason)
+            self._partial = _findings.whole_events(self._partial)
+            self._findings.unanswered(asked, reason, self._partial)
             await self._close()
 
     async def _exchange(self, asked: _findings.Asked) -> str:
@@ -135,6 +165,8 @@
         event = await self._event(self._stream)
         while isinstance(event, h11.Data):
             body += bytes(event.data)
+            if asked.counts and head.status_code == _OK:
+                self._partial = body
             event = await self._event(self._stream)
         if not isinstance(event, h11.EndOfMessage):
             return 'closed'
@@ -159,6 +191,9 @@
             _DEADLINE_S - 0.5,
             pieces,
         )
+        if asked.resumed_id:
+            have = asked.received.count(_findings.EVENT_END)
+            headers += stand_ins.resume_headers(asked.resumed_id, have)
         length = str(len(asked.body)).encode()
         headers += [
             (b'host', _published.HOST.encode()),
--- a/soak/_endpoints.py
+++ b/soak/_endpoints.py
@@ -30,6 +30,7 @@
         self.name = f'{service}-{number}'
         self.service = service
         self.born_ms = number
+        self.version = _findings.VERSIONS[number % len(_findings.VERSIONS)]
         self.ready = True
         self._sequence = 0
         self._findings = findings
@@ -101,10 +102,12 @@
             await self._whole(reply, headers, body)
             return
         self._findings.read(sent.request_id, sent.results)
+        stream = sent.resumed_id or sent.request_id
         await reply.write_head(200, headers, b'')
         for number in range(sent.last_event + 1, _findings.EVENTS + 1):
             await trio.sleep(_EVENT_S)
-            await reply.write_chunk(_findings.event_of(sent.request_id, number))
+            event = _findings.event_of(stream, number, self.version)
+            await reply.write_chunk(event)
         await reply.write_end()
 
     async def _run_pieces(self, body: bytes, reply: _http_server.Reply) -> None:
--- a/soak/_findings.py
+++ b/soak/_findings.py
@@ -18,6 +18,9 @@
 _MOST_LATE_RUNS: Final = 3
 # Events of each stream.
 EVENTS: Final = 8
+EVENT_END: Final = b'\n\n'
+# Software versions of endpoints that serve side by side.
+VERSIONS: Final = ('v1.1', 'v1.2')
 Content = tuple[str, bytes, bytes]
 
 
@@ -79,6 +82,17 @@
     harm: Harm = Harm.none
     """Which part of it ends endpoints."""
 
+    resumed_id: str = ''
+    """Request whose answer began the stream that it takes up."""
+
+    received: bytes = b''
+    """Events of that stream that the caller has."""
+
+    @property
+    def stream(self) -> str:
+        """Identity of its stream."""
+        return self.resumed_id or self.request_id
+
     @property
     def content(self) -> Content:
         """What repeats of the request have in common."""
@@ -90,9 +104,25 @@
     return f'answer to {request_id}'.encode() * 3
 
 
-def event_of(request_id: str, number: int) -> bytes:
-    """Return an event of the only right stream."""
-    return f'id: {number}\ndata: {request_id}\n\n'.encode()
+def event_of(stream: str, number: int, version: str) -> bytes:
+    """Return an event of the only right stream of a version."""
+    return f'id: {number}\ndata: {stream} {version}\n\n'.encode()
+
+
+def streams_of(stream: str) -> list[bytes]:
+    """Return the right streams, one for each version."""
+    return [
+        b''.join(
+            event_of(stream, number, version) for number in range(1, EVENTS + 1)
+        )
+        for version in VERSIONS
+    ]
+
+
+def whole_events(received: bytes) -> bytes:
+    """Return the whole events of a stream that may have broken."""
+    events, end, _ = received.rpartition(EVENT_END)
+    return events + end
 
 
 class Findings:
@@ -107,6 +137,7 @@
         self._late_runs: collections.Counter[Content] = collections.Counter()
         self.statuses: collections.Counter[str] = collections.Counter()
         self.status_of: dict[str, int] = {}
+        self.resumed: collections.Counter[str] = collections.Counter()
         self.restores = 0
         self.last_run_at: dict[str, float] = {}
         self.broken: list[str] = []
@@ -193,12 +224,20 @@
             self._refused.add(name)
             if self._runs[name] and not asked.repeatable:
                 self._break('refused', f'{name} got {status} and has run')
-        if status == 200 and (not stamp or body != self._right(asked)):
+        if asked.resumed_id:
+            self.resumed[str(status)] += 1
+        if status == 200 and not (stamp and self._is_right(asked, body)):
             self._break('mixed', f'{name}: {len(body)} bytes, {stamp!r}')
 
-    def unanswered(self, asked: Asked, reason: str) -> None:
-        """Note that a caller got no whole answer."""
+    def unanswered(self, asked: Asked, reason: str, body: bytes = b'') -> None:
+        """Note that a caller got no whole answer, but perhaps events."""
         self.statuses[reason] += 1
+        if asked.resumed_id:
+            self.resumed[reason] += 1
+        events = asked.received + body
+        streams = streams_of(asked.stream)
+        if not any(one.startswith(events) for one in streams):
+            self._break('order', f'{asked.request_id}: {events!r}')
 
     def report(self, seed: int, seconds: float) -> str:
         """Return the figures as one line of JSON."""
@@ -210,6 +249,7 @@
             'seconds': seconds,
             'requests': len(self._asked),
             'statuses': dict(sorted(self.statuses.items())),
+            'resumed': dict(sorted(self.resumed.items())),
             'restores': self.restores,
             'fatal': len(self._deaths),
             'deaths': self.deaths,
@@ -218,13 +258,10 @@
         }
         return json.dumps(figures)
 
-    def _right(self, asked: Asked) -> bytes:
+    def _is_right(self, asked: Asked, body: bytes) -> bool:
         if not asked.counts:
-            return body_of(asked.request_id)
-        return b''.join(
-            event_of(asked.request_id, number)
-            for number in range(1, EVENTS + 1)
-        )
+            return body == body_of(asked.request_id)
+        return asked.received + body in streams_of(asked.stream)
 
     def _whole_inputs(
         self, name: str, handles: tuple[str, ...], stage: int, asked: Asked
--- a/soak/_published.py
+++ b/soak/_published.py
@@ -151,7 +151,10 @@
             ready=endpoint.ready,
             sequence=endpoint.next_sequence(),
         )
-        self._put(f'{platform.ENDPOINT_PREFIX}{endpoint.name}', entry)
+        self._put(
+            f'{platform.ENDPOINT_PREFIX}{endpoint.name}',
+            stand_ins.with_version(entry, endpoint.version),
+        )
 
     def drop_endpoint(self, endpoint: _endpoints.Endpoint) -> None:
         """Remove the entry of an endpoint that is gone."""
--- a/soak/planted.py
+++ b/soak/planted.py
@@ -3,7 +3,7 @@
 import sys
 
 from lentilspool import platform, serving
-from lentilspool.gateway import _content_quarantine
+from lentilspool.gateway import _content_quarantine, _stream_origin
 from lentilspool.programs import gateway
 from lentilspool.serving import _inputs
 
@@ -51,6 +51,28 @@
     """Refuse nothing."""
 
 
+def _version() -> None:
+    """Let a stream go on at any software version."""
+    origin = _stream_origin.StreamOrigin
+    setattr(origin, 'version', property(_no_version))  # noqa: B010
+    setattr(origin, 'find', _found)  # noqa: B010
+    setattr(origin, 'allows', _allows)  # noqa: B010
+
+
+def _no_version(origin: _stream_origin.StreamOrigin) -> None:
+    """Need no version."""
+
+
+async def _found(origin: _stream_origin.StreamOrigin) -> bool:
+    return True
+
+
+def _allows(
+    origin: _stream_origin.StreamOrigin, endpoint: serving.Endpoint
+) -> bool:
+    return True
+
+
 def main() -> None:
     """Switch a guard off and run the gateway."""
     plant = sys.argv.pop(1).removeprefix('--plant=')
@@ -59,6 +81,7 @@
         'blind': _blind,
         'era': _era,
         'fatal': _fatal,
+        'version': _version,
     }
     plants[plant]()
     gateway.main()
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -42,6 +42,26 @@
         body = _findings.body_of('r')
         assert not self.broken(200, body, 'stamp', ran=1)
 
+    @pytest.mark.parametrize(
+        ('versions', 'whole', 'found'),
+        [
+            ('aaaaaaaa', True, []),
+            ('aaabbbbb', True, ['mixed']),
+            ('aaab', False, ['order']),
+            ('aaa', False, []),
+            ('', False, []),
+        ],
+    )
+    def test_events_of_two_versions_are_found(
+        self, versions: str, whole: bool, found: list[str]
+    ) -> None:
+        assert self.broken_stream(versions, 3, whole) == found
+
+    def test_whole_events_of_a_broken_stream_are_kept(self) -> None:
+        one = _findings.event_of('r', 1, 'v1.1')
+        assert _findings.whole_events(one + one[:-1]) == one
+        assert _findings.whole_events(one[:-1]) == b''
+
     def test_inputs_of_another_stage_are_found(self) -> None:
         async def check() -> None:
             findings = _findings.Findings()
@@ -54,6 +74,43 @@
 
         trio.run(check)
 
+    def broken_stream(
+        self, versions: str, received: int, whole: bool
+    ) -> list[str]:
+        """Return what is found if a caller took up a stream.
+
+        ``versions`` has a letter for each event, of which the caller had some
+        before.
+        """
+        names = dict(zip('ab', _findings.VERSIONS))
+        events = [
+            _findings.event_of('r', number, names[letter])
+            for number, letter in enumerate(versions, 1)
+        ]
+        asked = _findings.Asked(
+            'r2',
+            't',
+            b'',
+            b'',
+            'model',
+            True,
+            (1,),
+            resumed_id='r',
+            received=b''.join(events[:received]),
+        )
+        findings = _findings.Findings()
+
+        async def check() -> None:
+            findings.asks(asked)
+            body = b''.join(events[received:])
+            if whole:
+                findings.answered(asked, 200, body, 'stamp')
+            else:
+                findings.unanswered(asked, 'broken', body)
+
+        trio.run(check)
+        return [one.partition(':')[0] for one in findings.broken]
+
     def broken(
         self, status: int, body: bytes, stamp: str, ran: int = 0
     ) -> list[str]:
--- a/src/lentilspool/platform/tests/stand_ins.py
+++ b/src/lentilspool/platform/tests/stand_ins.py
@@ -36,6 +36,9 @@
     last_event: int
     """Number of the event after which the stream resumes; 0 for none."""
 
+    resumed_id: str = ''
+    """Identity of the request whose answer began that stream."""
+
 
 def decode_endpoint_request(
     headers: Iterable[tuple[bytes, bytes]],
@@ -50,6 +53,7 @@
         by_name.get(_names.EXPECTED_ENDPOINT, ''),
         None if results is None else tuple(filter(None, results.split(','))),
         int(by_name.get(_names.LAST_EVENT, '0')),
+        by_name.get(_names.RESUMED_ID, ''),
     )
 
 
@@ -90,6 +94,14 @@
     return headers
 
 
+def resume_headers(resumed_id: str, last_event: int) -> Headers:
+    """Return the headers with which a caller takes up a stream."""
+    return [
+        (_names.RESUMED_ID, resumed_id.encode()),
+        (_names.LAST_EVENT, str(last_event).encode()),
+    ]
+
+
 def decode_signature(headers: Iterable[tuple[bytes, bytes]]) -> str:
     """Return the signature of the endpoint that made an answer."""
     by_name = {name.lower(): content.decode() for name, content in headers}
