--- a/src/lentilspool/gateway/_stream_origin.py
+++ b/src/lentilspool/gateway/_stream_origin.py
@@ -22,9 +22,9 @@
     def __init__(self, in_flight: _in_flight.InFlightRequest) -> None:
         self._in_flight = in_flight
         call = in_flight.call
-        self._key = serving.stream_key(
-            in_flight.team, call.resumed_id or call.request_id
-        )
+        # Callers that state no id cannot name a stream; nothing is recorded.
+        name = call.resumed_id or call.request_id
+        self._key = serving.stream_key(in_flight.team, name) if name else ''
         self._version: str | None = None
         self._service = ''
         self._recorded = False
@@ -82,7 +82,7 @@
         self._recorded = True
         self._version = self._version_of(self._endpoint)
         self._service = self._endpoint.service
-        if self._in_flight.route.resumable:
+        if self._key and self._in_flight.route.resumable:
             self._in_flight.context.streams.record(
                 self._key, serving.StreamVersion(self._service, self._version)
             )
--- a/src/lentilspool/gateway/tests/stream_fleet.py
+++ b/src/lentilspool/gateway/tests/stream_fleet.py
@@ -297,10 +297,11 @@
         lines = [
             'GET / HTTP/1.1',
             'Host: talk.example',
-            f'Request-Id: {self.request_id}',
             'Deadline-Ms: 4000',
             'Connection: close',
         ]
+        if self.request_id:
+            lines.append(f'Request-Id: {self.request_id}')
         if resumes:
             lines.append(f'Resumes: {resumes}')
         if last_event is not None:
--- a/src/lentilspool/gateway/tests/test_stream_versions.py
+++ b/src/lentilspool/gateway/tests/test_stream_versions.py
@@ -130,6 +130,17 @@
 
         run(check)
 
+    def test_callers_without_an_id_do_not_share_a_record(self) -> None:
+        async def check(fleet: stream_fleet.Fleet) -> None:
+            first, other = engines('v1.2', 'v1.1')
+            await fleet.start(1, first, other)
+            await stream_fleet.Caller('').read(fleet.nodes[0], stop_after=BEGUN)
+            caller = stream_fleet.Caller('')
+            await caller.read(fleet.nodes[0], last_event=BEGUN)
+            assert caller.status == 503
+
+        run(check)
+
     def test_stream_whose_version_has_left_is_refused(self) -> None:
         async def check(fleet: stream_fleet.Fleet) -> None:
             first, other = engines('v1.2', 'v1.1')
