--- a/src/lentilspool/gateway/tests/stream_fleet.py
+++ b/src/lentilspool/gateway/tests/stream_fleet.py
@@ -313,6 +313,14 @@
                 await stream.send_all(head)
                 await self._receive(stream, stop_after)
 
+    async def read_some(self, node: Node, events: int) -> None:
+        """Begin a stream and leave it after some events."""
+        await self.read(node, stop_after=events)
+
+    async def take_up(self, node: Node, resumes: str, last_event: int) -> None:
+        """Take up a stream."""
+        await self.read(node, resumes=resumes, last_event=last_event)
+
     async def _receive(
         self, stream: trio.SocketStream, stop_after: int
     ) -> None:
--- a/src/lentilspool/gateway/tests/test_stream_versions.py
+++ b/src/lentilspool/gateway/tests/test_stream_versions.py
@@ -11,6 +11,8 @@
 
 # Events that the caller has when the stream breaks.
 BEGUN = 3
+# Streams from which on their share that goes on is judged.
+STREAMS = 12
 # Planners wait for an engine until half a second past the target.
 AT_ONCE_S = stream_fleet.TARGET_S
 Check = Callable[[stream_fleet.Fleet], Awaitable[None]]
@@ -96,6 +98,33 @@
 
         run(check)
 
+    def test_most_streams_of_a_gateway_that_died_go_on(self) -> None:
+        async def check(fleet: stream_fleet.Fleet) -> None:
+            await fleet.start(4, *engines('v1.1', 'v1.2', 'v1.1', 'v1.2'))
+            begun = [
+                stream_fleet.Caller(f'r{number}') for number in range(STREAMS)
+            ]
+            async with trio.open_nursery() as nursery:
+                for caller in begun:
+                    nursery.start_soon(caller.read_some, fleet.nodes[0], BEGUN)
+            fleet.kill(fleet.nodes[0])
+            again = [
+                stream_fleet.Caller(f'{one.request_id}-2') for one in begun
+            ]
+            async with trio.open_nursery() as nursery:
+                for number, caller in enumerate(again):
+                    node = fleet.nodes[number % len(fleet.nodes)]
+                    nursery.start_soon(
+                        caller.take_up, node, begun[number].request_id, BEGUN
+                    )
+            went_on = [one for one in again if one.status == 200]
+            assert 2 * len(went_on) >= STREAMS
+            for first, second in zip(begun, again):
+                assert second.versions <= first.versions
+            assert len({one for caller in begun for one in caller.versions}) > 1
+
+        run(check)
+
     def test_third_try_names_the_first(self) -> None:
         async def check(fleet: stream_fleet.Fleet) -> None:
             first, other, second = engines('v1.2', 'v1.1', 'v1.2')
