--- a/src/lentilspool/gateway/_in_flight.py
+++ b/src/lentilspool/gateway/_in_flight.py
@@ -17,6 +17,7 @@
     _pool,
     _published,
     _stop,
+    _stream_records,
 )
 
 _logger: Final = logging.getLogger(__name__)
@@ -71,6 +72,9 @@
     repeat_callers: serving.RepeatCallerDetector
     """Estimates how long callers waited in earlier attempts, by route."""
 
+    streams: _stream_records.StreamRecords
+    """Software versions that began streams."""
+
 
 class RetryBudgets:
     """Retry budgets by service.
@@ -182,6 +186,7 @@
             request_id=self.call.request_id,
             endpoint=endpoint.name,
             service=endpoint.service,
+            version=endpoint.version,
             attempt=self.attempt_counts.sent + 1,
             left_ms=round(time_left_s * _MS_PER_S),
             configuration=self.context.published.version,
--- a/src/lentilspool/gateway/_streams.py
+++ b/src/lentilspool/gateway/_streams.py
@@ -20,6 +20,7 @@
     _next_attempt,
     _planning,
     _silence,
+    _stream_origin,
 )
 
 _logger: Final = logging.getLogger(__name__)
@@ -27,6 +28,7 @@
 _counter: Final = itertools.count(1)
 _OK: Final = 200
 _MIN_ATTEMPT_S: Final = 0.05
+_UNKNOWN_RETRY_AFTER_S: Final = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -48,6 +50,7 @@
         self._delivered = _event_stream.DeliveredEvents(
             in_flight.call.last_event
         )
+        self._origin = _stream_origin.StreamOrigin(in_flight)
         self._plan: _planning.Plan | None = None
         self._replacement: _Replacement | None = None
         # Seconds without a part of the answer that make an endpoint silent.
@@ -60,7 +63,11 @@
     async def serve(self) -> None:
         """Plan and send the request until it has its final answer."""
         try:
-            again = True
+            again = await self._origin.find()
+            if not again:
+                await self._in_flight.refuse(
+                    'version_unknown', _UNKNOWN_RETRY_AFTER_S
+                )
             while again:
                 again = await self._attempt()
         finally:
@@ -96,6 +103,10 @@
         ):
             plan.report_event('cancelled')
             return True
+        if not self._origin.allows(decision.endpoint):
+            plan.report_event('cancelled')
+            await self._fail('other_version')
+            return False
         return await self._send(decision, plan)
 
     def _obstacle(self) -> str:
@@ -124,7 +135,8 @@
             key=f'{in_flight.context.gateway_settings.name}/{_clock.wall_ms()}/{next(_counter)}',
             request_id=call.request_id,
             route=in_flight.route.name,
-            service=serving.pick_service(in_flight.route, _rng),
+            service=self._origin.service
+            or serving.pick_service(in_flight.route, _rng),
             stages=stages,
             piece_key=call.piece_key,
             prompt=call.prompt,
@@ -136,6 +148,7 @@
             zone=in_flight.context.gateway_settings.zone,
             avoid=tuple(in_flight.tried_incarnations),
             content=in_flight.content,
+            version=self._origin.version,
         )
 
     async def _send(
@@ -152,6 +165,7 @@
             cache_source=decision.cache_source,
             last_event=self._delivered.last_event,
         )
+        self._origin.start_attempt(endpoint)
         async with _exchange.attempt(
             in_flight, endpoint, options
         ) as connection:
@@ -285,6 +299,7 @@
             events = self._delivered.select_new(splitter.feed(part.content))
             if events:
                 plan.report_event('started')
+                self._origin.record_event()
                 await self._write(head, events)
             part = await self._watch.receive(connection.receive_chunk)
         if isinstance(part, _connection.ExchangeFailure):
--- a/src/lentilspool/gateway/tests/builders.py
+++ b/src/lentilspool/gateway/tests/builders.py
@@ -22,6 +22,7 @@
     _pool,
     _published,
     _stop,
+    _stream_records,
 )
 from lentilspool.platform.tests import stand_ins
 
@@ -267,6 +268,7 @@
             metrics,
             _stop.PlannedStop(own.stop),
             serving.RepeatCallerDetector(),
+            _stream_records.StreamRecords(self.published),
         )
         self._local = local
         ingress = _ingress.Ingress(self.context)
