Grant a replacement only where its request may go on

What callers saw: a stream or an answer that was lost although its endpoint was sound:

* the route had changed while the endpoint was silent: the endpoint was left, and then the request had no route, or went on at the service that the route had left;
* the replacement rejected the request, and the planner refused it then;
* several silent requests counted on the same last retry, and all but one were ended for nothing;
* a content was quarantined, or another endpoint was listed shortly before the deadline, and the endpoint was left for it;
* a stream broke later than its first event had been due, and the planner got no time for it.

Cause: the conditions of another attempt were asked before and after the endpoint was left, not at the moment of the grant.

Change: time, quarantine, route, version, attempts and budget are asked and the retry is spent in the step that leaves the endpoint. An endpoint that was left for its silence may be chosen again; a planner that refuses a stream that has begun is asked again while the caller waits for the next event; that wait counts from the last event. A stream goes on at no other service than the one that began it. Plain requests keep their endpoint in the last 0.3 of their time.

--- a/src/lentilspool/gateway/_in_flight.py
+++ b/src/lentilspool/gateway/_in_flight.py
@@ -123,6 +123,8 @@
         self.matched = matched
         self.content = serving.content_digest(call, self.team, body)
         self.arrived_at = _clock.now()
+        # When the caller got the last event of its stream.
+        self.last_event_at = self.arrived_at
         self.attempt_counts = serving.AttemptCounts()
         self.tried_incarnations: set[str] = set()
         self.attempt_open = False
@@ -157,9 +159,9 @@
         return min(self.caller_time_left_s, timeout_s) - _ANSWER_TRANSIT_S
 
     @property
-    def first_event_time_left_s(self) -> float:
-        """Seconds until the caller abandons a stream without events."""
-        return self.arrived_at + self.route.patience_s - _clock.now()
+    def next_event_time_left_s(self) -> float:
+        """Seconds until the caller abandons a stream without another event."""
+        return self.last_event_at + self.route.patience_s - _clock.now()
 
     @property
     def target_time_left_s(self) -> float:
--- a/src/lentilspool/gateway/_next_attempt.py
+++ b/src/lentilspool/gateway/_next_attempt.py
@@ -1,10 +1,24 @@
 """Whether and where a request in flight may have another attempt."""
 
 import dataclasses
+from typing import Final
 
 from lentilspool import serving
 from lentilspool.gateway import _clock, _in_flight
 
+# Less time is not enough for an attempt.
+_MIN_ATTEMPT_S: Final = 0.05
+
+
+def obstacle(in_flight: _in_flight.InFlightRequest) -> str:
+    """Return why there is no other attempt; empty if there may be one."""
+    left_s = min(in_flight.time_left_s, in_flight.next_event_time_left_s)
+    if left_s < _MIN_ATTEMPT_S:
+        return 'no_time'
+    if in_flight.quarantine_s is not None:
+        return 'quarantined'
+    return '' if follow_route(in_flight) else 'route_removed'
+
 
 def follow_route(in_flight: _in_flight.InFlightRequest) -> bool:
     """Adopt the services of the route in force before an attempt.
--- a/src/lentilspool/gateway/_plain.py
+++ b/src/lentilspool/gateway/_plain.py
@@ -21,6 +21,8 @@
 _NO_ENDPOINT_RETRY_AFTER_S: Final = 0.5
 _MIN_ATTEMPT_S: Final = 0.03
 _REPLACEMENT_POLL_S: Final = 0.05
+# Share of the time left after which an attempt is not left for another one.
+_LAST_RETRY_SHARE: Final = 0.7
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -33,6 +35,9 @@
     body: bytes = b''
     """Whole body of the answer."""
 
+    retry_paid: bool = False
+    """Whether the attempt was ended for a retry that is paid for."""
+
     @property
     def status(self) -> int:
         """Status of the answer; 0 if there is none."""
@@ -72,17 +77,20 @@
     loads.request_started(endpoint)
     began_at = _clock.now()
     answer: _Answer | None = None
+    time_limit = trio.move_on_after(in_flight.time_left_s)
+    left_for_retry = trio.CancelScope()
     try:
-        with trio.move_on_after(in_flight.time_left_s) as scope:
+        with time_limit, left_for_retry:
             with in_flight.reply.background(
-                _cancel_when_replaceable, in_flight, endpoint, scope
+                _cancel_when_replaceable, in_flight, endpoint, left_for_retry
             ):
                 answer = await _send_and_receive(in_flight, endpoint)
         if answer is None:
             answer = _Answer(
                 _connection.ExchangeFailure(
                     'no answer in time', in_flight.attempt_open
-                )
+                ),
+                retry_paid=left_for_retry.cancelled_caught,
             )
     finally:
         head = answer.head if answer else None
@@ -110,10 +118,15 @@
     if not in_flight.route.repeatable:
         return
     share = in_flight.context.gateway_settings.send.attempt_share
-    await trio.sleep(in_flight.time_left_s * share)
-    while not _has_replacement(in_flight, endpoint):
+    whole_s = in_flight.time_left_s
+    await trio.sleep(whole_s * share)
+    while in_flight.time_left_s > whole_s * (1 - _LAST_RETRY_SHARE):
+        if _has_replacement(in_flight, endpoint) and _next_attempt.spend_retry(
+            in_flight, endpoint
+        ):
+            scope.cancel()
+            return
         await trio.sleep(_REPLACEMENT_POLL_S)
-    scope.cancel()
 
 
 def _has_replacement(
@@ -125,6 +138,7 @@
     other = context.loads.choose(ready, tried, _clock.now())
     return (
         other is not None
+        and in_flight.quarantine_s is None
         and endpoint.service in _next_attempt.current_services(in_flight)
         and _next_attempt.may_follow(in_flight, endpoint)
     )
@@ -181,11 +195,12 @@
         in_flight.attempt_counts,
         outcome,
         answer.status,
-        may_retry=budget.balance >= 1,
+        may_retry=answer.retry_paid or budget.balance >= 1,
     )
     if (
         step is serving.AttemptStep.again
         and outcome is not serving.AttemptOutcome.unsent
+        and not answer.retry_paid
     ):
         budget.try_spend(now)
     return step
--- a/src/lentilspool/gateway/_silence.py
+++ b/src/lentilspool/gateway/_silence.py
@@ -22,6 +22,11 @@
         self._reading_since: float | None = None
         self._resumed = trio.Event()
 
+    @property
+    def limit_s(self) -> float:
+        """Seconds without a part after which an endpoint is silent."""
+        return self._limit_s
+
     async def receive(self, read: Callable[[], Awaitable[_Part]]) -> _Part:
         """Read the next part of the answer."""
         self._reading_since = trio.current_time()
--- a/src/lentilspool/gateway/_stream_origin.py
+++ b/src/lentilspool/gateway/_stream_origin.py
@@ -37,9 +37,14 @@
 
     @property
     def service(self) -> str:
-        """Service that began the stream; empty if it may no longer run it."""
+        """Only service at which the stream may go on; empty for any."""
+        return self._service
+
+    @property
+    def is_removed(self) -> bool:
+        """Whether the route no longer allows the service of the stream."""
         services = _next_attempt.current_services(self._in_flight)
-        return self._service if self._service in services else ''
+        return bool(self._service) and self._service not in services
 
     async def find(self) -> bool:
         """Find the version of a stream that the caller takes up again.
@@ -69,7 +74,10 @@
 
     def allows(self, endpoint: serving.Endpoint) -> bool:
         """Whether the stream may go on at an endpoint."""
-        return self._version in {None, self._version_of(endpoint)}
+        return self._service in {
+            '',
+            endpoint.service,
+        } and self._version in {None, self._version_of(endpoint)}
 
     def start_attempt(self, endpoint: serving.Endpoint) -> None:
         """Record that an endpoint is to run the request."""
--- a/src/lentilspool/gateway/_streams.py
+++ b/src/lentilspool/gateway/_streams.py
@@ -1,9 +1,6 @@
 """Streaming requests, which an engine answers with a series of events."""
 
-import dataclasses
-import functools
 import itertools
-import logging
 import random
 from typing import Final
 
@@ -14,32 +11,23 @@
     _clock,
     _connection,
     _event_stream,
-    _events,
     _exchange,
     _in_flight,
     _next_attempt,
     _planning,
+    _replacement,
     _silence,
     _stream_origin,
 )
 
-_logger: Final = logging.getLogger(__name__)
 _rng: Final = random.Random()
 _counter: Final = itertools.count(1)
 _OK: Final = 200
 _MIN_ATTEMPT_S: Final = 0.05
 _UNKNOWN_RETRY_AFTER_S: Final = 0.5
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Replacement:
-    """An engine that takes over from one that is silent."""
-
-    decision: serving.RunAt
-    """Where the request goes on."""
-
-    plan: _planning.Plan
-    """Plan that the decision answers."""
+_PLAN_AGAIN_S: Final = 0.2
+# Reasons for which a planner will not plan a request in the next seconds.
+_FINAL_REFUSALS: Final = frozenset(('quarantined', 'no_engine_of_version'))
 
 
 class StreamingRequest:
@@ -52,13 +40,17 @@
         )
         self._origin = _stream_origin.StreamOrigin(in_flight)
         self._plan: _planning.Plan | None = None
-        self._replacement: _Replacement | None = None
-        # Seconds without a part of the answer that make an endpoint silent.
-        self._silence_limit_s = max(
-            in_flight.context.gateway_settings.send.silent_s,
-            in_flight.route.target_s,
+        self._watch = _silence.SilenceWatch(
+            max(
+                in_flight.context.gateway_settings.send.silent_s,
+                in_flight.route.target_s,
+            )
+        )
+        self._search = _replacement.ReplacementSearch(
+            in_flight, self._watch, self._plan_request, self._origin.allows
         )
-        self._watch = _silence.SilenceWatch(self._silence_limit_s)
+        # Endpoints that may be sound but were silent for too long.
+        self._left_silent: set[str] = set()
 
     async def serve(self) -> None:
         """Plan and send the request until it has its final answer."""
@@ -74,30 +66,27 @@
             # The attempt was cancelled by a disconnect or the deadline.
             if self._plan:
                 self._plan.report_event('cancelled')
-            self._drop_replacement()
+            self._search.drop()
 
     async def _attempt(self) -> bool:
         """Make one attempt; return whether another one follows."""
         in_flight = self._in_flight
-        obstacle = self._obstacle()
-        if obstacle:
-            await self._fail(obstacle)
-            return False
-        replacement = self._replacement
+        replacement = self._search.take()
         if replacement:
-            self._replacement = None
             self._plan = replacement.plan
             return await self._send(replacement.decision, replacement.plan)
+        obstacle = _next_attempt.obstacle(in_flight)
+        if self._origin.is_removed:
+            obstacle = 'route_removed'
+        if obstacle:
+            await self._fail(obstacle)
+            return False
         plan = in_flight.context.planning.plan(self._plan_request())
         self._plan = plan
         decision = await plan.wait_for_decision()
         if isinstance(decision, serving.Refuse):
             self._plan = None
-            if in_flight.attempt_counts.may_have_run:
-                await self._fail(decision.reason)
-            else:
-                await in_flight.refuse(decision.reason, decision.retry_after_s)
-            return False
+            return await self._plan_again(decision)
         if decision.endpoint.service not in _next_attempt.current_services(
             in_flight
         ):
@@ -109,14 +98,18 @@
             return False
         return await self._send(decision, plan)
 
-    def _obstacle(self) -> str:
-        """Return why there is no other attempt; empty if there is one."""
+    async def _plan_again(self, refusal: serving.Refuse) -> bool:
+        """Return whether a refused request is planned again; if not, end it."""
         in_flight = self._in_flight
-        if in_flight.time_left_s < _MIN_ATTEMPT_S:
-            return 'no_time'
-        if in_flight.quarantine_s is not None:
-            return 'quarantined'
-        return '' if _next_attempt.follow_route(in_flight) else 'route_removed'
+        if in_flight.reply.begun and refusal.reason not in _FINAL_REFUSALS:
+            # The caller waits for the next event, and may not come back.
+            await trio.sleep(_PLAN_AGAIN_S)
+            return True
+        if in_flight.attempt_counts.may_have_run:
+            await self._fail(refusal.reason)
+        else:
+            await in_flight.refuse(refusal.reason, refusal.retry_after_s)
+        return False
 
     def _plan_request(self) -> serving.PlanRequest:
         in_flight = self._in_flight
@@ -142,11 +135,11 @@
             prompt=call.prompt,
             target_s=in_flight.target_time_left_s,
             deadline_s=min(
-                in_flight.time_left_s, in_flight.first_event_time_left_s
+                in_flight.time_left_s, in_flight.next_event_time_left_s
             ),
             priority=in_flight.matched.priority,
             zone=in_flight.context.gateway_settings.zone,
-            avoid=tuple(in_flight.tried_incarnations),
+            avoid=tuple(in_flight.tried_incarnations - self._left_silent),
             content=in_flight.content,
             version=self._origin.version,
         )
@@ -203,65 +196,11 @@
         )
         with trio.CancelScope() as scope:
             with self._in_flight.reply.background(
-                self._replace_when_silent, endpoint, scope
+                self._search.serve, endpoint, scope
             ):
                 answer = await self._receive(connection, plan)
         return answer
 
-    async def _replace_when_silent(
-        self, endpoint: serving.Endpoint, scope: trio.CancelScope
-    ) -> None:
-        """Cancel the scope once a silent endpoint has a replacement.
-
-        Until then its answer is awaited, because an endpoint may be silent
-        for seconds and go on.
-        """
-        while self._replacement is None:
-            await self._watch.wait_until_silent()
-            may_retry = _next_attempt.may_follow(self._in_flight, endpoint)
-            _events.SILENT.log(
-                _logger,
-                request_id=self._in_flight.call.request_id,
-                endpoint=endpoint.name,
-                may_retry=may_retry,
-                configuration=self._in_flight.context.published.version,
-            )
-            if may_retry:
-                await self._watch.unless_resumed(
-                    functools.partial(self._plan_replacement, endpoint)
-                )
-            if self._replacement is None:
-                await trio.sleep(self._silence_limit_s)
-        scope.cancel()
-
-    async def _plan_replacement(self, endpoint: serving.Endpoint) -> None:
-        """Find another engine that goes on with the stream."""
-        in_flight = self._in_flight
-        request = self._plan_request()
-        plan = in_flight.context.planning.plan(
-            dataclasses.replace(
-                request, avoid=(*request.avoid, endpoint.incarnation)
-            )
-        )
-        granted = False
-        try:
-            decision = await plan.wait_for_decision()
-            # The attempt may have ended at the same moment.
-            await trio.lowlevel.checkpoint_if_cancelled()
-            granted = isinstance(
-                decision, serving.RunAt
-            ) and _next_attempt.spend_retry(in_flight, endpoint)
-        finally:
-            if not granted:
-                plan.report_event('cancelled')
-        if granted and isinstance(decision, serving.RunAt):
-            self._replacement = _Replacement(decision, plan)
-
-    def _drop_replacement(self) -> None:
-        if self._replacement:
-            self._replacement.plan.report_event('cancelled')
-            self._replacement = None
-
     async def _receive(
         self, connection: _exchange.ConnectionOrFailure, plan: _planning.Plan
     ) -> serving.AnswerHead | _connection.ExchangeFailure:
@@ -308,6 +247,7 @@
 
     async def _write(self, head: serving.AnswerHead, events: bytes) -> None:
         reply = self._in_flight.reply
+        self._in_flight.last_event_at = _clock.now()
         if reply.begun:
             await reply.write_chunk(events)
         else:
@@ -342,8 +282,9 @@
             budget.record_success(now)
             return False
         in_flight.tried_incarnations.add(endpoint.incarnation)
-        if self._replacement:
+        if self._search.found:
             # The retry was allowed and paid for when it was granted.
+            self._left_silent.add(endpoint.incarnation)
             return True
         step = serving.next_step(
             in_flight.route,
--- a/src/lentilspool/gateway/tests/builders.py
+++ b/src/lentilspool/gateway/tests/builders.py
@@ -3,7 +3,7 @@
 import dataclasses
 import json
 import random
-from collections.abc import Awaitable, Callable, Iterator, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Any, Final, cast
 
 import h11
@@ -24,16 +24,15 @@
     _stop,
     _stream_records,
 )
+from lentilspool.gateway.tests import works
 from lentilspool.platform.tests import stand_ins
 
 HOST: Final = 'example'
 ENGINE: Final = 'model'
 OTHER_ENGINE: Final = 'model-2'
 STAGE: Final = 'prepare'
-EVENTS: Final = 4
 DEADLINE_S: Final = 4.0
 _RECEIVE_BYTES: Final = 65536
-Work = Callable[[_http_server.Request, _http_server.Reply], Awaitable[None]]
 
 
 class NoLinks:
@@ -46,7 +45,7 @@
 class Endpoint:
     """An endpoint whose work a test defines."""
 
-    def __init__(self, name: str, service: str, work: Work) -> None:
+    def __init__(self, name: str, service: str, work: works.Work) -> None:
         self.name = name
         self.service = service
         self.received: list[stand_ins.EndpointRequest] = []
@@ -73,101 +72,6 @@
         await self._work(request, reply)
 
 
-def event(number: int) -> bytes:
-    """Return one event of a stream."""
-    return f'id: {number}\ndata: {number}\n\n'.encode()
-
-
-def streaming(pauses_s: dict[int, float], events: int = EVENTS) -> Work:
-    """Return work that streams, with pauses before some of the events.
-
-    A pause before event 0 delays the head of the answer.
-    """
-
-    async def stream(
-        request: _http_server.Request, reply: _http_server.Reply
-    ) -> None:
-        sent = stand_ins.decode_endpoint_request(request.headers)
-        await trio.sleep(pauses_s.get(0, 0))
-        headers = stand_ins.answer_headers(sent.request_id, 'stamp')
-        await reply.write_head(200, headers, b'')
-        for number in range(sent.last_event + 1, events + 1):
-            await trio.sleep(pauses_s.get(number, 0))
-            await reply.write_chunk(event(number))
-        await reply.write_end()
-
-    return stream
-
-
-def streaming_each(pauses_s: Iterator[dict[int, float]]) -> Work:
-    """Return work that streams, each request with pauses of its own."""
-
-    async def stream(
-        request: _http_server.Request, reply: _http_server.Reply
-    ) -> None:
-        await streaming(next(pauses_s))(request, reply)
-
-    return stream
-
-
-def answering(pause_s: float) -> Work:
-    """Return work that sends a whole answer after a pause."""
-
-    async def answer(
-        request: _http_server.Request, reply: _http_server.Reply
-    ) -> None:
-        sent = stand_ins.decode_endpoint_request(request.headers)
-        await trio.sleep(pause_s)
-        headers = stand_ins.answer_headers(sent.request_id, 'stamp')
-        length = (b'content-length', b'2')
-        await reply.write_complete(200, [*headers, length], b'ok')
-
-    return answer
-
-
-def answering_each(pauses_s: Iterator[float]) -> Work:
-    """Return work that sends whole answers, each after its own pause."""
-
-    async def answer(
-        request: _http_server.Request, reply: _http_server.Reply
-    ) -> None:
-        await answering(next(pauses_s))(request, reply)
-
-    return answer
-
-
-def staging(pause_s: float) -> Work:
-    """Return work that makes the results of stage calls after a pause."""
-
-    async def make(
-        request: _http_server.Request, reply: _http_server.Reply
-    ) -> None:
-        body = b''
-        if stand_ins.is_stage_run(request.target):
-            await trio.sleep(pause_s)
-            pieces = stand_ins.decode_pieces(request.body)
-            handles = [
-                f'127.0.0.1:9/{one.request_id}-{one.piece}' for one in pieces
-            ]
-            body = stand_ins.encode_stage_answer(handles)
-        length = (b'content-length', str(len(body)).encode())
-        await reply.write_complete(200, [length], body)
-
-    return make
-
-
-def staging_each(pauses_s: Iterator[float]) -> Work:
-    """Return work on stage calls, each with a pause of its own."""
-
-    async def make(
-        request: _http_server.Request, reply: _http_server.Reply
-    ) -> None:
-        is_run = stand_ins.is_stage_run(request.target)
-        await staging(next(pauses_s, 0) if is_run else 0)(request, reply)
-
-    return make
-
-
 def route(name: str, kind: str, service: str, **changes: Any) -> dict[str, Any]:
     """Return a route of the configuration document."""
     plain = {
@@ -188,7 +92,8 @@
         'slots': 1,
         'queue': 2,
         'batch': 4,
-        'call_ms': 10,
+        # Longer than the calls of the tests, so that none is overdue.
+        'call_ms': 1000,
         'item_ms': 1,
         'headroom_mb': 1,
         'handle_s': 4,
@@ -305,6 +210,15 @@
         await trio.sleep(seconds)
         self.configure(self.published.version + 1, routes)
 
+    async def list_after(self, seconds: float, endpoint: Endpoint) -> None:
+        """Start and list another endpoint after a time."""
+        await trio.sleep(seconds)
+        await self._nursery.start(endpoint.server.serve)
+        revision = self.published.revision + 1
+        self.published.apply_changes(
+            [endpoint.entry(revision)], (0, revision), 0
+        )
+
     async def request(self, path: str, pieces: str = '') -> Received:
         """Send one request as a caller does; return what it received."""
         headers = [
--- a/src/lentilspool/gateway/tests/test_changed_routes.py
+++ b/src/lentilspool/gateway/tests/test_changed_routes.py
@@ -11,7 +11,7 @@
 
 from lentilspool import serving
 from lentilspool.gateway import _http_server
-from lentilspool.gateway.tests import builders
+from lentilspool.gateway.tests import builders, works
 from lentilspool.platform.tests import stand_ins
 
 CHANGE_AFTER_S = 0.1
@@ -39,14 +39,12 @@
 class TestRouteChangesWhilePlanned:
     def test_request_goes_to_the_new_service(self) -> None:
         async def scenario(gateway: builders.Gateway) -> None:
-            old = builders.Endpoint(
-                'old', builders.ENGINE, builders.streaming({})
-            )
+            old = builders.Endpoint('old', builders.ENGINE, works.streaming({}))
             new = builders.Endpoint(
-                'new', builders.OTHER_ENGINE, builders.streaming({})
+                'new', builders.OTHER_ENGINE, works.streaming({})
             )
             stage = builders.Endpoint(
-                's', builders.STAGE, builders.staging(STAGE_S)
+                's', builders.STAGE, works.staging(STAGE_S)
             )
             await gateway.start([old, new, stage], [draft(builders.ENGINE)])
             async with trio.open_nursery() as nursery:
@@ -66,10 +64,10 @@
     def test_request_of_a_removed_route_is_refused_at_once(self) -> None:
         async def scenario(gateway: builders.Gateway) -> None:
             engine = builders.Endpoint(
-                'e', builders.ENGINE, builders.streaming({})
+                'e', builders.ENGINE, works.streaming({})
             )
             stage = builders.Endpoint(
-                's', builders.STAGE, builders.staging(STAGE_S)
+                's', builders.STAGE, works.staging(STAGE_S)
             )
             await gateway.start([engine, stage], [draft(builders.ENGINE)])
             async with trio.open_nursery() as nursery:
@@ -90,7 +88,7 @@
                 builders.Endpoint(f'old{number}', 'desk', reject)
                 for number in range(2)
             ]
-            new = builders.Endpoint('new', 'desk-2', builders.answering(0))
+            new = builders.Endpoint('new', 'desk-2', works.answering(0))
             before = builders.route('look', kind, 'desk', attempts=3)
             after = builders.route('look', kind, 'desk-2', attempts=3)
             await gateway.start([*old, new], [before])
--- a/src/lentilspool/gateway/tests/test_silent_endpoints.py
+++ b/src/lentilspool/gateway/tests/test_silent_endpoints.py
@@ -6,14 +6,16 @@
 from typing import Any
 
 import pytest
+import trio
 
 from lentilspool import settings
-from lentilspool.gateway.tests import builders
+from lentilspool.gateway import _clock
+from lentilspool.gateway.tests import builders, works
 
 SEND = settings.SendSettings(silent_s=0.2, attempt_share=0.1)
 SILENCE_S = 0.8
 ALL_EVENTS = b''.join(
-    builders.event(number) for number in range(1, builders.EVENTS + 1)
+    works.event(number) for number in range(1, works.EVENTS + 1)
 )
 
 
@@ -37,7 +39,7 @@
         self, silent_before: int, attempts: int, engines: int
     ) -> None:
         async def scenario(gateway: builders.Gateway) -> None:
-            work = builders.streaming({silent_before: SILENCE_S})
+            work = works.streaming({silent_before: SILENCE_S})
             endpoints = [
                 builders.Endpoint(f'e{number}', builders.ENGINE, work)
                 for number in range(engines)
@@ -51,14 +53,14 @@
 
     def test_stream_goes_on_if_the_retry_budget_is_empty(self) -> None:
         async def scenario(gateway: builders.Gateway) -> None:
-            work = builders.streaming({2: SILENCE_S})
+            work = works.streaming({2: SILENCE_S})
             endpoints = [
                 builders.Endpoint(f'e{number}', builders.ENGINE, work)
                 for number in range(2)
             ]
             await gateway.start(endpoints, [resumable()])
             budget = gateway.budgets.for_service(builders.ENGINE)
-            while budget.try_spend(0):
+            while budget.try_spend(_clock.now()):
                 """Spend all retries."""
             received = await gateway.request('/draft/')
             assert received == builders.Received(200, ALL_EVENTS, whole=True)
@@ -75,12 +77,12 @@
                     builders.Endpoint(
                         f'e{number}',
                         builders.ENGINE,
-                        builders.streaming({2: SILENCE_S}),
+                        works.streaming({2: SILENCE_S}),
                     )
                     for number in range(2)
                 ),
                 builders.Endpoint(
-                    's', builders.STAGE, builders.staging_each(calls)
+                    's', builders.STAGE, works.staging_each(calls)
                 ),
             ]
             await gateway.start(endpoints, [resumable(stages=stages)])
@@ -100,7 +102,7 @@
                 builders.Endpoint(
                     f'e{number}',
                     builders.ENGINE,
-                    builders.streaming_each(pauses),
+                    works.in_turn(map(works.streaming, pauses)),
                 )
                 for number in range(2)
             ]
@@ -111,6 +113,66 @@
 
         builders.run(scenario, SEND)
 
+    @pytest.mark.parametrize('moved', [False, True])
+    def test_stream_goes_on_if_its_route_changes_meanwhile(
+        self, moved: bool
+    ) -> None:
+        async def scenario(gateway: builders.Gateway) -> None:
+            work = works.streaming({2: SILENCE_S})
+            endpoints = [
+                builders.Endpoint(f'e{number}', service, work)
+                for number, service in enumerate(
+                    (builders.ENGINE, builders.ENGINE, builders.OTHER_ENGINE)
+                )
+            ]
+            moved_route = {**resumable(), 'service': builders.OTHER_ENGINE}
+            await gateway.start(endpoints, [resumable()])
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(
+                    gateway.configure_after, 0.1, [moved_route] if moved else []
+                )
+                received = await gateway.request('/draft/')
+            assert received == builders.Received(200, ALL_EVENTS, whole=True)
+            assert sum(len(one.received) for one in endpoints) == 1
+
+        builders.run(scenario, SEND)
+
+    def test_stream_returns_if_its_replacement_rejects_it(self) -> None:
+        async def scenario(gateway: builders.Gateway) -> None:
+            in_turn = iter(
+                (
+                    works.streaming({2: builders.DEADLINE_S}),
+                    works.rejecting,
+                    works.streaming({}),
+                )
+            )
+            endpoints = [
+                builders.Endpoint(
+                    f'e{number}', builders.ENGINE, works.in_turn(in_turn)
+                )
+                for number in range(2)
+            ]
+            await gateway.start(endpoints, [resumable(attempts=3)])
+            received = await gateway.request('/draft/')
+            assert received == builders.Received(200, ALL_EVENTS, whole=True)
+
+        builders.run(scenario, SEND)
+
+    def test_stream_goes_on_later_than_its_first_event_was_due(self) -> None:
+        async def scenario(gateway: builders.Gateway) -> None:
+            in_turn = iter((works.breaking_after(2, 0.8), works.streaming({})))
+            endpoints = [
+                builders.Endpoint(
+                    f'e{number}', builders.ENGINE, works.in_turn(in_turn)
+                )
+                for number in range(2)
+            ]
+            await gateway.start(endpoints, [resumable()])
+            received = await gateway.request('/draft/')
+            assert received == builders.Received(200, ALL_EVENTS, whole=True)
+
+        builders.run(scenario, settings.SendSettings(silent_s=10))
+
 
 class TestSilentPlainRequest:
     @pytest.mark.parametrize(
@@ -124,14 +186,14 @@
         async def scenario(gateway: builders.Gateway) -> None:
             stand_ins = [
                 builders.Endpoint(
-                    f'e{number}', 'desk', builders.answering(SILENCE_S)
+                    f'e{number}', 'desk', works.answering(SILENCE_S)
                 )
                 for number in range(endpoints)
             ]
             route = builders.route('look', 'safe', 'desk', attempts=2)
             await gateway.start(stand_ins, [route])
             budget = gateway.budgets.for_service('desk')
-            while not has_budget and budget.try_spend(0):
+            while not has_budget and budget.try_spend(_clock.now()):
                 """Spend all retries."""
             received = await gateway.request('/look/')
             assert received == builders.Received(200, b'ok', whole=True)
@@ -145,7 +207,9 @@
             pauses = iter((builders.DEADLINE_S * 2, 0))
             endpoints = [
                 builders.Endpoint(
-                    f'e{number}', 'desk', builders.answering_each(pauses)
+                    f'e{number}',
+                    'desk',
+                    works.in_turn(map(works.answering, pauses)),
                 )
                 for number in range(2)
             ]
@@ -156,3 +220,51 @@
             assert [len(one.received) for one in endpoints] == [1, 1]
 
         builders.run(scenario, SEND)
+
+    def test_silent_requests_do_not_share_one_retry(self) -> None:
+        async def scenario(gateway: builders.Gateway) -> None:
+            endpoints = [
+                builders.Endpoint(
+                    f'e{number}', 'desk', works.answering(SILENCE_S)
+                )
+                for number in range(2)
+            ]
+            route = builders.route('look', 'safe', 'desk', attempts=2)
+            await gateway.start(endpoints, [route])
+            budget = gateway.budgets.for_service('desk')
+            while budget.balance >= 2:
+                budget.try_spend(_clock.now())
+            statuses: list[int] = []
+
+            async def request() -> None:
+                received = await gateway.request('/look/')
+                statuses.append(received.status)
+
+            async with trio.open_nursery() as nursery:
+                for _ in range(20):
+                    nursery.start_soon(request)
+            assert len(statuses) == 20
+            assert set(statuses) == {200}
+
+        builders.run(scenario, SEND)
+
+    def test_request_is_not_left_near_its_deadline(self) -> None:
+        async def scenario(gateway: builders.Gateway) -> None:
+            endpoints = [
+                builders.Endpoint(
+                    f'e{number}',
+                    'desk',
+                    works.answering(builders.DEADLINE_S * 0.9),
+                )
+                for number in range(2)
+            ]
+            route = builders.route('look', 'safe', 'desk', attempts=2)
+            await gateway.start(endpoints[:1], [route])
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(
+                    gateway.list_after, builders.DEADLINE_S * 0.8, endpoints[1]
+                )
+                received = await gateway.request('/look/')
+            assert received == builders.Received(200, b'ok', whole=True)
+
+        builders.run(scenario, SEND)
