Apply the size limits that are in force when a request arrives

What callers saw: 413 for a body that the configuration allowed, on a kept connection. Cause: the limits were read at the start of the idle wait. Before: the new test failed (200 in place of 413, the limit having shrunk); after: it passes.

--- a/src/lentilspool/gateway/_http_server.py
+++ b/src/lentilspool/gateway/_http_server.py
@@ -351,6 +351,8 @@
         head = await self._next_event(limits)
         if not isinstance(head, h11.Request):
             return head if isinstance(head, _RequestError) else None
+        # The configuration may have changed while the connection was idle.
+        limits = self._server.limits()
         names = [name for name, _ in head.headers]
         if b'transfer-encoding' in names and b'content-length' in names:
             return _RequestError(http.HTTPStatus.BAD_REQUEST)
--- a/src/lentilspool/gateway/tests/test_http_server.py
+++ b/src/lentilspool/gateway/tests/test_http_server.py
@@ -215,6 +215,19 @@
 
         trio.run(check)
 
+    def test_size_limits_are_those_in_force_at_the_request(self) -> None:
+        async def check() -> None:
+            async with serving_harness() as harness:
+                stream = await harness.open()
+                await stream.send_all(REQUEST)
+                assert b'200' in await stream.receive_some(1000)
+                await trio.sleep(0.05)
+                harness.limits = dataclasses.replace(LIMITS, max_body_bytes=1)
+                await stream.send_all(REQUEST)
+                assert b'413' in await stream.receive_some(1000)
+
+        trio.run(check)
+
     @pytest.mark.parametrize('stopping', [False, True])
     def test_request_that_has_arrived_is_served(self, stopping: bool) -> None:
         async def check() -> None:
