Apply changed limits to engines that are known already

Cause: an engine kept the slots and the memory of the first configuration that listed it, so that a planner filled it too much or too little. Before: the new test failed (64 slots in place of 8); after: it passes.

--- a/src/lentilspool/serving/_engines.py
+++ b/src/lentilspool/serving/_engines.py
@@ -208,8 +208,8 @@
             if name not in listed:
                 self.engines.pop(name)
         for name, endpoint in listed.items():
-            if name not in self.engines:
-                self.engines[name] = Engine(endpoint, limits)
+            engine = self.engines.setdefault(name, Engine(endpoint, limits))
+            engine.limits = limits
 
     def has_version(self, plan_request: _plan_types.PlanRequest) -> bool:
         """Whether an engine that is listed may run a request by its version.
