Answer open requests before a planned stop ends the process

What callers saw: a request that was accepted late in a planned stop, and whose endpoint was silent for a second or two, ended without a byte. Cause: at stop.limit_s the process ended with the requests that were still open.

Change: a stop shortens the time limit of open and new requests to 0.3 s before the end, so that each gets its own answer (504, or 503 if it has not run), and a stream that has begun is aborted as at any time limit.

--- a/src/lentilspool/gateway/_ingress.py
+++ b/src/lentilspool/gateway/_ingress.py
@@ -82,7 +82,7 @@
         concluded = False
         scope = trio.move_on_after(max(in_flight.time_left_s, 0))
         try:
-            with scope:
+            with self._context.stop.shortening(scope), scope:
                 await self._run(in_flight)
             concluded = True
         finally:
--- a/src/lentilspool/gateway/tests/builders.py
+++ b/src/lentilspool/gateway/tests/builders.py
@@ -132,7 +132,10 @@
     """
 
     def __init__(
-        self, nursery: trio.Nursery, send: settings.SendSettings
+        self,
+        nursery: trio.Nursery,
+        send: settings.SendSettings,
+        stop: settings.StopSettings,
     ) -> None:
         self.published = _published.PublishedState()
         self._nursery = nursery
@@ -146,6 +149,7 @@
             known_peers=(),
             store=settings.StoreSettings('127.0.0.1:9'),
             send=send,
+            stop=stop,
         )
         metrics = _metrics.GatewayMetrics()
         quarantine = _content_quarantine.ContentQuarantine(own.quarantine)
@@ -261,14 +265,22 @@
 def run(
     scenario: Callable[[Gateway], Awaitable[None]],
     send: settings.SendSettings | None = None,
+    stop: settings.StopSettings | None = None,
 ) -> None:
-    """Run a scenario with a gateway; ``send`` are its endpoint settings."""
+    """Run a scenario with a gateway.
+
+    ``send`` and ``stop`` are its settings for endpoints and planned stops.
+    """
 
     async def main() -> None:
         with trio.fail_after(DEADLINE_S * 3):
             async with trio.open_nursery() as nursery:
                 await scenario(
-                    Gateway(nursery, send or settings.SendSettings())
+                    Gateway(
+                        nursery,
+                        send or settings.SendSettings(),
+                        stop or settings.StopSettings(),
+                    )
                 )
                 nursery.cancel_scope.cancel()
 
--- /dev/null
+++ b/src/lentilspool/gateway/tests/test_stop.py
@@ -0,0 +1,63 @@
+"""Tests of requests that are open when the process has to end."""
+
+import pytest
+import trio
+
+from lentilspool import settings
+from lentilspool.gateway import _stop
+from lentilspool.gateway.tests import builders, works
+
+STOP = settings.StopSettings(
+    lame_s=0.1, last_stream_s=0.4, last_request_s=0.6, limit_s=1.0
+)
+
+
+class TestOpenRequests:
+    @pytest.mark.parametrize(
+        ('request_after_s', 'stop_after_s'),
+        [(0.0, 0.2), (0.2, 0.0)],
+        ids=['sent-before', 'sent-after'],
+    )
+    def test_request_is_answered_before_the_process_ends(
+        self, request_after_s: float, stop_after_s: float
+    ) -> None:
+        async def scenario(gateway: builders.Gateway) -> None:
+            endpoint = builders.Endpoint(
+                'e', 'desk', works.answering(builders.DEADLINE_S)
+            )
+            await gateway.start(
+                [endpoint], [builders.route('look', 'unsafe', 'desk')]
+            )
+            stop = gateway.context.stop
+
+            async def end_process() -> None:
+                await trio.sleep(stop_after_s)
+                stop.begin()
+                while not stop.time_is_up:
+                    await trio.sleep(0.01)
+                nursery.cancel_scope.cancel()
+
+            received = None
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(end_process)
+                await trio.sleep(request_after_s)
+                received = await gateway.request('/look/')
+                nursery.cancel_scope.cancel()
+            assert received
+            assert received.status == 504
+            assert received.whole
+
+        builders.run(scenario, stop=STOP)
+
+
+class TestPlannedStop:
+    def test_time_limit_of_a_request_stays_the_shorter_one(self) -> None:
+        async def check() -> None:
+            stop = _stop.PlannedStop(STOP)
+            scope = trio.move_on_after(0.3)
+            with stop.shortening(scope), scope:
+                deadline = scope.deadline
+                stop.begin()
+                assert scope.deadline == deadline
+
+        trio.run(check)
