Search the bytes of an unfinished event only once

The splitter keeps a bytearray and searches from two bytes before the new ones, since an end (LF CRLF or LF LF) is at most three bytes long. The separators are the same: an optional CR before the first LF never decided where an event ends. A property test compares any split of any bytes with the whole; it passed before too, so a difference in events was ruled out as a second fault.

--- a/src/lentilspool/gateway/_event_stream.py
+++ b/src/lentilspool/gateway/_event_stream.py
@@ -3,7 +3,9 @@
 import re
 from typing import Final
 
-_EVENT_END: Final = re.compile(rb'\r?\n\r?\n')
+_EVENT_END: Final = re.compile(rb'\n\r?\n')
+# An end that began in the last two bytes may be completed by the next ones.
+_END_OVERLAP: Final = 2
 _EVENT_ID: Final = re.compile(rb'(?:^|\n)id:\s*(\d+)')
 
 
@@ -11,22 +13,26 @@
     """Splits a byte stream into complete events."""
 
     def __init__(self) -> None:
-        self._incomplete = b''
+        self._incomplete = bytearray()
 
     @property
     def incomplete(self) -> bytes:
         """Bytes received of an event that is still incomplete."""
-        return self._incomplete
+        return bytes(self._incomplete)
 
     def feed(self, content: bytes) -> list[bytes]:
-        """Add received bytes; return the events that they complete."""
+        """Add received bytes; return the events that they complete.
+
+        Bytes of an incomplete event are not searched again.
+        """
+        search_from = max(len(self._incomplete) - _END_OVERLAP, 0)
         self._incomplete += content
         events = []
         begin = 0
-        for end in _EVENT_END.finditer(self._incomplete):
-            events.append(self._incomplete[begin : end.end()])
+        for end in _EVENT_END.finditer(self._incomplete, search_from):
+            events.append(bytes(self._incomplete[begin : end.end()]))
             begin = end.end()
-        self._incomplete = self._incomplete[begin:]
+        del self._incomplete[:begin]
         return events
 
 
