Read deeply nested or overlong answers as format errors

An endpoint's stage answer of 100,000 opening brackets made msgspec raise RecursionError, and a number of 5,000 digits in Server-Load, an event id, a port or Prompt-Prefix made int() raise ValueError. None of them was caught: in a stage call the exception would leave the planner's task group and with it the process (read in the code, not played); in a request the caller's connection was closed without an answer. Nine cases of TestUnreadableBytes and test_event_with_an_overlong_number_has_none failed before and pass now.

Decoders treat RecursionError like other unreadable bytes, and numbers are read by one function that bounds their digits. h11 itself refuses a Content-Length of more than 20 digits (tried), so that path needs no change.

--- a/src/lentilspool/gateway/_event_stream.py
+++ b/src/lentilspool/gateway/_event_stream.py
@@ -6,7 +6,8 @@
 _EVENT_END: Final = re.compile(rb'\n\r?\n')
 # An end that began in the last two bytes may be completed by the next ones.
 _END_OVERLAP: Final = 2
-_EVENT_ID: Final = re.compile(rb'(?:^|\n)id:\s*(\d+)')
+# Python refuses to convert very long numbers.
+_EVENT_ID: Final = re.compile(rb'(?:^|\n)id:\s*(\d{1,18})(?!\d)')
 
 
 class EventSplitter:
--- a/src/lentilspool/gateway/tests/test_event_stream.py
+++ b/src/lentilspool/gateway/tests/test_event_stream.py
@@ -91,3 +91,9 @@
     def test_resuming_caller_gets_only_later_events(self) -> None:
         delivered = _event_stream.DeliveredEvents(4)
         assert delivered.select_new(EVENTS) == EVENTS[4]
+
+    def test_event_with_an_overlong_number_has_none(self) -> None:
+        delivered = _event_stream.DeliveredEvents(4)
+        event = b'id: %b\ndata: x\n\n' % (b'9' * 5000)
+        assert delivered.select_new([event]) == event
+        assert delivered.last_event == 4
--- a/src/lentilspool/platform/_answers.py
+++ b/src/lentilspool/platform/_answers.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 from lentilspool import serving
-from lentilspool.platform import _names
+from lentilspool.platform import _digits, _names
 
 _TIMEOUT: Final = re.compile(rb'timeout\s*=\s*(\d+)')
 _LOAD_FIELDS: Final = 3
@@ -35,7 +35,7 @@
         not_run=_names.NOT_RUN in by_name,
         load=_load(by_name.get(_names.LOAD, b'')),
         keep_alive_s=_keep_alive(by_name.get(b'keep-alive', b'')),
-        length=int(length) if length.isdigit() else None,
+        length=_digits.decode_number(length.decode('latin-1')),
     )
 
 
@@ -43,9 +43,12 @@
     fields = text.split(b',')
     if len(fields) != _LOAD_FIELDS:
         return None
-    if not all(field.strip().isdigit() for field in fields):
+    numbers = [
+        _digits.decode_number(field.decode('latin-1')) for field in fields
+    ]
+    running, waiting, slots = numbers
+    if running is None or waiting is None or slots is None:
         return None
-    running, waiting, slots = (int(field) for field in fields)
     return serving.ReportedLoad(running, waiting, slots)
 
 
--- a/src/lentilspool/platform/_configuration.py
+++ b/src/lentilspool/platform/_configuration.py
@@ -100,7 +100,7 @@
     try:
         document = msgspec.json.decode(payload, type=_Document)
         return _to_configuration(document)
-    except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as error:
+    except (RecursionError, ValueError) as error:
         raise _errors.FormatError('configuration', str(error))
 
 
--- /dev/null
+++ b/src/lentilspool/platform/_digits.py
@@ -0,0 +1,14 @@
+"""Decoding of whole numbers."""
+
+import re
+from typing import Final
+
+# Longer ones fit no integer of the messages between processes, and Python
+# refuses to convert very long ones.
+_NUMBER: Final = re.compile(r'[0-9]{1,18}')
+
+
+def decode_number(text: str) -> int | None:
+    """Return a number without a sign; None if the text is none or too long."""
+    stripped = text.strip()
+    return int(stripped) if _NUMBER.fullmatch(stripped) else None
--- a/src/lentilspool/platform/_endpoints.py
+++ b/src/lentilspool/platform/_endpoints.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from lentilspool import serving
-from lentilspool.platform import _errors
+from lentilspool.platform import _digits, _errors
 
 _STATES = ('ready', 'draining')
 
@@ -35,10 +35,11 @@
     """
     try:
         entry = msgspec.json.decode(payload, type=_Entry)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except _errors.UNREADABLE as error:
         raise _errors.FormatError(f'endpoint {name}', str(error))
     host, _, port = entry.address.rpartition(':')
-    if entry.state not in _STATES or not host or not port.isdigit():
+    number = _digits.decode_number(port)
+    if entry.state not in _STATES or not host or number is None:
         raise _errors.FormatError(
             f'endpoint {name}', 'not an entry of an endpoint'
         )
@@ -46,7 +47,7 @@
         name=name,
         service=entry.service,
         host=host,
-        port=int(port),
+        port=number,
         zone=entry.zone,
         slots=entry.slots,
         ready=entry.state == 'ready',
@@ -58,7 +59,7 @@
     """Decode which write of its endpoint an entry is; None if unreadable."""
     try:
         entry = msgspec.json.decode(payload, type=_EntryState)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except _errors.UNREADABLE:
         return None
     return serving.EntryState(
         entry.born, entry.sequence, entry.state == 'ready'
--- a/src/lentilspool/platform/_errors.py
+++ b/src/lentilspool/platform/_errors.py
@@ -1,5 +1,12 @@
 """Errors of decoding."""
 
+from typing import Final
+
+import msgspec
+
+# Errors of msgspec on invalid bytes; deep nesting raises the last.
+UNREADABLE: Final = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
+
 
 class FormatError(ValueError):
     """Received bytes do not have the agreed format.
--- a/src/lentilspool/platform/_requests.py
+++ b/src/lentilspool/platform/_requests.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 from lentilspool import serving
-from lentilspool.platform import _errors, _names
+from lentilspool.platform import _digits, _errors, _names
 
 _MS_PER_S: Final = 1000.0
 # Engines accept ranks from 0 to 9; a request without a rank has rank 5.
@@ -176,7 +176,8 @@
     parts = []
     for entry in filter(None, text.split(',')):
         key, _, tokens = entry.strip().partition(':')
-        if not tokens.isdigit():
+        number = _digits.decode_number(tokens)
+        if number is None or number > _MAX_NUMBER:
             raise _errors.FormatError('Prompt-Prefix', f'bad entry {entry!r}')
-        parts.append(serving.PromptPart(key, int(tokens)))
+        parts.append(serving.PromptPart(key, number))
     return tuple(parts)
--- a/src/lentilspool/platform/_stage_calls.py
+++ b/src/lentilspool/platform/_stage_calls.py
@@ -98,7 +98,7 @@
     """
     try:
         answer = _ANSWERS.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except _errors.UNREADABLE as error:
         raise _errors.FormatError('answer of a stage call', str(error))
     return tuple(PieceOutcome(one.handle, one.reason) for one in answer.items)
 
--- a/src/lentilspool/platform/_store.py
+++ b/src/lentilspool/platform/_store.py
@@ -104,7 +104,7 @@
     """
     try:
         answer = _DECODER.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except _errors.UNREADABLE as error:
         raise _errors.FormatError('answer of the store', str(error))
     entries = answer.items or answer.events
     return Page(
--- a/src/lentilspool/platform/tests/test_formats.py
+++ b/src/lentilspool/platform/tests/test_formats.py
@@ -2,6 +2,8 @@
 
 import base64
 import json
+from collections.abc import Callable
+from functools import partial
 
 import msgspec
 import pytest
@@ -63,6 +65,8 @@
     'state': 'ready',
     'born': 1700000000000,
 }
+NESTED = b'{"unknown":%b' % (b'[' * 100_000)
+LONG_NUMBER = b'9' * 5000
 
 
 def call(*more: tuple[bytes, bytes]) -> serving.Call:
@@ -279,3 +283,42 @@
             platform.PieceOutcome('x', ''),
             platform.PieceOutcome('', 'gone'),
         )
+
+
+class TestUnreadableBytes:
+    @pytest.mark.parametrize(
+        'decode',
+        [
+            platform.decode_stage_answer,
+            platform.decode_page,
+            platform.decode_configuration,
+            partial(platform.decode_endpoint, 'e'),
+        ],
+    )
+    def test_deep_nesting_is_a_format_error(
+        self, decode: Callable[[bytes], object]
+    ) -> None:
+        with pytest.raises(platform.FormatError):
+            decode(NESTED)
+
+    def test_entry_with_deep_nesting_has_no_state(self) -> None:
+        assert platform.decode_entry_state(NESTED) is None
+
+    def test_long_number_in_a_head_is_ignored(self) -> None:
+        head = platform.decode_answer_head(
+            200, [(b'Server-Load', b'1,2,%b' % LONG_NUMBER)]
+        )
+        assert head.load is None
+
+    @pytest.mark.parametrize(
+        'port', [LONG_NUMBER.decode(), '\N{SUPERSCRIPT TWO}']
+    )
+    def test_unreadable_port_is_a_format_error(self, port: str) -> None:
+        payload = {**ENTRY, 'address': f'10.0.0.9:{port}'}
+        with pytest.raises(platform.FormatError):
+            platform.decode_endpoint('e', msgspec.json.encode(payload))
+
+    def test_long_number_in_a_request_is_a_format_error(self) -> None:
+        parts = b'5c1e:%b' % LONG_NUMBER
+        with pytest.raises(platform.FormatError):
+            call((b'Prompt-Prefix', parts))
