Bound what an endpoint may send before and around an answer

Callers of a gateway waited while it read bytes that are no answer. h11 parses all it has received at once, and its pattern of a chunk header backtracks: 60,000 spaces in a chunk extension held the loop for 4.2 s, 65,536 bytes of one-byte chunks for 70 ms, a head of 16,000 empty headers for 28 ms (one run each by hand on this machine). Informational answers and answers to other requests were skipped without a limit, a body in chunks of two bytes took 5.0 MB for 80 KB, and the reason in the log quoted the whole line.

_parser.Parser passes bytes to h11 in pieces of 2 KB, refuses chunk headers and trailers above 1 KB and gives other tasks a turn each 64 events, counted, so that the cost of a step is bounded whatever the bytes are. A head has at most 16 KB, the default limit of callers' heads; 16 other answers with 1 MB of bodies are skipped. All end as a failure that was sent: the outcome is unknown, the connection is closed.

--- a/src/lentilspool/gateway/_connection.py
+++ b/src/lentilspool/gateway/_connection.py
@@ -13,11 +13,17 @@
 import trio
 
 from lentilspool import platform, serving
-from lentilspool.gateway import _clock, _events, _sockets
+from lentilspool.gateway import _clock, _events, _parser, _sockets
 
 _logger: Final = logging.getLogger(__name__)
 _RECEIVE_BYTES: Final = 65536
-_MAX_HEAD_BYTES: Final = 65536
+_MAX_HEAD_BYTES: Final = 16384
+# Answers that an endpoint may send before the one that is due: informational
+# ones, and late ones to earlier requests.
+_MAX_IGNORED_ANSWERS: Final = 16
+_MAX_IGNORED_BYTES: Final = 1_048_576
+# h11 quotes the bytes that it cannot parse.
+_MAX_LOGGED_CHARACTERS: Final = 200
 _SUCCESS_STATUSES: Final = range(
     http.HTTPStatus.OK, http.HTTPStatus.MULTIPLE_CHOICES
 )
@@ -67,12 +73,34 @@
     """Identity that the answer must repeat; empty if it need not."""
 
 
+class _IgnoredAnswers:
+    """Bounds what an endpoint sends before the answer that is due."""
+
+    def __init__(self) -> None:
+        self._answers = 0
+        self._body_bytes = 0
+
+    def add_answer(self) -> ExchangeFailure | None:
+        """Count an answer; return a failure if there are too many."""
+        self._answers += 1
+        if self._answers > _MAX_IGNORED_ANSWERS:
+            return ExchangeFailure('too many other answers', sent=True)
+        return None
+
+    def add_bytes(self, size: int) -> ExchangeFailure | None:
+        """Count bytes of a body; return a failure if there are too many."""
+        self._body_bytes += size
+        if self._body_bytes > _MAX_IGNORED_BYTES:
+            return ExchangeFailure('other answers are too large', sent=True)
+        return None
+
+
 class Connection:
     """An open connection that carries one request at a time."""
 
     def __init__(self, stream: trio.SocketStream) -> None:
         self._stream = stream
-        self._http = _new_client()
+        self._parser = _new_parser()
         self._outgoing: Outgoing | None = None
         self._sent = False
         self._answer_complete = False
@@ -86,9 +114,9 @@
         """Whether another request may be sent on the connection."""
         return (
             self._answer_complete
-            and self._http.our_state is h11.DONE
-            and self._http.their_state is h11.DONE
-            and not self._http.trailing_data[0]
+            and self._parser.http.our_state is h11.DONE
+            and self._parser.http.their_state is h11.DONE
+            and not self._parser.has_rest
         )
 
     @property
@@ -110,7 +138,7 @@
 
     def next_request(self) -> None:
         """Prepare a reusable connection for its next request."""
-        self._http.start_next_cycle()
+        self._parser.http.start_next_cycle()
         self._answer_complete = False
 
     async def send(self, outgoing: Outgoing) -> ExchangeFailure | None:
@@ -135,21 +163,16 @@
 
         Answers to other requests are skipped.
         """
+        ignored = _IgnoredAnswers()
         while True:
-            event = await self._next_event()
-            while isinstance(event, h11.InformationalResponse):
-                event = await self._next_event()
+            event = await self._next_final_head(ignored)
             if isinstance(event, ExchangeFailure):
                 return event
-            if not isinstance(event, h11.Response):
-                return ExchangeFailure(
-                    f'not an answer but {type(event).__name__}', True
-                )
             head = platform.decode_answer_head(event.status_code, event.headers)
             if self._answers_request(head):
                 self.keep_alive_s = head.keep_alive_s
                 return head
-            skipped = await self._skip_mismatched(head)
+            skipped = await self._skip_mismatched(head, ignored)
             if skipped:
                 return skipped
 
@@ -168,20 +191,19 @@
 
     async def receive_body(self, limit: int) -> bytes | ExchangeFailure:
         """Return the whole body, of at most ``limit`` bytes."""
-        chunks: list[bytes] = []
-        size = 0
+        # Many small chunks would need much more memory in a list.
+        body = bytearray()
         while True:
             part = await self.receive_chunk()
             if isinstance(part, ExchangeFailure):
                 return part
             if isinstance(part, EndOfBody):
-                return b''.join(chunks)
-            size += len(part.content)
-            if size > limit:
+                return bytes(body)
+            body += part.content
+            if len(body) > limit:
                 return ExchangeFailure(
                     f'answer larger than {limit} bytes', sent=True
                 )
-            chunks.append(part.content)
 
     async def close(self) -> None:
         """Close at once, which makes an endpoint stop the request."""
@@ -199,7 +221,7 @@
         Returns None, and logs the reason, if the request is invalid.
         """
         try:
-            head = self._http.send(
+            head = self._parser.http.send(
                 h11.Request(
                     method=outgoing.method,
                     target=outgoing.target,
@@ -207,8 +229,8 @@
                 )
             )
             if outgoing.body:
-                self._http.send(h11.Data(data=outgoing.body))
-            self._http.send(h11.EndOfMessage())
+                self._parser.http.send(h11.Data(data=outgoing.body))
+            self._parser.http.send(h11.EndOfMessage())
         except h11.LocalProtocolError as error:
             _events.BAD_REQUEST.log(
                 _logger, request_id=outgoing.request_id, problem=str(error)
@@ -216,48 +238,63 @@
             return None
         return bytes(head or b'')
 
+    async def _next_final_head(
+        self, ignored: _IgnoredAnswers
+    ) -> h11.Response | ExchangeFailure:
+        event = await self._next_event()
+        while isinstance(event, h11.InformationalResponse):
+            event = ignored.add_answer() or await self._next_event()
+        if isinstance(event, (h11.Response, ExchangeFailure)):
+            return event
+        return ExchangeFailure(
+            f'not an answer but {type(event).__name__}', sent=True
+        )
+
     async def _skip_mismatched(
-        self, head: serving.AnswerHead
+        self, head: serving.AnswerHead, ignored: _IgnoredAnswers
     ) -> ExchangeFailure | None:
         if not head.request_id:
             return ExchangeFailure('success without a request id', sent=True)
         _events.FOREIGN_ANSWER.log(
             _logger,
             request_id=self._outgoing.request_id if self._outgoing else '',
-            answered=head.request_id,
+            answered=head.request_id[:_MAX_LOGGED_CHARACTERS],
             status=head.status,
         )
-        return await self._skip_answer()
+        return ignored.add_answer() or await self._skip_answer(ignored)
 
-    async def _skip_answer(self) -> ExchangeFailure | None:
+    async def _skip_answer(
+        self, ignored: _IgnoredAnswers
+    ) -> ExchangeFailure | None:
         """Read the rest of another request's answer, then expect ours."""
         while True:
-            event = await self._next_event()
-            if isinstance(event, ExchangeFailure):
-                return event
-            if isinstance(event, h11.EndOfMessage):
+            part = await self.receive_chunk()
+            if isinstance(part, ExchangeFailure):
+                return part
+            if isinstance(part, EndOfBody):
                 break
-            if not isinstance(event, h11.Data):
-                return ExchangeFailure(
-                    'closed during the answer to another request', True
-                )
-        if self._http.their_state is not h11.DONE or not self._outgoing:
+            failure = ignored.add_bytes(len(part.content))
+            if failure:
+                return failure
+        self._answer_complete = False
+        if self._parser.http.their_state is not h11.DONE or not self._outgoing:
             return ExchangeFailure(
                 'closed after an answer to another request', True
             )
-        rest = self._http.trailing_data[0]
-        self._http = _new_client()
+        rest = self._parser.rest
+        self._parser = _new_parser()
         self._start_request(self._outgoing)
         if rest:
-            self._http.receive_data(rest)
+            self._parser.receive(rest)
         return None
 
     async def _next_event(self) -> h11.Event | ExchangeFailure:
         while True:
             try:
-                event = self._http.next_event()
+                event = await self._parser.next_event()
             except h11.RemoteProtocolError as error:
-                return ExchangeFailure(f'not an answer: {error}', sent=True)
+                problem = str(error)[:_MAX_LOGGED_CHARACTERS]
+                return ExchangeFailure(f'not an answer: {problem}', sent=True)
             if isinstance(event, h11.Event):
                 return event
             if event is h11.PAUSED:
@@ -272,8 +309,10 @@
             ) as error:
                 return ExchangeFailure(f'reset: {error}', sent=True)
             self.last_active_at = _clock.now()
-            self._http.receive_data(received)
+            self._parser.receive(received)
 
 
-def _new_client() -> h11.Connection:
-    return h11.Connection(h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES)
+def _new_parser() -> _parser.Parser:
+    return _parser.Parser(
+        h11.Connection(h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES)
+    )
--- a/src/lentilspool/gateway/tests/test_connection.py
+++ b/src/lentilspool/gateway/tests/test_connection.py
@@ -1,5 +1,6 @@
 """Tests of connections to endpoints, against a scripted loopback server."""
 
+import tracemalloc
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from functools import partial
@@ -152,3 +153,99 @@
             assert await _sockets.connect('127.0.0.1', 1, 1) is None
 
         trio.run(check)
+
+
+CHUNKED = (
+    b'HTTP/1.1 200 OK\r\nRequest-Id: ours\r\nTransfer-Encoding: chunked\r\n\r\n'
+)
+LONG_OTHER = b'%b%b' % (
+    OTHER.replace(b'Length: 3', b'Length: 2000003'),
+    b'x' * 2_000_000,
+)
+
+
+class TestEndlessBytes:
+    """An endpoint may send bytes that are no answer until we close."""
+
+    async def failure_reason(self, script: bytes, finish: str = 'keep') -> str:
+        async with connected(script, finish) as connection:
+            with trio.fail_after(5):
+                head, body = await exchange(connection)
+            failure = head if body is None else body
+            assert isinstance(failure, _connection.ExchangeFailure)
+            assert failure.sent
+            assert not connection.reusable
+        return failure.reason
+
+    @pytest.mark.parametrize(
+        'head',
+        [
+            b'HTTP/1.1 200 OK\r\nX: %b' % (b'y' * 20_000),
+            b'HTTP/1.1 200 OK\r\n%b' % (b'a:\r\n' * 6000),
+            b'HTTP/1.1 100 Continue\r\n\r\n' * 100 + OURS,
+            OTHER * 100 + OURS,
+            LONG_OTHER + OURS,
+        ],
+    )
+    def test_head_without_end_is_a_failure(self, head: bytes) -> None:
+        assert trio.run(self.failure_reason, head)
+
+    @pytest.mark.parametrize(
+        'chunk_header', [b'2;%b', b'2;%b\n\r\n', b'0\r\nX: %b']
+    )
+    def test_chunk_header_without_end_is_a_failure(
+        self, chunk_header: bytes
+    ) -> None:
+        script = CHUNKED + chunk_header % (b' ' * 20_000)
+        reason = trio.run(self.failure_reason, script)
+        assert 'too long' in reason
+
+    def test_body_without_end_is_a_failure(self) -> None:
+        script = b'HTTP/1.1 200 OK\r\nRequest-Id: ours\r\n\r\n%b' % (
+            b'x' * 5000
+        )
+        reason = trio.run(self.failure_reason, script)
+        assert reason == 'answer larger than 1000 bytes'
+
+    def test_reason_for_logs_is_short(self) -> None:
+        script = b'%b\r\n\r\n' % (b'x' * 10_000)
+        assert len(trio.run(self.failure_reason, script)) < 500
+
+    def test_small_chunks_need_no_more_memory_than_their_bytes(self) -> None:
+        script = b'%b%b0\r\n\r\n' % (CHUNKED, b'2\r\nab\r\n' * 40_000)
+
+        async def peak() -> int:
+            async with connected(script) as connection:
+                assert await connection.send(OUTGOING) is None
+                await connection.receive_head()
+                tracemalloc.start()
+                body = await connection.receive_body(100_000)
+                assert body == b'ab' * 40_000
+                return tracemalloc.get_traced_memory()[1]
+
+        try:
+            assert trio.run(peak) < 1_000_000
+        finally:
+            tracemalloc.stop()
+
+    def test_other_tasks_run_while_small_chunks_are_read(self) -> None:
+        turns = 0
+
+        async def take_turns() -> None:
+            nonlocal turns
+            while True:
+                turns += 1
+                await trio.lowlevel.checkpoint()
+
+        async def check() -> None:
+            script = b'%b%b0\r\n\r\n' % (CHUNKED, b'1\r\nx\r\n' * 40_000)
+            async with connected(script) as connection:
+                assert await connection.send(OUTGOING) is None
+                await connection.receive_head()
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(take_turns)
+                    assert await connection.receive_body(40_000)
+                    nursery.cancel_scope.cancel()
+
+        trio.run(check)
+        assert turns > 400
