Bound what a caller may send in chunks and while its request is served

A caller's chunk header could hold the loop as an endpoint's could, a body in chunks of two bytes took 5.0 MB for 80 KB, the log quoted a whole line, and bytes sent while a request was served were kept without a limit. Of the new tests, five of TestEndlessBytes (three before their fix left a caller without an answer or took 64 MB) failed before and pass now; the header that is ended by a lone LF was answered 400 before too, after the slow match.

Callers' bytes go through the same parser as endpoints'. While a request is served, at most 64 KB of later ones are read; the rest waits in the network, so that a caller that sends without end is no longer seen to disconnect until its request has its answer. Closing instead would break off requests of callers that only pipeline many.

--- a/src/lentilspool/gateway/_connection.py
+++ b/src/lentilspool/gateway/_connection.py
@@ -116,7 +116,7 @@
             self._answer_complete
             and self._parser.http.our_state is h11.DONE
             and self._parser.http.their_state is h11.DONE
-            and not self._parser.has_rest
+            and not self._parser.rest_size
         )
 
     @property
--- a/src/lentilspool/gateway/_http_server.py
+++ b/src/lentilspool/gateway/_http_server.py
@@ -15,10 +15,14 @@
 import h11
 import trio
 
-from lentilspool.gateway import _events, _sockets
+from lentilspool.gateway import _events, _parser, _sockets
 
 _logger: Final = logging.getLogger(__name__)
 _RECEIVE_BYTES: Final = 65536
+# Of later requests, received while one is served.
+_MAX_PIPELINED_BYTES: Final = 65536
+# h11 quotes the bytes that it cannot parse.
+_MAX_LOGGED_CHARACTERS: Final = 200
 _SEND_TIMEOUT_S: Final = 10.0
 _CLOSE_TIMEOUT_S: Final = 0.5
 _LAST_REQUEST_WAIT_S: Final = 1.0
@@ -187,6 +191,7 @@
             h11.SERVER,
             max_incomplete_event_size=server.limits().max_header_bytes,
         )
+        self._parser = _parser.Parser(self._http)
         self._read_scope = trio.CancelScope()
         self.busy = False
         self.broken = False
@@ -259,8 +264,12 @@
         return self._http.their_state is h11.DONE and not self._server.stopping
 
     async def _cancel_on_disconnect(self, scope: trio.CancelScope) -> None:
-        """Cancel the handler of a request when its caller disconnects."""
-        while True:
+        """Cancel the handler of a request when its caller disconnects.
+
+        The end of a caller that sends too much meanwhile is not seen: its
+        bytes stay unread.
+        """
+        while self._parser.rest_size < _MAX_PIPELINED_BYTES:
             try:
                 received = await self._stream.receive_some(_RECEIVE_BYTES)
             except (trio.BrokenResourceError, trio.ClosedResourceError):
@@ -269,7 +278,7 @@
                 self.broken = True
                 scope.cancel()
                 return
-            self._http.receive_data(received)
+            self._parser.receive(received)
 
     async def _read_with_timeout(self) -> Request | _RequestError | None:
         limits = self._server.limits()
@@ -287,7 +296,7 @@
         return _RequestError(http.HTTPStatus.REQUEST_TIMEOUT)
 
     def _has_partial_head(self) -> bool:
-        return bool(self._http.trailing_data[0])
+        return bool(self._parser.rest_size)
 
     async def _read_request(
         self, limits: Limits
@@ -308,39 +317,39 @@
         return Request(head.method, head.target, list(head.headers), body)
 
     async def _read_body(self, limits: Limits) -> bytes | _RequestError | None:
-        chunks: list[bytes] = []
-        size = 0
+        # Many small chunks would need much more memory in a list.
+        body = bytearray()
         while True:
             event = await self._next_event(limits.idle_timeout_s)
             if isinstance(event, h11.EndOfMessage):
-                return b''.join(chunks)
+                return bytes(body)
             if not isinstance(event, h11.Data):
                 return event if isinstance(event, _RequestError) else None
-            size += len(event.data)
-            if size > limits.max_body_bytes:
+            body += event.data
+            if len(body) > limits.max_body_bytes:
                 return _RequestError(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
-            chunks.append(bytes(event.data))
 
     async def _next_event(
         self, limit_s: float
     ) -> h11.Event | _RequestError | None:
         """Return the next event; None if the caller has closed."""
-        event = self._parse_event()
+        event = await self._parse_event()
         while event is h11.NEED_DATA:
             received = await self._stream.receive_some(_RECEIVE_BYTES)
             if received and self._http.their_state is h11.IDLE:
                 self._start_head_timeout(limit_s)
-            self._http.receive_data(received)
-            event = self._parse_event()
+            self._parser.receive(received)
+            event = await self._parse_event()
         if isinstance(event, h11.ConnectionClosed):
             return None
         return event if isinstance(event, (h11.Event, _RequestError)) else None
 
-    def _parse_event(self) -> object:
+    async def _parse_event(self) -> object:
         try:
-            return self._http.next_event()
+            return await self._parser.next_event()
         except h11.RemoteProtocolError as error:
-            _events.CALLER_BROKEN.log(_logger, problem=str(error))
+            problem = str(error)[:_MAX_LOGGED_CHARACTERS]
+            _events.CALLER_BROKEN.log(_logger, problem=problem)
             return _RequestError(error.error_status_hint)
 
     def _start_head_timeout(self, limit_s: float) -> None:
--- a/src/lentilspool/gateway/_parser.py
+++ b/src/lentilspool/gateway/_parser.py
@@ -31,9 +31,9 @@
         return self.http.trailing_data[0] + bytes(self._received)
 
     @property
-    def has_rest(self) -> bool:
-        """Whether received bytes belong to no event so far."""
-        return bool(self._received or self.http.trailing_data[0])
+    def rest_size(self) -> int:
+        """Number of received bytes that belong to no event so far."""
+        return len(self.http.trailing_data[0]) + len(self._received)
 
     def receive(self, received: bytes) -> None:
         """Add received bytes; no bytes are the end of the connection."""
--- a/src/lentilspool/gateway/tests/test_http_server.py
+++ b/src/lentilspool/gateway/tests/test_http_server.py
@@ -1,5 +1,7 @@
 """Tests of the HTTP server, over loopback sockets."""
 
+import logging
+import tracemalloc
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -178,3 +180,64 @@
                     assert b'200' in await stream.receive_some(1000)
 
         trio.run(check)
+
+
+CHUNKED = b'POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n'
+WIDE_LIMITS = serving.CallLimits(16_384, 100_000, 5, 5)
+
+
+class TestEndlessBytes:
+    """A caller may send bytes without end."""
+
+    async def answer(self, request: bytes, limits: serving.CallLimits) -> bytes:
+        async with serving_harness() as harness:
+            harness.server.limits = lambda: limits
+            return await harness.exchange(request)
+
+    @pytest.mark.parametrize(
+        'rest', [b'2;%b', b'2;%b\n\r\nab\r\n', b'0\r\nX: %b']
+    )
+    def test_chunk_header_without_end_is_refused(self, rest: bytes) -> None:
+        request = CHUNKED + rest % (b' ' * 16_000)
+        answer = trio.run(self.answer, request, WIDE_LIMITS)
+        assert answer.split()[1] == b'400'
+
+    def test_problem_in_logs_is_short(
+        self, caplog: pytest.LogCaptureFixture
+    ) -> None:
+        request = b'GET /x HTTP/1.1\r\n%b\r\n\r\n' % (b'x' * 10_000)
+        with caplog.at_level(logging.INFO):
+            answer = trio.run(self.answer, request, WIDE_LIMITS)
+        assert answer.split()[1] == b'400'
+        sizes = [len(repr(one.__dict__)) for one in caplog.records]
+        assert sizes
+        assert max(sizes) < 3000
+
+    def test_small_chunks_need_no_more_memory_than_their_bytes(self) -> None:
+        request = b'%b%b0\r\n\r\n' % (CHUNKED, b'2\r\nab\r\n' * 40_000)
+
+        async def peak() -> int:
+            async with serving_harness() as harness:
+                harness.server.limits = lambda: WIDE_LIMITS
+                stream = await harness.open()
+                tracemalloc.start()
+                await stream.send_all(request)
+                assert b'200' in await stream.receive_some(1000)
+                assert harness.handler.bodies == [b'ab' * 40_000]
+                return tracemalloc.get_traced_memory()[1]
+
+        try:
+            assert trio.run(peak) < 1_000_000
+        finally:
+            tracemalloc.stop()
+
+    def test_bytes_after_a_request_wait_in_the_network(self) -> None:
+        async def check() -> bool:
+            async with serving_harness() as harness:
+                stream = await harness.open()
+                await stream.send_all(b'GET /hang HTTP/1.1\r\nHost: h\r\n\r\n')
+                with trio.move_on_after(1) as scope:
+                    await stream.send_all(bytes(64_000_000))
+                return scope.cancelled_caught
+
+        assert trio.run(check)
