End an attempt whose bytes bring no event and no answer

Callers of a stream waited until the route's timeout and got 504 when an endpoint sent an event without an end, events they already had, or a byte now and then: each received part restarted the time limit, and the size of an unfinished event had none.

The limit of a stream counts from its last new event. An unfinished event may have 1 MB, and an answer 50,000 chunks of any size, more only if they have 8 bytes on average. Each of these ends the attempt with an unknown outcome: it is resumed or repeated where the route allows, else answered 502 or aborted.

--- a/src/lentilspool/gateway/_connection.py
+++ b/src/lentilspool/gateway/_connection.py
@@ -22,6 +22,10 @@
 # ones, and late ones to earlier requests.
 _MAX_IGNORED_ANSWERS: Final = 16
 _MAX_IGNORED_BYTES: Final = 1_048_576
+# Chunks cost processor time whatever their size. An answer may have this many
+# of any size; more need this mean size, which every event exceeds.
+_MAX_SMALL_CHUNKS: Final = 50_000
+_MIN_MEAN_CHUNK_BYTES: Final = 8
 # h11 quotes the bytes that it cannot parse.
 _MAX_LOGGED_CHARACTERS: Final = 200
 _SUCCESS_STATUSES: Final = range(
@@ -95,6 +99,23 @@
         return None
 
 
+class _ChunkSizes:
+    """Bounds the number of chunks of an answer by its size."""
+
+    def __init__(self) -> None:
+        self._chunks = 0
+        self._body_bytes = 0
+
+    def add(self, size: int) -> ExchangeFailure | None:
+        """Count a chunk; return a failure if there are too many."""
+        self._chunks += 1
+        self._body_bytes += size
+        excess = self._chunks - _MAX_SMALL_CHUNKS
+        if excess * _MIN_MEAN_CHUNK_BYTES > self._body_bytes:
+            return ExchangeFailure('too many small chunks', sent=True)
+        return None
+
+
 class Connection:
     """An open connection that carries one request at a time."""
 
@@ -104,6 +125,7 @@
         self._outgoing: Outgoing | None = None
         self._sent = False
         self._answer_complete = False
+        self._chunk_sizes = _ChunkSizes()
         # When the request was sent or the last bytes arrived.
         self.last_active_at = _clock.now()
         self.idle_since = _clock.now()
@@ -164,6 +186,7 @@
         Answers to other requests are skipped.
         """
         ignored = _IgnoredAnswers()
+        self._chunk_sizes = _ChunkSizes()
         while True:
             event = await self._next_final_head(ignored)
             if isinstance(event, ExchangeFailure):
@@ -180,7 +203,8 @@
         """Return the next part of the body."""
         event = await self._next_event()
         if isinstance(event, h11.Data):
-            return Chunk(bytes(event.data))
+            failure = self._chunk_sizes.add(len(event.data))
+            return failure or Chunk(bytes(event.data))
         if isinstance(event, h11.EndOfMessage):
             self._answer_complete = True
             self.idle_since = _clock.now()
--- a/src/lentilspool/gateway/_event_stream.py
+++ b/src/lentilspool/gateway/_event_stream.py
@@ -6,6 +6,7 @@
 _EVENT_END: Final = re.compile(rb'\n\r?\n')
 # An end that began in the last two bytes may be completed by the next ones.
 _END_OVERLAP: Final = 2
+_MAX_EVENT_BYTES: Final = 1_048_576
 # Python refuses to convert very long numbers.
 _EVENT_ID: Final = re.compile(rb'(?:^|\n)id:\s*(\d{1,18})(?!\d)')
 
@@ -21,6 +22,11 @@
         """Bytes received of an event that is still incomplete."""
         return bytes(self._incomplete)
 
+    @property
+    def is_oversized(self) -> bool:
+        """Whether the incomplete event is larger than any event may be."""
+        return len(self._incomplete) > _MAX_EVENT_BYTES
+
     def feed(self, content: bytes) -> list[bytes]:
         """Add received bytes; return the events that they complete.
 
--- a/src/lentilspool/gateway/_streams.py
+++ b/src/lentilspool/gateway/_streams.py
@@ -33,6 +33,8 @@
             in_flight.call.last_event
         )
         self._plan: _planning.Plan | None = None
+        # When the attempt began or its last new event was sent on.
+        self._progress_at = 0.0
 
     async def serve(self) -> None:
         """Plan and send the request until it has its final answer."""
@@ -143,6 +145,7 @@
         """Forward the answer; return its head if it is complete."""
         if isinstance(connection, _connection.ExchangeFailure):
             return connection
+        self._progress_at = _clock.now()
         head = await self._receive_in_time(connection.receive_head)
         if isinstance(head, _connection.ExchangeFailure) or head.not_run:
             return head
@@ -168,6 +171,7 @@
         head: serving.AnswerHead,
         plan: _planning.Plan,
     ) -> serving.AnswerHead | _connection.ExchangeFailure:
+        self._progress_at = _clock.now()
         splitter = _event_stream.EventSplitter()
         part = await self._receive_in_time(connection.receive_chunk)
         while isinstance(part, _connection.Chunk):
@@ -175,6 +179,9 @@
             if events:
                 plan.report_event('started')
                 await self._write(head, events)
+                self._progress_at = _clock.now()
+            if splitter.is_oversized:
+                return _connection.ExchangeFailure('event too large', sent=True)
             part = await self._receive_in_time(connection.receive_chunk)
         if isinstance(part, _connection.ExchangeFailure):
             return part
@@ -205,13 +212,18 @@
         self,
         receive: Callable[[], Awaitable[_Part | _connection.ExchangeFailure]],
     ) -> _Part | _connection.ExchangeFailure:
-        """Receive the next part, with a time limit if the stream can resume."""
+        """Receive the next part, with a time limit if the stream can resume.
+
+        The limit counts from the last event, because other bytes may come
+        without end.
+        """
         in_flight = self._in_flight
         if not in_flight.route.resumable:
             return await receive()
         limit_s = in_flight.context.gateway_settings.send.silent_s
         limit_s = max(limit_s, in_flight.route.target_s)
-        with trio.move_on_after(limit_s):
+        limit_s += self._progress_at - _clock.now()
+        with trio.move_on_after(max(limit_s, 0)):
             return await receive()
         return _connection.ExchangeFailure('silent', sent=True)
 
--- a/src/lentilspool/gateway/tests/test_event_stream.py
+++ b/src/lentilspool/gateway/tests/test_event_stream.py
@@ -75,6 +75,13 @@
             assert not splitter.feed(b'x' * size)
         assert counting.scanned <= 4 * 100_000
 
+    def test_event_without_end_is_oversized(self) -> None:
+        splitter = _event_stream.EventSplitter()
+        splitter.feed(b'%b%b' % (b'\n\n' * 600_000, b'x' * 1_000_000))
+        assert not splitter.is_oversized
+        splitter.feed(b'x' * 100_000)
+        assert splitter.is_oversized
+
     def test_incomplete_event_is_not_returned(self) -> None:
         splitter = _event_stream.EventSplitter()
         assert splitter.feed(b'%bid: 2\nda' % EVENTS[0]) == [EVENTS[0]]
