Give up a listing of the store that has no end

A gateway that reads a listing whose pages repeat, or go on for ever, keeps the items of all pages and never begins to watch.

Keys must rise from page to page, and a listing may take 32 MB of memory, counted with 512 bytes for each item; else the read has failed like one without an answer: it is logged and repeated. The size of a page was bounded before.

--- a/src/lentilspool/gateway/_store.py
+++ b/src/lentilspool/gateway/_store.py
@@ -18,6 +18,9 @@
 _OK: Final = 200
 _GONE: Final = 410
 _MAX_ANSWER_BYTES: Final = 16_777_216
+_MAX_LISTED_BYTES: Final = 33_554_432
+# Memory that an item takes beside its key and content.
+_ITEM_BYTES: Final = 512
 _CONNECT_TIMEOUT_S: Final = 0.5
 _WATCH_MARGIN_S: Final = 1.0
 
@@ -123,10 +126,25 @@
             items.extend(page.items)
             if not page.more or not page.items:
                 break
+            if self._is_endless(items, after):
+                return False
             after = page.items[-1].key
         self._apply_listing(items, position)
         return True
 
+    def _is_endless(self, items: list[platform.Item], after: str) -> bool:
+        """Whether pages repeat keys, or hold more than any store does."""
+        size = sum(
+            _ITEM_BYTES + len(item.key) + len(item.payload or b'')
+            for item in items
+        )
+        endless = items[-1].key <= after or size > _MAX_LISTED_BYTES
+        if endless:
+            _events.STORE_LOST.log(
+                _logger, prefix=self._prefix, problem='a listing without end'
+            )
+        return endless
+
     def _apply_listing(
         self, items: list[platform.Item], position: serving.Position
     ) -> None:
--- a/src/lentilspool/gateway/tests/test_store.py
+++ b/src/lentilspool/gateway/tests/test_store.py
@@ -225,3 +225,58 @@
             return published.version
 
         return trio.run(run)
+
+
+class EndlessStore:
+    """Store whose listing always has another page."""
+
+    def __init__(self, payload: bytes, *, advances: bool) -> None:
+        self._payload = base64.b64encode(payload).decode()
+        self._advances = advances
+        self.pages = 0
+        self.restarted = trio.Event()
+
+    async def serve(
+        self, request: _http_server.Request, reply: _http_server.Reply
+    ) -> None:
+        if self.pages and b'after=' not in request.target:
+            self.restarted.set()
+        self.pages += 1
+        number = self.pages if self._advances else 1
+        item = {'key': f'servers/e{number:09}', 'value': self._payload}
+        body = msgspec.json.encode(
+            {'current_rev': 1, 'items': [item], 'has_more': True}
+        )
+        length = str(len(body)).encode()
+        await reply.write_complete(200, [(b'content-length', length)], body)
+
+
+class TestEndlessListing:
+    @pytest.mark.parametrize(
+        ('payload', 'advances', 'most_pages'),
+        [(b'x', False, 2), (b'x' * 1_000_000, True, 40)],
+    )
+    def test_listing_without_end_is_given_up(
+        self, payload: bytes, advances: bool, most_pages: int
+    ) -> None:
+        async def check() -> int:
+            store = EndlessStore(payload, advances=advances)
+            server = _http_server.Server(
+                '127.0.0.1:0', store.serve, lambda: LIMITS
+            )
+            with trio.fail_after(5):
+                async with trio.open_nursery() as nursery:
+                    await nursery.start(server.serve)
+                    reader = _store.StoreReader(
+                        platform.ENDPOINT_PREFIX,
+                        settings.StoreSettings(
+                            f'127.0.0.1:{server.port}', retry_s=0.01
+                        ),
+                        _published.PublishedState(),
+                    )
+                    nursery.start_soon(reader.serve)
+                    await store.restarted.wait()
+                    nursery.cancel_scope.cancel()
+            return store.pages
+
+        assert trio.run(check) <= most_pages + 1
