Bound bodies, lines and times of answers on the older entry path

The HTTP client of the sidecars and entries read bodies without a limit, kept an unfinished line of a completion and copied it at each read, and ended with an exception on an event that is not a JSON object or is nested too deeply. The time limit of a resource covered each read, not all of them.

A body has at most 8 MB, lines are searched once, a resource must be complete within three times its limit, and other tasks get a turn after each part. Calls were bounded by their deadline before. An unreadable event fails the call without counting as a crash. Not changed: httpcore's own h11, whose match of a long chunk header still costs the square of its length.

--- a/src/lentilspool/dialects/_engine.py
+++ b/src/lentilspool/dialects/_engine.py
@@ -15,6 +15,7 @@
 _COMPLETIONS_PATH: Final = '/v1/completions'
 _ORDER_TIMEOUT_S: Final = 30
 _READ_TIMEOUT_S: Final = 2
+_MAX_REASON_BYTES: Final = 200
 
 
 @kernel.registry.register(kernel.PluginKind.endpoint_dialect, 'engine')
@@ -98,12 +99,12 @@
     fencing: orders.FencingNumber, status: int, body: bytes
 ) -> orders.EngineAnswer:
     if status >= _http.BAD_REQUEST:
-        text = body.decode(errors='replace')
+        text = body[:_MAX_REASON_BYTES].decode(errors='replace')
         return orders.NotApplied(fencing, f'status {status}: {text}')
     try:
         plain = json.loads(body)
         latest = _fencing_number(plain.get('fence'))
-    except (AttributeError, TypeError, ValueError) as error:
+    except (AttributeError, RecursionError, TypeError, ValueError) as error:
         return orders.NotApplied(fencing, _http.describe(error))
     if 'refused' in plain and latest is not None:
         return orders.RefusedOld(fencing, latest)
@@ -140,19 +141,36 @@
     response: httpcore.Response, emit: _types.Emit
 ) -> _types.EndpointAnswer:
     if response.status >= _http.BAD_REQUEST:
-        failure = _http.classify_status(response.status, await response.aread())
+        failure = _http.classify_status(
+            response.status, await _http.read_body(response)
+        )
         return failure or _types.EndpointFailed('unexpected status')
     completion = _Completion()
-    buffer = b''
+    limit = _http.BodyLimit()
+    line = bytearray()
     async for received in response.aiter_stream():
-        *lines, buffer = (buffer + received).split(b'\n')
-        for line in lines:
-            text = completion.add(line)
-            if text:
-                await emit(text)
+        await limit.add(received)
+        # Only new bytes are searched: a line may have no end.
+        first, *others = received.split(b'\n')
+        line.extend(first)
+        for other in others:
+            if line:
+                await _emit_line(completion, line, emit)
+            line = bytearray(other)
     return completion.answer()
 
 
+async def _emit_line(
+    completion: '_Completion', line: bytearray, emit: _types.Emit
+) -> None:
+    try:
+        text = completion.add(bytes(line))
+    except (AttributeError, RecursionError, ValueError) as error:
+        raise httpcore.ProtocolError(f'unreadable event: {error}') from error
+    if text:
+        await emit(text)
+
+
 class _Completion:
     """Assembles the answer from the events of one streamed completion."""
 
--- a/src/lentilspool/dialects/_http.py
+++ b/src/lentilspool/dialects/_http.py
@@ -7,6 +7,7 @@
 from typing import Any, Final
 
 import httpcore
+import trio
 
 from lentilspool.dialects import _types
 
@@ -16,6 +17,9 @@
 _NOT_MODIFIED: Final = 304
 _KEEPALIVE_EXPIRY_S: Final = 30
 _MAX_REASON_BYTES: Final = 200
+_MAX_ANSWER_BYTES: Final = 8_388_608
+# The time limit of a resource covers each read; all of them may take longer.
+_RESOURCE_TIME_FACTOR: Final = 3
 BAD_REQUEST: Final = 400
 _SERVER_ERROR: Final = 500
 
@@ -36,6 +40,27 @@
 )
 
 
+class OversizedAnswerError(httpcore.ProtocolError):
+    """An answer is larger than any answer may be."""
+
+
+class BodyLimit:
+    """Bounds the size of a body, and the time that its parts take at once."""
+
+    def __init__(self) -> None:
+        self._size = 0
+
+    async def add(self, part: bytes) -> None:
+        """Count a part; raise ``OversizedAnswerError`` above the limit."""
+        self._size += len(part)
+        if self._size > _MAX_ANSWER_BYTES:
+            raise OversizedAnswerError(
+                f'answer larger than {_MAX_ANSWER_BYTES} bytes'
+            )
+        # httpcore returns parts that it holds without giving others a turn.
+        await trio.lowlevel.checkpoint()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _CachedResource:
     """The last resource received with an entity tag."""
@@ -68,7 +93,7 @@
         """Send a call and return the response's status and body, or its error."""
         try:
             async with self.stream(path, call) as response:
-                return response.status, await response.aread()
+                return response.status, await read_body(response)
         except NOT_SENT_ERRORS as error:
             return _types.Refused(describe(error), unreachable=True)
         except CONNECTION_LOST_ERRORS as error:
@@ -85,20 +110,26 @@
         cached = self._cached
         known = bool(cached.tag) and cached.path == path
         headers = [('if-none-match', cached.tag)] if known else []
-        try:
-            response = await self._pool.request(
-                'GET',
-                f'{self._base_url}{path}',
-                headers=headers,
-                extensions={'timeout': _timeouts(timeout_s)},
-            )
-        except _READ_ERRORS:
+        body = b''
+        response: httpcore.Response | None = None
+        with trio.move_on_after(timeout_s * _RESOURCE_TIME_FACTOR) as scope:
+            try:
+                async with self._pool.stream(
+                    'GET',
+                    f'{self._base_url}{path}',
+                    headers=headers,
+                    extensions={'timeout': _timeouts(timeout_s)},
+                ) as response:
+                    body = await read_body(response)
+            except _READ_ERRORS:
+                return None
+        if response is None or scope.cancelled_caught:
             return None
         if response.status == _NOT_MODIFIED:
             return cached.plain
         if response.status != _OK:
             return None
-        return self._parse(path, response)
+        return self._parse(path, response, body)
 
     @asynccontextmanager
     async def stream(
@@ -124,10 +155,12 @@
         """Close every connection."""
         await self._pool.aclose()
 
-    def _parse(self, path: str, response: httpcore.Response) -> Any | None:
+    def _parse(
+        self, path: str, response: httpcore.Response, body: bytes
+    ) -> Any | None:
         try:
-            plain = json.loads(response.content)
-        except ValueError:
+            plain = json.loads(body)
+        except (RecursionError, ValueError):
             return None
         for name, text in response.headers:
             if name.lower() == b'etag':
@@ -137,6 +170,16 @@
         return plain
 
 
+async def read_body(response: httpcore.Response) -> bytes:
+    """Return a whole body; raise ``OversizedAnswerError`` above the limit."""
+    limit = BodyLimit()
+    body = bytearray()
+    async for part in response.aiter_stream():
+        await limit.add(part)
+        body.extend(part)
+    return bytes(body)
+
+
 def classify_status(
     status: int, body: bytes
 ) -> _types.Refused | _types.EndpointFailed | None:
@@ -172,4 +215,4 @@
 
 def describe(error: Exception) -> str:
     """Return an error's type and text for a log or an outcome."""
-    return f'{type(error).__name__}: {error}'
+    return f'{type(error).__name__}: {error}'[:_MAX_REASON_BYTES]
