--- a/src/lentilspool/wire/_stream.py
+++ b/src/lentilspool/wire/_stream.py
@@ -13,6 +13,7 @@
 _LENGTH_PREFIX: Final = struct.Struct('>I')
 _RECEIVE_CHUNK_BYTES: Final = 65536
 _SEND_TIMEOUT_S: Final = 5.0
+_MESSAGES_PER_TURN: Final = 64
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -36,6 +37,7 @@
         self._stream = stream
         self._max_frame_bytes = max_frame_bytes
         self._buffer = bytearray()
+        self._received = 0
         self._send_lock = trio.Lock()
         self._broken = False
         self._last_received_at = -math.inf
@@ -73,6 +75,10 @@
 
     async def receive(self) -> _codec.Message | _codec.Malformed | Closed:
         """Return the next message, ``Malformed``, or ``Closed`` at the end."""
+        self._received += 1
+        if not self._received % _MESSAGES_PER_TURN:
+            # One read may bring thousands of small frames.
+            await trio.lowlevel.checkpoint()
         if not await self._fill(_LENGTH_PREFIX.size):
             return Closed('end of stream')
         length = int.from_bytes(self._buffer[: _LENGTH_PREFIX.size])
--- a/src/lentilspool/wire/tests/test_stream.py
+++ b/src/lentilspool/wire/tests/test_stream.py
@@ -6,6 +6,7 @@
 from trio import testing
 
 from lentilspool import wire
+from lentilspool.wire import _codec as codec
 
 LIMIT = 1_000_000
 FIRST = wire.StageChunk(call_id=1, sequence=0, text='a' * 1000)
@@ -63,6 +64,29 @@
 
         run(main)
 
+    def test_other_tasks_run_while_frames_are_read(self) -> None:
+        payload = codec.encode(SECOND)
+        frame = len(payload).to_bytes(4) + payload
+        turns = 0
+
+        async def take_turns() -> None:
+            nonlocal turns
+            while True:
+                turns += 1
+                await trio.lowlevel.checkpoint()
+
+        async def main() -> None:
+            reader = wire.MessageStream(_ReplayStream(frame * 2000), LIMIT)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(take_turns)
+                message = await reader.receive()
+                while message == SECOND:
+                    message = await reader.receive()
+                nursery.cancel_scope.cancel()
+
+        run(main)
+        assert turns >= 20
+
 
 class _ReplayStream(trio.abc.Stream):
     """Stream that returns recorded bytes once, then ends."""
