--- a/src/lentilspool/gateway/tests/test_endless_bytes.py
+++ b/src/lentilspool/gateway/tests/test_endless_bytes.py
@@ -1,8 +1,11 @@
 """Tests of requests at an endpoint that sends bytes without end."""
 
+import logging
+
 import pytest
 import trio
 
+from lentilspool.gateway import _events
 from lentilspool.gateway.tests import application
 
 OK = b'HTTP/1.1 200 OK\r\nRequest-Id: ID\r\n'
@@ -70,11 +73,24 @@
         ],
     )
     def test_request_gets_its_answer(
-        self, script: tuple[bytes, bytes], path: str, status: bytes
+        self,
+        script: tuple[bytes, bytes],
+        path: str,
+        status: bytes,
+        caplog: pytest.LogCaptureFixture,
     ) -> None:
-        answer, other = trio.run(self.answers, script, path, 0)
+        with caplog.at_level(logging.INFO):
+            answer, other = trio.run(self.answers, script, path, 0)
         assert answer.split()[1] == status
         assert other.endswith(b'ok')
+        attempts = [
+            record.__dict__['fields']
+            for record in caplog.records
+            if record.__dict__.get('event') == _events.ATTEMPT_ENDED.number
+        ]
+        failed = [one for one in attempts if one['endpoint'] == 'a-scripted']
+        assert [one['end'] for one in failed] == ['unknown']
+        assert 0 < len(failed[0]['detail']) < 500
 
     @pytest.mark.parametrize(
         'script',
