Let the soak send bytes without end

A hurt way to an endpoint or to the store may cut the next answer in half and go on with bytes that are no answer until the gateway closes.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -20,6 +20,7 @@
     _proxy.Mode.reset,
     _proxy.Mode.silent,
     _proxy.Mode.one_way,
+    _proxy.Mode.endless,
 )
 _DRAIN_S: Final = 4.0
 _MOST_ROUTES: Final = 60
--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -9,6 +9,8 @@
 
 _BYTES: Final = 65536
 _DELAY_S: Final = 0.15
+_GARBAGE: Final = b'garbage ' * 1024
+_GARBAGE_PAUSE_S: Final = 0.005
 # Sends a reset instead of an end of the stream when the socket closes.
 _RESET: Final = struct.pack('ii', 1, 0)
 
@@ -21,6 +23,7 @@
     reset = 'reset'
     silent = 'silent'
     one_way = 'one_way'
+    endless = 'endless'
 
 
 class Proxy:
@@ -81,6 +84,8 @@
     ) -> None:
         try:
             async for chunk in source:
+                if self._mode is Mode.endless and not forward:
+                    await self._garble(chunk, sink)
                 if self._mode is Mode.delayed:
                     await trio.sleep(_DELAY_S)
                 dropped = self._mode is Mode.silent or (
@@ -93,6 +98,15 @@
             return
         scope.cancel()
 
+    async def _garble(
+        self, chunk: bytes | bytearray, sink: trio.SocketStream
+    ) -> None:
+        """Cut an answer in its head, body or event; go on without end."""
+        await sink.send_all(chunk[: len(chunk) // 2])
+        while True:
+            await sink.send_all(_GARBAGE)
+            await trio.sleep(_GARBAGE_PAUSE_S)
+
     def _reset(self, stream: trio.SocketStream) -> None:
         stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
         stream.socket.close()
