--- a/src/lentilspool/dialects/_engine.py
+++ b/src/lentilspool/dialects/_engine.py
@@ -16,6 +16,12 @@
 _ORDER_TIMEOUT_S: Final = 30
 _READ_TIMEOUT_S: Final = 2
 _MAX_REASON_BYTES: Final = 200
+_UNREADABLE_ERRORS: Final = (
+    AttributeError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
 
 
 @kernel.registry.register(kernel.PluginKind.endpoint_dialect, 'engine')
@@ -104,7 +110,7 @@
     try:
         plain = json.loads(body)
         latest = _fencing_number(plain.get('fence'))
-    except (AttributeError, RecursionError, TypeError, ValueError) as error:
+    except _UNREADABLE_ERRORS as error:
         return orders.NotApplied(fencing, _http.describe(error))
     if 'refused' in plain and latest is not None:
         return orders.RefusedOld(fencing, latest)
@@ -165,7 +171,7 @@
 ) -> None:
     try:
         text = completion.add(bytes(line))
-    except (AttributeError, RecursionError, ValueError) as error:
+    except _UNREADABLE_ERRORS as error:
         raise httpcore.ProtocolError(f'unreadable event: {error}') from error
     if text:
         await emit(text)
--- a/src/lentilspool/dialects/_http.py
+++ b/src/lentilspool/dialects/_http.py
@@ -110,21 +110,10 @@
         cached = self._cached
         known = bool(cached.tag) and cached.path == path
         headers = [('if-none-match', cached.tag)] if known else []
-        body = b''
-        response: httpcore.Response | None = None
-        with trio.move_on_after(timeout_s * _RESOURCE_TIME_FACTOR) as scope:
-            try:
-                async with self._pool.stream(
-                    'GET',
-                    f'{self._base_url}{path}',
-                    headers=headers,
-                    extensions={'timeout': _timeouts(timeout_s)},
-                ) as response:
-                    body = await read_body(response)
-            except _READ_ERRORS:
-                return None
-        if response is None or scope.cancelled_caught:
+        received = await self._get(path, headers, timeout_s)
+        if received is None:
             return None
+        response, body = received
         if response.status == _NOT_MODIFIED:
             return cached.plain
         if response.status != _OK:
@@ -155,6 +144,23 @@
         """Close every connection."""
         await self._pool.aclose()
 
+    async def _get(
+        self, path: str, headers: list[tuple[str, str]], timeout_s: float
+    ) -> tuple[httpcore.Response, bytes] | None:
+        """Return a response and its whole body; None if it has none in time."""
+        with trio.move_on_after(timeout_s * _RESOURCE_TIME_FACTOR):
+            try:
+                async with self._pool.stream(
+                    'GET',
+                    f'{self._base_url}{path}',
+                    headers=headers,
+                    extensions={'timeout': _timeouts(timeout_s)},
+                ) as response:
+                    return response, await read_body(response)
+            except _READ_ERRORS:
+                return None
+        return None
+
     def _parse(
         self, path: str, response: httpcore.Response, body: bytes
     ) -> Any | None:
--- a/src/lentilspool/gateway/tests/test_connection.py
+++ b/src/lentilspool/gateway/tests/test_connection.py
@@ -30,7 +30,11 @@
     received = b''
     while b'body' not in received:
         received += await stream.receive_some(65536)
-    await stream.send_all(script)
+    try:
+        await stream.send_all(script)
+    except trio.BrokenResourceError:
+        # The client has closed before the end of the script.
+        return
     if finish == 'keep':
         await trio.sleep_forever()
     if finish == 'reset':
