--- a/src/lentilspool/gateway/_streams.py
+++ b/src/lentilspool/gateway/_streams.py
@@ -207,6 +207,7 @@
         """Forward the answer; return its head if it is complete."""
         if isinstance(connection, _connection.ExchangeFailure):
             return connection
+        self._watch.record_progress()
         head = await self._watch.receive(connection.receive_head)
         if isinstance(head, _connection.ExchangeFailure) or head.not_run:
             return head
@@ -232,6 +233,7 @@
         head: serving.AnswerHead,
         plan: _planning.Plan,
     ) -> serving.AnswerHead | _connection.ExchangeFailure:
+        self._watch.record_progress()
         splitter = _event_stream.EventSplitter()
         part = await self._watch.receive(connection.receive_chunk)
         while isinstance(part, _connection.Chunk):
@@ -240,6 +242,11 @@
                 plan.report_event('started')
                 self._origin.record_event()
                 await self._write(head, events)
+                self._watch.record_progress()
+            if splitter.is_oversized:
+                return _connection.ExchangeFailure('event too large', sent=True)
+            if self._in_flight.route.resumable and self._watch.is_overdue:
+                return _connection.ExchangeFailure('no event', sent=True)
             part = await self._watch.receive(connection.receive_chunk)
         if isinstance(part, _connection.ExchangeFailure):
             return part
--- a/src/lentilspool/gateway/tests/test_stop.py
+++ b/src/lentilspool/gateway/tests/test_stop.py
@@ -55,7 +55,7 @@
         async def check() -> None:
             stop = _stop.PlannedStop(STOP)
             scope = trio.move_on_after(0.3)
-            with stop.shortening(scope), scope:
+            with scope, stop.shortening(scope):
                 deadline = scope.deadline
                 stop.begin()
                 assert scope.deadline == deadline
