--- a/src/lentilspool/wire/_plans.py
+++ b/src/lentilspool/wire/_plans.py
@@ -27,13 +27,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlanNote:
-    """Notifies the planner of the progress of a planned request."""
+    """Notifies the planner of the progress of a planned request.
+
+    With call 0 it is a note about streams, in either direction.
+    """
 
     call_id: int
-    """Number of the plan of the request."""
+    """Number of the plan of the request; 0 for a note about streams."""
 
     event: str
-    """One of ``started``, ``ended``, ``failed`` and ``cancelled``."""
+    """One of ``started``, ``ended``, ``failed`` and ``cancelled``.
+
+    A note about streams is JSON.
+    """
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/lentilspool/wire/lentilspool.thrift
+++ b/src/lentilspool/wire/lentilspool.thrift
@@ -194,7 +194,8 @@
   2: required binary answer
 }
 
-// event: started, ended, failed, cancelled
+// event: started, ended, failed, cancelled; with call_id 0 a note about
+// streams, as JSON
 struct PlanNote {
   1: required i64 call_id
   2: required string event
