Take the version of an endpoint when the attempt starts

Its entry may be gone when its first event comes; with a planner of an older release, which states no version, the stream then counted as one without.

--- a/src/lentilspool/gateway/_stream_origin.py
+++ b/src/lentilspool/gateway/_stream_origin.py
@@ -15,8 +15,8 @@
 class StreamOrigin:
     """Version and service of the endpoint that began a request's stream.
 
-    ``find`` it first. Then call ``start_attempt`` before each attempt, ``record_event`` when the caller
-    gets events.
+    ``find`` it first. Then call ``start_attempt`` before each attempt, and
+    ``record_event`` when the caller gets events.
     """
 
     def __init__(self, in_flight: _in_flight.InFlightRequest) -> None:
@@ -28,7 +28,7 @@
         self._version: str | None = None
         self._service = ''
         self._recorded = False
-        self._endpoint: serving.Endpoint | None = None
+        self._attempt: serving.StreamVersion | None = None
 
     @property
     def version(self) -> str | None:
@@ -73,19 +73,20 @@
 
     def start_attempt(self, endpoint: serving.Endpoint) -> None:
         """Record that an endpoint is to run the request."""
-        self._endpoint = endpoint
+        self._attempt = serving.StreamVersion(
+            endpoint.service, self._version_of(endpoint)
+        )
 
     def record_event(self) -> None:
         """Record that the caller gets events of that endpoint."""
-        if self._recorded or self._endpoint is None:
+        begun = self._attempt
+        if self._recorded or begun is None:
             return
         self._recorded = True
-        self._version = self._version_of(self._endpoint)
-        self._service = self._endpoint.service
+        self._version = begun.version
+        self._service = begun.service
         if self._key and self._in_flight.route.resumable:
-            self._in_flight.context.streams.record(
-                self._key, serving.StreamVersion(self._service, self._version)
-            )
+            self._in_flight.context.streams.record(self._key, begun)
 
     def _version_of(self, endpoint: serving.Endpoint) -> str:
         # A planner of an older release does not state the version.
