--- a/src/lentilspool/gateway/_peers.py
+++ b/src/lentilspool/gateway/_peers.py
@@ -325,6 +325,7 @@
             if self._stream is None:
                 self._stream = stream
                 _events.PEER_BACK.log(_logger, peer=self.address)
+                self._cluster.streams.greet(self)
             if not self._try_handle(message):
                 break
             message = await stream.receive()
--- a/src/lentilspool/gateway/_stream_records.py
+++ b/src/lentilspool/gateway/_stream_records.py
@@ -4,6 +4,7 @@
 it to the version that began it.
 """
 
+import collections
 import dataclasses
 import logging
 from collections.abc import Callable, Iterable, Sequence
@@ -108,6 +109,10 @@
         self._streams = serving.StreamVersions()
         self._links: Callable[[], Sequence[Link]] = tuple
         self._unsent: list[tuple[str, str, str]] = []
+        # Time and record of the streams that were begun here last.
+        self._latest: collections.deque[tuple[float, tuple[str, str, str]]] = (
+            collections.deque(maxlen=_MAX_RECORDS_PER_NOTE)
+        )
         self._changed = trio.Event()
         self._questions: dict[int, _Question] = {}
         self._last_number = 0
@@ -122,9 +127,18 @@
     def record(self, key: str, begun: serving.StreamVersion) -> None:
         """Record where a stream was begun, here and at linked gateways."""
         self._keep(key, begun)
-        self._unsent.append((key, begun.service, begun.version))
+        sent = (key, begun.service, begun.version)
+        self._unsent.append(sent)
+        self._latest.append((_clock.now(), sent))
         self._changed.set()
 
+    def greet(self, link: Link) -> None:
+        """Send the latest streams to a gateway that may have just started."""
+        since = _clock.now() - self._keep_s
+        streams = [sent for at, sent in self._latest if at >= since]
+        if streams:
+            link.send_note(_encode(_Begun(streams)))
+
     async def share(self, links: Callable[[], Sequence[Link]]) -> None:
         """Send records to the first of the connections, until cancelled."""
         self._links = links
@@ -179,9 +193,12 @@
                 if question:
                     question.add(note)
 
+    @property
+    def _keep_s(self) -> float:
+        return _KEEP_FACTOR * self._longest_s + _SPARE_S
+
     def _keep(self, key: str, begun: serving.StreamVersion) -> None:
-        keep_s = _KEEP_FACTOR * self._longest_s + _SPARE_S
-        self._streams.record(key, begun, keep_s, _clock.now())
+        self._streams.record(key, begun, self._keep_s, _clock.now())
 
     async def _ask(self, key: str, services: list[str]) -> list[_Answered]:
         links = self._links()
--- a/src/lentilspool/gateway/tests/test_stream_records.py
+++ b/src/lentilspool/gateway/tests/test_stream_records.py
@@ -210,6 +210,19 @@
         assert sum(counts) == 1200
         assert len(counts) == 3
 
+    def test_new_connection_gets_the_latest_streams_in_one_note(self) -> None:
+        node = Node(published('v1.2'))
+        silent = SilentLink()
+        node.records.greet(silent)
+        assert not silent.notes
+        for number in range(1200):
+            node.records.record(f's{number}', BEGUN)
+        node.records.greet(silent)
+        (note,) = silent.notes
+        streams = json.loads(note)['streams']
+        assert len(streams) == 500
+        assert streams[-1] == ['s1199', 'model', 'v1.2']
+
 
 class TestHandle:
     @pytest.mark.parametrize(
--- a/src/lentilspool/gateway/tests/test_stream_versions.py
+++ b/src/lentilspool/gateway/tests/test_stream_versions.py
@@ -125,6 +125,22 @@
 
         run(check)
 
+    def test_gateway_that_starts_later_learns_of_streams(self) -> None:
+        async def check(fleet: stream_fleet.Fleet) -> None:
+            first, other, second = engines('v1.2', 'v1.1', 'v1.2')
+            await fleet.start(2, first, other, second)
+            begun_at, spare = fleet.nodes
+            await stream_fleet.Caller('r1').read(begun_at, stop_after=BEGUN)
+            late = await fleet.add_node('late')
+            fleet.kill(begun_at)
+            fleet.kill(spare)
+            first.scope.cancel()
+            caller = stream_fleet.Caller('r2')
+            await caller.read(late, resumes='r1', last_event=BEGUN)
+            assert caller.versions == {'v1.2'}
+
+        run(check)
+
     def test_third_try_names_the_first(self) -> None:
         async def check(fleet: stream_fleet.Fleet) -> None:
             first, other, second = engines('v1.2', 'v1.1', 'v1.2')
