--- a/soak/_endpoints.py
+++ b/soak/_endpoints.py
@@ -31,6 +31,9 @@
         self.service = service
         self.born_ms = number
         self.ready = True
+        # Whether it rejects everything, as if it were full.
+        self.rejects = False
+        self.work_s = _WORK_S
         self._sequence = 0
         self._findings = findings
         self._ended = ended
@@ -73,9 +76,13 @@
         self, request: _http_server.Request, reply: _http_server.Reply
     ) -> None:
         sent = stand_ins.decode_endpoint_request(request.headers)
-        if sent.endpoint and sent.endpoint != self.name:
+        for unit in _units(request, sent.request_id):
+            self._findings.received(self.service, unit)
+        misdirected = sent.endpoint and sent.endpoint != self.name
+        if misdirected or self.rejects:
             headers = stand_ins.rejection_headers(sent.request_id)
-            await reply.write_complete(421, headers, b'')
+            status = 421 if misdirected else 503
+            await reply.write_complete(status, headers, b'')
         elif stand_ins.is_stage_run(request.target):
             await self._run_pieces(request.body, reply)
         elif stand_ins.is_stage_free(request.target):
@@ -96,7 +103,7 @@
             await self._crash()
         headers = stand_ins.answer_headers(sent.request_id, self.name)
         if sent.results is None:
-            await trio.sleep(_WORK_S)
+            await trio.sleep(self.work_s)
             body = _findings.body_of(sent.request_id)
             await self._whole(reply, headers, body)
             return
@@ -119,7 +126,7 @@
         ]
         if harmful:
             await self._crash()
-        await trio.sleep(_WORK_S)
+        await trio.sleep(self.work_s)
         handles = []
         for piece in pieces:
             handle = f'{self.address}/{next(self._handles)}'
@@ -142,3 +149,15 @@
     ) -> None:
         length = (b'content-length', str(len(body)).encode())
         await reply.write_complete(200, [*headers, length], body)
+
+
+def _units(request: _http_server.Request, request_id: str) -> list[str]:
+    """Return names of the request, or of the pieces that it asks for."""
+    if stand_ins.is_stage_free(request.target):
+        return []
+    if not stand_ins.is_stage_run(request.target):
+        return [request_id]
+    return [
+        f'{piece.request_id}/{piece.stage}/{piece.piece}'
+        for piece in stand_ins.decode_pieces(request.body)
+    ]
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -69,7 +69,7 @@
                 self._hurt_link,
                 self._hurt_link,
                 self._hurt_store,
-                self._crash,
+                self.crash,
                 self._drain,
                 self._configure,
                 self._drills.restore,
@@ -108,7 +108,7 @@
         await trio.sleep(self._rng.uniform(0.3, 3))
         way.set_mode(_proxy.Mode.passing)
 
-    async def _crash(self) -> None:
+    async def crash(self) -> None:
         """End an endpoint with all its results; another one starts."""
         endpoint = self._rng.choice(self.endpoints)
         endpoint.scope.cancel()
--- a/soak/_findings.py
+++ b/soak/_findings.py
@@ -9,6 +9,7 @@
 import trio
 
 from lentilspool.platform.tests import stand_ins
+from soak import _budget_rule
 
 # Statuses that promise: it has not run, and never will.
 _NOT_RUN: Final = frozenset((408, 421, 429, 503))
@@ -18,6 +19,8 @@
 _MOST_LATE_RUNS: Final = 3
 # Events of each stream.
 EVENTS: Final = 8
+# Service of all stages.
+PIECES: Final = 'prepare'
 Content = tuple[str, bytes, bytes]
 
 
@@ -107,6 +110,7 @@
         self._late_runs: collections.Counter[Content] = collections.Counter()
         self.statuses: collections.Counter[str] = collections.Counter()
         self.status_of: dict[str, int] = {}
+        self.budget_rule = _budget_rule.BudgetRule(_budget_rule.Allowance())
         self.restores = 0
         self.last_run_at: dict[str, float] = {}
         self.broken: list[str] = []
@@ -131,6 +135,12 @@
     def asks(self, asked: Asked) -> None:
         """Note a request before it is sent."""
         self._asked[asked.request_id] = asked
+        services = {asked.service, *([PIECES] if asked.counts else [])}
+        self.budget_rule.sent(trio.current_time(), services)
+
+    def received(self, service: str, unit: str) -> None:
+        """Note that a request or piece arrived, also if it is rejected."""
+        self.budget_rule.arrived(trio.current_time(), service, unit)
 
     def ran(
         self,
--- /dev/null
+++ b/src/lentilspool/serving/tests/test_retry_amplification.py
@@ -0,0 +1,129 @@
+"""Repeated pieces under steady load, with endpoints that fail in some way.
+
+Each failure of a piece is a reason to send it again. Together, the repeats
+must stay within what the platform tolerates for the requests of the service.
+"""
+
+import collections
+
+import pytest
+
+from lentilspool import serving
+from lentilspool.serving.tests import builders
+from soak import _budget_rule
+
+SLACK = 58
+RATE = 20
+PIECES = 4
+STEP_S = 0.05
+SECONDS = 40.0
+FAULT_S = (15.0, 30.0)
+ALLOWANCE = _budget_rule.Allowance(ratio=0.2, window_s=10, slack=SLACK)
+
+
+class World:
+    """A planner under load, and stage endpoints that fail for a while."""
+
+    def __init__(self, failure: str, share: float) -> None:
+        self.rule = _budget_rule.BudgetRule(ALLOWANCE)
+        self.ended: collections.Counter[str] = collections.Counter()
+        self._failure = failure
+        self._share = share
+        self._failed = 0.0
+        self._submitted = 0
+        self._open_calls: list[serving.StartCall] = []
+        self._planner = builders.planner(
+            builders.endpoint_index(
+                *(builders.endpoint(f's{index}', 'search') for index in 'abcd'),
+                *(builders.endpoint(f'r{index}', 'rank') for index in 'ab'),
+                *(builders.endpoint(f'e{index}', 'model') for index in 'abc'),
+            ),
+            serving.PlanLimits(retry_reserve=SLACK / 2),
+        )
+
+    def play(self) -> None:
+        for number in range(int(SECONDS / STEP_S)):
+            now = number * STEP_S
+            while self._submitted < now * RATE:
+                self._submit(now)
+            if number % 4 == 0:
+                self._end_calls(now)
+            self._step(now)
+
+    def _submit(self, now: float) -> None:
+        self._submitted += 1
+        self.rule.sent(now, ['search', 'rank', 'model'])
+        stages = (builders.stage(PIECES), builders.stage(1, 'rank', (0,)))
+        self._planner.submit(
+            builders.plan_request(f'{self._submitted}', *stages), now
+        )
+
+    def _step(self, now: float) -> None:
+        actions = self._planner.step(now)
+        for call in builders.calls(actions):
+            self._open_calls.append(call)
+            for piece in call.pieces:
+                self.rule.arrived(
+                    now,
+                    call.endpoint.service,
+                    f'{piece.request_id}/{piece.stage}/{piece.piece}',
+                )
+        for run in builders.runs(actions):
+            self._planner.first_event_seen(run.key, now)
+            self._planner.engine_ended(run.key, now)
+            self.ended['run'] += 1
+        self.ended['refused'] += len(builders.refusals(actions))
+
+    def _end_calls(self, now: float) -> None:
+        ending = self._open_calls
+        self._open_calls = []
+        for call in ending:
+            outcome: tuple[serving.PieceResult, ...] | None
+            outcome = builders.results_of(call)
+            ran = True
+            if FAULT_S[0] <= now < FAULT_S[1]:
+                if self._failure == 'rejected':
+                    outcome, ran = None, False
+                elif self._failure == 'unanswered':
+                    outcome = None
+                else:
+                    outcome = tuple(map(self._fail, outcome))
+            self._planner.call_ended(call.number, outcome, now, ran=ran)
+
+    def _fail(self, outcome: serving.PieceResult) -> serving.PieceResult:
+        self._failed += self._share
+        if self._failed < 1:
+            return outcome
+        self._failed -= 1
+        return serving.PieceResult('', self._failure)
+
+
+class TestRetryAmplification:
+    @pytest.mark.known_red
+    @pytest.mark.parametrize(
+        ('failure', 'share'),
+        [
+            ('rejected', 1),
+            ('unanswered', 1),
+            ('error', 0.1),
+            ('error', 0.5),
+            ('room', 0.1),
+            ('room', 1),
+            ('gone', 0.02),
+            ('gone', 0.2),
+        ],
+    )
+    def test_repeats_stay_within_the_allowance(
+        self, failure: str, share: float
+    ) -> None:
+        world = World(failure, share)
+        world.play()
+        assert [one for one in world.rule.worst() if one.excess > 0] == []
+
+    @pytest.mark.parametrize('failure', ['error', 'room'])
+    def test_most_requests_run_while_few_pieces_fail(
+        self, failure: str
+    ) -> None:
+        world = World(failure, 0.02)
+        world.play()
+        assert world.ended['run'] > 0.9 * world.ended.total()
