Spend the budget for every piece that is sent again

Cause: the planner's retry budget covered only unanswered calls and errors. Pieces of rejected calls, pieces without room and inputs that were lost were queued again for free, and an endpoint that rejects got its next call after 0.1 s. Besides, each piece earned a tenth of a retry, though the platform counts requests.

Change: every repeat spends the budget of its service, and waits for it as unanswered pieces did; inputs that may not be made again end the request with a refusal. A request earns once for each service. The reserve is half of the platform's slack (12 pieces before), since more draws on it.

The platform counts rejected arrivals as well.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -85,6 +85,12 @@
         self.endpoints.append(endpoint)
         self.store.list_endpoint(endpoint)
 
+    async def crash(self) -> None:
+        """End an endpoint with all its results; another one starts."""
+        endpoint = self._rng.choice(self.endpoints)
+        endpoint.scope.cancel()
+        self._crashed(endpoint)
+
     async def _kill(self) -> None:
         self._rng.choice(self.gateways).kill()
 
@@ -108,12 +114,6 @@
         await trio.sleep(self._rng.uniform(0.3, 3))
         way.set_mode(_proxy.Mode.passing)
 
-    async def crash(self) -> None:
-        """End an endpoint with all its results; another one starts."""
-        endpoint = self._rng.choice(self.endpoints)
-        endpoint.scope.cancel()
-        self._crashed(endpoint)
-
     def _crashed(self, endpoint: _endpoints.Endpoint) -> None:
         if endpoint in self.endpoints:
             self.endpoints.remove(endpoint)
--- a/src/lentilspool/gateway/_gateway.py
+++ b/src/lentilspool/gateway/_gateway.py
@@ -32,6 +32,9 @@
 
 _logger: Final = logging.getLogger(__name__)
 _HOUSEKEEPING_INTERVAL_S: Final = 0.25
+# Share of the slack that a planner may use for repeated pieces of a service. The
+# next planner has as much again.
+_PIECE_SLACK_SHARE: Final = 0.5
 _SUSPENSION_THRESHOLD_S: Final = 0.5
 _MS_PER_S: Final = 1000
 
@@ -72,7 +75,14 @@
             gateway_settings.send, self._metrics, quarantine, nursery
         )
         local = _local_planning.LocalPlanning(
-            self._published, self._pool, checks, serving.PlanLimits(), nursery
+            self._published,
+            self._pool,
+            checks,
+            serving.PlanLimits(
+                retry_reserve=gateway_settings.send.retry_slack
+                * _PIECE_SLACK_SHARE
+            ),
+            nursery,
         )
         self._local = local
         links = _planning.Links(gateway_settings, cluster, nursery)
--- a/src/lentilspool/retries/_budget.py
+++ b/src/lentilspool/retries/_budget.py
@@ -46,12 +46,16 @@
         self._update_balance(now)
         self._balance += self._retries_per_success
 
-    def try_spend(self, now: float) -> bool:
-        """Spend one retry; return False if the balance is below one."""
+    def allows(self, retries: int, now: float) -> bool:
+        """Whether that many retries may be spent."""
         self._update_balance(now)
-        if self._balance < 1:
+        return self._balance >= retries
+
+    def try_spend(self, now: float, retries: int = 1) -> bool:
+        """Spend retries; spend none and return False if they are too many."""
+        if not self.allows(retries, now):
             return False
-        self._balance -= 1
+        self._balance -= retries
         return True
 
     def _update_balance(self, now: float) -> None:
--- a/src/lentilspool/serving/_piece_retries.py
+++ b/src/lentilspool/serving/_piece_retries.py
@@ -1,11 +1,15 @@
 """Retries of pieces, within the retry budgets of their services.
 
-Endpoints crash, lose answers or run out of result memory under load. Pieces
-without a result are queued again, and their inputs are computed again if
-they are lost. A request only fails if its inputs are lost too often.
+Endpoints crash, reject calls, lose answers or run out of result memory under
+load. Pieces without a result are queued again, and their inputs are computed
+again if they are lost. Every piece that is sent again spends the budget of
+its service, whatever the reason. A request fails if its inputs are lost too
+often, or while the budget does not allow to compute them again.
 """
 
+import collections
 import dataclasses
+from collections.abc import Iterable
 from typing import Final
 
 from lentilspool import retries
@@ -15,9 +19,11 @@
     _plan_types,
     _result_release,
     _stage_service,
+    _stage_state,
 )
 
 _MAX_INPUT_RERUNS: Final = 2
+_NO_BUDGET: Final = 'retry_budget'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -61,42 +67,47 @@
         if call_piece.job.closed or stage.is_done_or_queued(call_piece.piece):
             return
         if self.budget(stage.stage_request.service).try_spend(now):
-            self.requeue(call_piece)
+            self._requeue(call_piece, now)
         else:
             self._deferred.append(call_piece)
 
-    def requeue(self, call_piece: _stage_service.CallPiece) -> None:
-        """Queue a piece again, with the stages whose results were freed."""
-        job = call_piece.job
-        if job.closed or job.stages[call_piece.stage].is_done_or_queued(
-            call_piece.piece
-        ):
-            return
-        if _inputs.were_dropped(job.stages, call_piece.stage):
-            self.rerun_inputs(call_piece)
-        else:
-            job.stages[call_piece.stage].enqueue(call_piece.piece)
-
-    def rerun_inputs(self, call_piece: _stage_service.CallPiece) -> None:
-        """Queue a piece and the stages that made its inputs again.
+    def retry_without_inputs(
+        self, call_piece: _stage_service.CallPiece, now: float
+    ) -> None:
+        """Queue a piece whose inputs are lost, and make them again.
 
-        A job whose inputs are lost too often is added to ``failed_jobs``.
+        A job whose inputs are lost too often is added to ``failed_jobs``, as
+        one for which the retry budget does not suffice.
         """
         job = call_piece.job
         if job.closed:
             return
         stage = job.stages[call_piece.stage]
-        if not _inputs.were_made(job.stages, call_piece.stage):
+        if not self.budget(stage.stage_request.service).try_spend(now):
+            self.failed_jobs.append(FailedJob(job, _NO_BUDGET))
+        elif _inputs.were_made(job.stages, call_piece.stage):
+            self._rerun_inputs(call_piece, now)
+        else:
             # Another piece of the same call has reported the loss already.
             stage.enqueue(call_piece.piece)
-            return
-        job.input_reruns += 1
-        if job.input_reruns > _MAX_INPUT_RERUNS:
-            self.failed_jobs.append(FailedJob(job, 'results_lost'))
-            return
-        stage.enqueue(call_piece.piece)
-        for number in _inputs.stages_to_rerun(job.stages, call_piece.stage):
-            self._releaser.release(job.rerun_stage(number))
+
+    def try_spend(
+        self, stages: Iterable[_stage_state.StageState], now: float
+    ) -> bool:
+        """Spend retries of all pieces of stages; spend none if too few."""
+        pieces: collections.Counter[str] = collections.Counter()
+        for stage in stages:
+            request = stage.stage_request
+            pieces[request.service] += request.pieces
+        budgets = {service: self.budget(service) for service in pieces}
+        if any(
+            not budgets[service].allows(count, now)
+            for service, count in pieces.items()
+        ):
+            return False
+        for service, count in pieces.items():
+            budgets[service].try_spend(now, count)
+        return True
 
     def budget(self, service: str) -> retries.RetryBudget:
         """Return the retry budget of a service."""
@@ -108,3 +119,31 @@
                 reserve=max(limits.retry_reserve, limits.retry_calls * batch),
             )
         return self._budgets[service]
+
+    def _requeue(
+        self, call_piece: _stage_service.CallPiece, now: float
+    ) -> None:
+        """Queue a piece again, with the stages whose results were freed."""
+        job = call_piece.job
+        if _inputs.were_dropped(
+            job.stages, call_piece.stage
+        ) and _inputs.were_made(job.stages, call_piece.stage):
+            self._rerun_inputs(call_piece, now)
+        else:
+            job.stages[call_piece.stage].enqueue(call_piece.piece)
+
+    def _rerun_inputs(
+        self, call_piece: _stage_service.CallPiece, now: float
+    ) -> None:
+        job = call_piece.job
+        job.input_reruns += 1
+        if job.input_reruns > _MAX_INPUT_RERUNS:
+            self.failed_jobs.append(FailedJob(job, 'results_lost'))
+            return
+        numbers = set(_inputs.stages_to_rerun(job.stages, call_piece.stage))
+        if not self.try_spend([job.stages[one] for one in numbers], now):
+            self.failed_jobs.append(FailedJob(job, _NO_BUDGET))
+            return
+        job.stages[call_piece.stage].enqueue(call_piece.piece)
+        for number in numbers:
+            self._releaser.release(job.rerun_stage(number))
--- a/src/lentilspool/serving/_plan_types.py
+++ b/src/lentilspool/serving/_plan_types.py
@@ -251,7 +251,7 @@
     """
 
     retry_share: float = 0.1
-    """Retried pieces allowed, as a share of the pieces that succeed."""
+    """Retried pieces of a service allowed for each request that it has run."""
 
     retry_reserve: float = 12
     """Retried pieces of a service allowed in addition."""
--- a/src/lentilspool/serving/_stage_dispatch.py
+++ b/src/lentilspool/serving/_stage_dispatch.py
@@ -23,8 +23,6 @@
 _logger: Final = logging.getLogger(__name__)
 _MS_PER_S: Final = 1000
 _BYTES_PER_KB: Final = 1000
-# An endpoint that rejects a call is blocked for this share of ``block_s``.
-_REJECTED_BLOCK_SHARE: Final = 0.1
 # Time after which the endpoint of a call has fetched its inputs. It fetches
 # them first, over links of several Gbit/s.
 _FETCH_S: Final = 0.1
@@ -249,10 +247,7 @@
         for call_piece in open_call.call_pieces:
             call_piece.job.stages[call_piece.stage].end_call(call_piece.piece)
             open_call.stage_endpoint.free_bytes += call_piece.size
-            if not ran:
-                # Rejected calls cost the endpoint no work.
-                self.retries.requeue(call_piece)
-            elif not sent:
+            if not (ran and sent):
                 self.retries.retry(call_piece, now)
         if ran and sent and not open_call.overdue:
             self.lost_calls.hold(open_call, now)
@@ -268,8 +263,7 @@
         if ran:
             open_call.stage_endpoint.block_after_failure(block_s, now)
         else:
-            rejected_s = block_s * _REJECTED_BLOCK_SHARE
-            open_call.stage_endpoint.blocked_until = now + rejected_s
+            open_call.stage_endpoint.block_after_rejection(block_s, now)
         _events.STAGE_CALL_FAILED.log(
             _logger,
             call=open_call.number,
@@ -286,7 +280,6 @@
         now: float,
     ) -> None:
         if outcome.handle:
-            self.retries.budget(open_call.service).record_success(now)
             self._store_result(
                 open_call.stage_endpoint, call_piece, outcome.handle, now
             )
@@ -300,10 +293,7 @@
             reason=outcome.reason,
         )
         if outcome.reason == 'gone':
-            self.retries.rerun_inputs(call_piece)
-        elif outcome.reason == 'room':
-            self.retries.budget(open_call.service).try_spend(now)
-            self.retries.requeue(call_piece)
+            self.retries.retry_without_inputs(call_piece, now)
         else:
             self.retries.retry(call_piece, now)
 
@@ -333,21 +323,32 @@
             self.releaser.release([held])
             return
         stage.store_result(call_piece.piece, held)
-        self._clear_suspicion(call_piece.job, stage.stage_request.service)
+        self._record_completion(
+            call_piece.job, stage.stage_request.service, now
+        )
         self.releaser.release(
             call_piece.job.drop_results(
                 _inputs.no_longer_read(call_piece.job.stages)
             )
         )
 
-    def _clear_suspicion(self, job: _jobs.Job, service: str) -> None:
-        """Clear the content of a request that has passed a service."""
-        content = job.plan_request.content
-        if self._suspects.open_deaths(content) and all(
+    def _record_completion(
+        self, job: _jobs.Job, service: str, now: float
+    ) -> None:
+        """Record that a service has run all pieces of a request, if it has.
+
+        The platform counts requests, so a request earns the same share of a
+        retry however many pieces it has.
+        """
+        if not all(
             stage.done
             for stage in job.stages
             if stage.stage_request.service == service
         ):
+            return
+        self.retries.budget(service).record_success(now)
+        content = job.plan_request.content
+        if self._suspects.open_deaths(content):
             self._suspects.record_completion(content, service)
 
     def _starts_too_early(
--- a/src/lentilspool/serving/_stage_service.py
+++ b/src/lentilspool/serving/_stage_service.py
@@ -27,6 +27,9 @@
 _MAX_SIZE_FACTOR: Final = 1.5
 # The block of an endpoint doubles this often when it fails repeatedly.
 _MAX_BLOCK_DOUBLINGS: Final = 1
+# An endpoint that rejects a call is blocked for this share of ``block_s``, and
+# for at most ``block_s`` if it goes on rejecting.
+_REJECTED_BLOCK_SHARE: Final = 0.1
 # Time without calls for an endpoint that had no memory for a result.
 _MEMORY_SHORTAGE_BLOCK_S: Final = 0.1
 _BYTES_PER_MB: Final = 1_000_000
@@ -110,6 +113,7 @@
         # Largest number of pieces in the next call; 1 after a memory shortage.
         self.max_pieces = limits.batch
         self._failures = 0
+        self._rejections = 0
 
     def update_limits(self, limits: _configuration.BatchLimits) -> None:
         """Apply changed limits of the service."""
@@ -150,9 +154,16 @@
         self._failures += 1
         self.blocked_until = now + block_s * math.pow(2, doubled)
 
+    def block_after_rejection(self, block_s: float, now: float) -> None:
+        """Block the endpoint shortly, twice as long after each rejection."""
+        doubled = math.pow(2, self._rejections) * _REJECTED_BLOCK_SHARE
+        self._rejections += 1
+        self.blocked_until = now + block_s * min(doubled, 1)
+
     def record_call_time(self, open_call: OpenCall, now: float) -> None:
         """Update the slowness by the duration of a successful call."""
         self._failures = 0
+        self._rejections = 0
         nominal_s = self.call_s(len(open_call.call_pieces)) / self.slowness
         observed_slowness = (now - open_call.started_at) / nominal_s
         observed_slowness = min(
