Spend the budget for the pieces of requests that are planned again

Callers' requests made a stage service get 340 repeated pieces in 10 s, where 80 are allowed, while the model rejected streams; 260 while its connections were reset; 441 while it rejected and gateways restarted. All three are runs of five real gateways before this change.

Cause: a stream that goes to another engine is planned anew, and so are the requests of a lost planner. All their pieces run again, and the planner takes them for first arrivals. One repeat at the model cost ten at the stage service.

Change: a plan request says whether its pieces may have run (a plan had a decision, or its planner reported that the first pieces are sent). Such a request is admitted only if the retry budgets of its stage services allow all its pieces; otherwise it is refused as not run, or fails if an engine may have run it. A planner starts with a full reserve, so with each planner that was lost in the last 10 s, it admits half as many.

--- a/src/lentilspool/gateway/_local_planning.py
+++ b/src/lentilspool/gateway/_local_planning.py
@@ -27,7 +27,7 @@
 _MAX_ANSWER_BYTES: Final = 1_048_576
 
 PlanDecision = serving.RunAt | serving.Refuse
-DecisionCallback = Callable[[PlanDecision], None]
+DecisionCallback = Callable[[PlanDecision | serving.Begun], None]
 _Message = tuple[bytes, list[tuple[bytes, bytes]], bytes]
 _Answer = tuple[serving.AnswerHead, bytes]
 
@@ -70,7 +70,11 @@
     def submit(
         self, plan_request: serving.PlanRequest, callback: DecisionCallback
     ) -> None:
-        """Plan a request; the callback receives its decision, once."""
+        """Plan a request.
+
+        The callback receives its decision, once, and before that whether its
+        first pieces are sent.
+        """
         self._callbacks[plan_request.key] = callback
         self._planner.submit(plan_request, _clock.now())
         self._changed.set()
@@ -120,9 +124,14 @@
         elif isinstance(action, serving.CheckEndpoint):
             self._nursery.start_soon(self._check, action)
         else:
-            callback = self._callbacks.pop(action.key, None)
-            if callback:
-                callback(action)
+            self._report(action)
+
+    def _report(self, action: PlanDecision | serving.Begun) -> None:
+        callback = self._callbacks.get(action.key)
+        if not isinstance(action, serving.Begun):
+            self._callbacks.pop(action.key, None)
+        if callback:
+            callback(action)
 
     async def _call(self, call: serving.StartCall) -> None:
         message = platform.encode_stage_request(
--- a/src/lentilspool/gateway/_peer_server.py
+++ b/src/lentilspool/gateway/_peer_server.py
@@ -150,8 +150,13 @@
         self._planning.record_event(key, note.event)
 
     def _send_decision(
-        self, call_id: int, decision: _local_planning.PlanDecision
+        self,
+        call_id: int,
+        decision: _local_planning.PlanDecision | serving.Begun,
     ) -> None:
+        if isinstance(decision, serving.Begun):
+            self._enqueue(wire.PlanNote(call_id, _peers.BEGUN))
+            return
         if isinstance(decision, serving.Refuse):
             self._request_keys.pop(call_id, None)
             reply = _peers.PlanReply(refuse=decision)
--- a/src/lentilspool/gateway/_peers.py
+++ b/src/lentilspool/gateway/_peers.py
@@ -23,7 +23,11 @@
 
 _logger: Final = logging.getLogger(__name__)
 _OUTBOX_CAPACITY: Final = 1000
-PlanCallback = Callable[[_local_planning.PlanDecision | None], None]
+PlanCallback = Callable[
+    [_local_planning.PlanDecision | serving.Begun | None], None
+]
+# Event that a planner reports when it sends the first pieces of a request.
+BEGUN: Final = 'begun'
 _KINDS: Final = (_published.CONFIGURATION, _published.ENDPOINTS)
 # One heartbeat in this many lists all known gateways; the others are short.
 _HEARTBEATS_PER_GOSSIP: Final = 4
@@ -219,7 +223,8 @@
     ) -> int:
         """Request a plan from the other gateway; return the call id.
 
-        The callback is called once, with None if the connection is lost.
+        The callback is called once, with None if the connection is lost, and
+        before that if the first pieces are sent.
         """
         self._last_call_id += 1
         self._waiting_plans[self._last_call_id] = callback
@@ -349,6 +354,8 @@
                 self._cluster.quarantine.merge(message)
             case wire.PlanAnswer():
                 self._handle_plan_answer(message)
+            case wire.PlanNote(event=event) if event == BEGUN:
+                self._handle_begun(message)
             case _:
                 _events.PEER_MESSAGE.log(
                     _logger, peer=self.address, kind=type(message).__name__
@@ -358,6 +365,11 @@
         for request in self._cluster.apply_heartbeat(heartbeat):
             self._enqueue(request)
 
+    def _handle_begun(self, note: wire.PlanNote) -> None:
+        callback = self._waiting_plans.get(note.call_id)
+        if callback:
+            callback(serving.Begun(''))
+
     def _handle_plan_answer(self, answer: wire.PlanAnswer) -> None:
         callback = self._waiting_plans.pop(answer.call_id, None)
         if callback:
--- a/src/lentilspool/gateway/_planning.py
+++ b/src/lentilspool/gateway/_planning.py
@@ -112,6 +112,8 @@
         self._decision: _local_planning.PlanDecision | None = None
         self._open = False
         self._started = False
+        # Whether a planner may have sent pieces of the request.
+        self._begun = False
 
     async def wait_for_decision(self) -> _local_planning.PlanDecision:
         """Return where to run the request, or why it is refused.
@@ -126,10 +128,12 @@
             await self._decided.wait()
             if self._decision is not None:
                 return self._decision
+            planner = self._link.address if self._link else ''
+            self._planning.losses.record(planner, _clock.now())
             _events.PLANNER_LOST.log(
                 _logger,
                 request_id=self._request.request_id,
-                planner=self._link.address if self._link else '',
+                planner=planner,
             )
         self._open = False
         return serving.Refuse(
@@ -156,6 +160,8 @@
         passed_s = _clock.now() - self._created_at
         request = dataclasses.replace(
             self._request,
+            planners_lost=self._planning.losses.recent(_clock.now()),
+            repeated=self._request.repeated or self._begun,
             target_s=self._request.target_s - passed_s,
             deadline_s=self._request.deadline_s - passed_s,
         )
@@ -173,8 +179,11 @@
             )
 
     def _receive_decision(
-        self, decision: _local_planning.PlanDecision | None
+        self, decision: _local_planning.PlanDecision | serving.Begun | None
     ) -> None:
+        if isinstance(decision, serving.Begun):
+            self._begun = True
+            return
         self._decision = decision
         if isinstance(decision, serving.Refuse):
             self._open = False
@@ -194,6 +203,7 @@
         self._links = links
         self._roster = roster
         self._planner = ''
+        self.losses = serving.PlannerLosses()
 
     def plan(self, request: serving.PlanRequest) -> Plan:
         """Return a plan that has no decision yet."""
--- a/src/lentilspool/gateway/_streams.py
+++ b/src/lentilspool/gateway/_streams.py
@@ -33,6 +33,7 @@
             in_flight.call.last_event
         )
         self._plan: _planning.Plan | None = None
+        self._pieces_ran = False
 
     async def serve(self) -> None:
         """Plan and send the request until it has its final answer."""
@@ -64,6 +65,7 @@
             else:
                 await in_flight.refuse(decision.reason, decision.retry_after_s)
             return False
+        self._pieces_ran = True
         if decision.endpoint.service not in in_flight.current_services():
             plan.report_event('cancelled')
             return True
@@ -98,6 +100,7 @@
             zone=in_flight.context.gateway_settings.zone,
             avoid=tuple(in_flight.tried_incarnations),
             content=in_flight.content,
+            repeated=self._pieces_ran,
         )
 
     async def _send(
--- a/src/lentilspool/retries/_budget.py
+++ b/src/lentilspool/retries/_budget.py
@@ -46,7 +46,7 @@
         self._update_balance(now)
         self._balance += self._retries_per_success
 
-    def allows(self, retries: int, now: float) -> bool:
+    def allows(self, retries: float, now: float) -> bool:
         """Whether that many retries may be spent."""
         self._update_balance(now)
         return self._balance >= retries
--- a/src/lentilspool/serving/__init__.py
+++ b/src/lentilspool/serving/__init__.py
@@ -35,6 +35,7 @@
 from lentilspool.serving._entry_order import is_outdated as is_outdated
 from lentilspool.serving._entry_order import order_of_era as order_of_era
 from lentilspool.serving._plan_types import Action as Action
+from lentilspool.serving._plan_types import Begun as Begun
 from lentilspool.serving._plan_types import CheckEndpoint as CheckEndpoint
 from lentilspool.serving._plan_types import FreeResults as FreeResults
 from lentilspool.serving._plan_types import Piece as Piece
@@ -46,6 +47,7 @@
 from lentilspool.serving._plan_types import StageRequest as StageRequest
 from lentilspool.serving._plan_types import StartCall as StartCall
 from lentilspool.serving._planner import Planner as Planner
+from lentilspool.serving._planner_losses import PlannerLosses as PlannerLosses
 from lentilspool.serving._repeat_callers import (
     RepeatCallerDetector as RepeatCallerDetector,
 )
--- a/src/lentilspool/serving/_piece_retries.py
+++ b/src/lentilspool/serving/_piece_retries.py
@@ -9,6 +9,7 @@
 
 import collections
 import dataclasses
+import math
 from collections.abc import Iterable
 from typing import Final
 
@@ -91,35 +92,56 @@
             # Another piece of the same call has reported the loss already.
             stage.enqueue(call_piece.piece)
 
-    def try_spend(
-        self, stages: Iterable[_stage_state.StageState], now: float
-    ) -> bool:
-        """Spend retries of all pieces of stages; spend none if too few."""
-        pieces: collections.Counter[str] = collections.Counter()
-        for stage in stages:
-            request = stage.stage_request
-            pieces[request.service] += request.pieces
-        budgets = {service: self.budget(service) for service in pieces}
-        if any(
-            not budgets[service].allows(count, now)
-            for service, count in pieces.items()
-        ):
-            return False
-        for service, count in pieces.items():
-            budgets[service].try_spend(now, count)
-        return True
+    def admits(self, job: _jobs.Job, now: float) -> bool:
+        """Whether a job may run; spends retries if its pieces ran before.
+
+        Each planner that follows a lost one has a budget of its own. With
+        every planner that was lost lately, it admits half as many jobs, so
+        that all of them together spend the reserves of two at most.
+        """
+        if not job.plan_request.repeated:
+            return True
+        lost = max(job.plan_request.planners_lost, 1)
+        kept_share = 1 - math.pow(2, 1 - lost)
+        return self._try_spend(job.stages, now, kept_share)
 
     def budget(self, service: str) -> retries.RetryBudget:
         """Return the retry budget of a service."""
         if service not in self._budgets:
-            batch = self._services[service].limits.batch
-            limits = self._limits
             self._budgets[service] = retries.RetryBudget(
-                retries_per_success=limits.retry_share,
-                reserve=max(limits.retry_reserve, limits.retry_calls * batch),
+                retries_per_success=self._limits.retry_share,
+                reserve=self._reserve(service),
             )
         return self._budgets[service]
 
+    def _reserve(self, service: str) -> float:
+        batch = self._services[service].limits.batch
+        limits = self._limits
+        return max(limits.retry_reserve, limits.retry_calls * batch)
+
+    def _try_spend(
+        self,
+        stages: Iterable[_stage_state.StageState],
+        now: float,
+        kept_share: float = 0,
+    ) -> bool:
+        """Spend retries of all pieces of stages; spend none if too few.
+
+        ``kept_share`` is the share of the reserves that must be left over.
+        """
+        pieces: collections.Counter[str] = collections.Counter()
+        for stage in stages:
+            request = stage.stage_request
+            if request.pieces:
+                pieces[request.service] += request.pieces
+        for service, count in pieces.items():
+            kept = self._reserve(service) * kept_share
+            if not self.budget(service).allows(count + kept, now):
+                return False
+        for name, spent in pieces.items():
+            self.budget(name).try_spend(now, spent)
+        return True
+
     def _requeue(
         self, call_piece: _stage_service.CallPiece, now: float
     ) -> None:
@@ -141,7 +163,7 @@
             self.failed_jobs.append(FailedJob(job, 'results_lost'))
             return
         numbers = set(_inputs.stages_to_rerun(job.stages, call_piece.stage))
-        if not self.try_spend([job.stages[one] for one in numbers], now):
+        if not self._try_spend([job.stages[one] for one in numbers], now):
             self.failed_jobs.append(FailedJob(job, _NO_BUDGET))
             return
         job.stages[call_piece.stage].enqueue(call_piece.piece)
--- a/src/lentilspool/serving/_plan_types.py
+++ b/src/lentilspool/serving/_plan_types.py
@@ -65,6 +65,12 @@
     content: str = ''
     """Digest of the content; empty if the sender has an older release."""
 
+    repeated: bool = False
+    """Whether its pieces may have run before, for another plan."""
+
+    planners_lost: int = 0
+    """Planners lost lately, as the sender saw it."""
+
     @property
     def shared_tokens(self) -> int:
         """Number of tokens in prompt parts that other requests may share."""
@@ -183,7 +189,15 @@
     """Digests of the contents whose pieces the call holds."""
 
 
-Action = StartCall | RunAt | Refuse | FreeResults | CheckEndpoint
+@dataclasses.dataclass(frozen=True, slots=True)
+class Begun:
+    """Notice that the first pieces of a request are sent."""
+
+    key: str
+    """Plan of the request."""
+
+
+Action = StartCall | RunAt | Refuse | Begun | FreeResults | CheckEndpoint
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/lentilspool/serving/_planner.py
+++ b/src/lentilspool/serving/_planner.py
@@ -87,6 +87,9 @@
         if expected_s > plan_request.deadline_s * self._limits.admit_share:
             self._refuse(job, 'no_time', expected_s, now)
             return
+        if not self._stages.retries.admits(job, now):
+            self._refuse(job, 'retry_budget', _RETRY_AFTER_S, now)
+            return
         self._jobs[plan_request.key] = job
         _events.PLANNED.log(
             _logger,
--- a/src/lentilspool/serving/_stage_dispatch.py
+++ b/src/lentilspool/serving/_stage_dispatch.py
@@ -41,6 +41,7 @@
         self._limits = limits
         self._suspects = suspects
         self.services: _estimates.Services = {}
+        self._begun: list[_plan_types.Begun] = []
         self._outgoing_calls: list[_plan_types.StartCall] = []
         self.lost_calls = _lost_calls.LostCalls()
         self._open_calls: dict[int, _stage_service.OpenCall] = {}
@@ -67,11 +68,13 @@
         """Return and clear the pending calls and orders to free results."""
         actions: list[_plan_types.Action] = [
             *self.releaser.actions,
+            *self._begun,
             *self._outgoing_calls,
             *self.lost_calls.checks,
         ]
         self.lost_calls.checks.clear()
         self.releaser.actions.clear()
+        self._begun.clear()
         self._outgoing_calls.clear()
         return actions
 
@@ -201,6 +204,10 @@
             _stage_service.piece_to_send(one, now) for one in call_pieces
         )
         for call_piece in call_pieces:
+            if not call_piece.job.begun:
+                self._begun.append(
+                    _plan_types.Begun(call_piece.job.plan_request.key)
+                )
             call_piece.job.begun = True
             large = (
                 call_piece.job.stage_graph.traffics[
--- a/src/lentilspool/serving/tests/test_retry_amplification.py
+++ b/src/lentilspool/serving/tests/test_retry_amplification.py
@@ -126,3 +126,114 @@
         world = World(failure, 0.02)
         world.play()
         assert world.ended['run'] > 0.9 * world.ended.total()
+
+
+class TestRepeatedPlans:
+    """Requests are planned again, with pieces that may have run before.
+
+    Their planner is lost, or the engine did not answer their stream.
+    """
+
+    def test_planners_are_lost_one_after_another(self) -> None:
+        rule = _budget_rule.BudgetRule(ALLOWANCE)
+        for lost in range(4):
+            planner = serving.Planner(
+                builders.endpoint_index(
+                    builders.endpoint('s', 'search'),
+                    builders.endpoint('e', 'model'),
+                ),
+                serving.PlanLimits(retry_reserve=SLACK / 2),
+            )
+            planner.configure(builders.SERVICES)
+            for number in range(40):
+                if not lost:
+                    rule.sent(0, ['search', 'model'])
+                planner.submit(
+                    builders.plan_request(
+                        f'{number}',
+                        builders.stage(PIECES),
+                        repeated=lost > 0,
+                        planners_lost=lost,
+                        target_s=60,
+                        deadline_s=60,
+                    ),
+                    lost,
+                )
+            self.run(planner, rule, lost)
+        assert all(one.excess <= 0 for one in rule.worst())
+
+    def test_streams_are_sent_again(self) -> None:
+        rule = _budget_rule.BudgetRule(ALLOWANCE)
+        planner = builders.planner(
+            builders.endpoint_index(
+                builders.endpoint('s', 'search'),
+                builders.endpoint('e', 'model'),
+            ),
+            serving.PlanLimits(retry_reserve=SLACK / 2),
+        )
+        refused = 0
+        for number in range(200):
+            plan_request = builders.plan_request(
+                f'{number // 2}',
+                builders.stage(PIECES),
+                repeated=number % 2 > 0,
+            )
+            now = number / 8
+            if not plan_request.repeated:
+                rule.sent(now, ['search', 'model'])
+            planner.submit(plan_request, now)
+            refused += len(self.run(planner, rule, now, seconds=0.1))
+        assert all(one.excess <= 0 for one in rule.worst())
+        # Repeats of 7 requests with 4 pieces fit into the reserve.
+        assert 7 <= 100 - refused < 40
+
+    def test_request_without_pieces_is_planned_again(self) -> None:
+        planner = builders.planner(
+            builders.endpoint_index(builders.endpoint('e', 'model')),
+            serving.PlanLimits(retry_reserve=0, retry_calls=0),
+        )
+        planner.submit(
+            builders.plan_request('p', builders.stage(0), repeated=True), 0
+        )
+        assert builders.runs(planner.step(0))
+
+    def test_start_of_the_pieces_is_told_once(self) -> None:
+        planner = builders.planner(
+            builders.endpoint_index(
+                builders.endpoint('s', 'search'),
+                builders.endpoint('e', 'model'),
+            )
+        )
+        planner.submit(builders.plan_request('p', builders.stage(9)), 0)
+        begun = []
+        for number in range(4):
+            now = float(number)
+            actions = planner.step(now)
+            begun += [one for one in actions if isinstance(one, serving.Begun)]
+            for call in builders.calls(actions):
+                planner.call_ended(call.number, builders.results_of(call), now)
+        assert begun == [serving.Begun('p')]
+
+    def run(
+        self,
+        planner: serving.Planner,
+        rule: _budget_rule.BudgetRule,
+        start: float,
+        seconds: float = 1,
+    ) -> list[serving.Refuse]:
+        """Run a planner for a while; return what it refused."""
+        refused = []
+        for number in range(int(seconds / STEP_S)):
+            now = start + number * STEP_S
+            actions = planner.step(now)
+            refused += builders.refusals(actions)
+            for call in builders.calls(actions):
+                for piece in call.pieces:
+                    rule.arrived(
+                        now, 'search', f'{piece.request_id}/{piece.piece}'
+                    )
+                planner.call_ended(call.number, builders.results_of(call), now)
+        for run in builders.runs(planner.step(start + seconds)):
+            planner.first_event_seen(run.key, start + seconds)
+            planner.engine_ended(run.key, start + seconds)
+        return refused
