Bound the repeats of planners that follow one another

A planner starts with a full reserve.

Requests now tell each planner how many were lost lately, and from the second on it uses half as much of its reserve for all repeats, not only for requests that are planned again. What requests earn stays usable. The reserve is 0.4 of the slack, so that all planners of a window spend 1.2 of it at most.

--- a/src/lentilspool/gateway/_gateway.py
+++ b/src/lentilspool/gateway/_gateway.py
@@ -33,8 +33,8 @@
 _logger: Final = logging.getLogger(__name__)
 _HOUSEKEEPING_INTERVAL_S: Final = 0.25
 # Share of the slack that a planner may use for repeated pieces of a service. The
-# next planner has as much again.
-_PIECE_SLACK_SHARE: Final = 0.5
+# planner after it may use as much, those after that half as much each.
+_PIECE_SLACK_SHARE: Final = 0.4
 _SUSPENSION_THRESHOLD_S: Final = 0.5
 _MS_PER_S: Final = 1000
 
--- a/src/lentilspool/serving/_piece_retries.py
+++ b/src/lentilspool/serving/_piece_retries.py
@@ -10,7 +10,7 @@
 import collections
 import dataclasses
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import Final
 
 from lentilspool import retries
@@ -25,6 +25,8 @@
 
 _MAX_INPUT_RERUNS: Final = 2
 _NO_BUDGET: Final = 'retry_budget'
+# Losses of planners count for as long as the platform counts repeats.
+_LOSSES_S: Final = 10.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -54,6 +56,9 @@
         # Pieces to retry once the retry budget of their service allows it.
         self._deferred: list[_stage_service.CallPiece] = []
         self.failed_jobs: list[FailedJob] = []
+        # Planners that were lost lately, and when that was last heard.
+        self._lost = 0
+        self._lost_at = 0.0
 
     def retry_deferred(self, now: float) -> None:
         """Queue deferred pieces as far as the retry budgets allow."""
@@ -67,7 +72,7 @@
         stage = call_piece.job.stages[call_piece.stage]
         if call_piece.job.closed or stage.is_done_or_queued(call_piece.piece):
             return
-        if self.budget(stage.stage_request.service).try_spend(now):
+        if self._try_spend({stage.stage_request.service: 1}, now):
             self._requeue(call_piece, now)
         else:
             self._deferred.append(call_piece)
@@ -84,7 +89,7 @@
         if job.closed:
             return
         stage = job.stages[call_piece.stage]
-        if not self.budget(stage.stage_request.service).try_spend(now):
+        if not self._try_spend({stage.stage_request.service: 1}, now):
             self.failed_jobs.append(FailedJob(job, _NO_BUDGET))
         elif _inputs.were_made(job.stages, call_piece.stage):
             self._rerun_inputs(call_piece, now)
@@ -93,17 +98,11 @@
             stage.enqueue(call_piece.piece)
 
     def admits(self, job: _jobs.Job, now: float) -> bool:
-        """Whether a job may run; spends retries if its pieces ran before.
-
-        Each planner that follows a lost one has a budget of its own. With
-        every planner that was lost lately, it admits half as many jobs, so
-        that all of them together spend the reserves of two at most.
-        """
+        """Whether a job may run; spends retries if its pieces ran before."""
+        self._note_losses(job.plan_request.planners_lost, now)
         if not job.plan_request.repeated:
             return True
-        lost = max(job.plan_request.planners_lost, 1)
-        kept_share = 1 - math.pow(2, 1 - lost)
-        return self._try_spend(job.stages, now, kept_share)
+        return self._try_spend(_count_pieces(job.stages), now)
 
     def budget(self, service: str) -> retries.RetryBudget:
         """Return the retry budget of a service."""
@@ -114,26 +113,24 @@
             )
         return self._budgets[service]
 
+    def _note_losses(self, planners_lost: int, now: float) -> None:
+        if planners_lost >= self._lost or now - self._lost_at > _LOSSES_S:
+            self._lost = planners_lost
+            self._lost_at = now
+
     def _reserve(self, service: str) -> float:
         batch = self._services[service].limits.batch
         limits = self._limits
         return max(limits.retry_reserve, limits.retry_calls * batch)
 
-    def _try_spend(
-        self,
-        stages: Iterable[_stage_state.StageState],
-        now: float,
-        kept_share: float = 0,
-    ) -> bool:
-        """Spend retries of all pieces of stages; spend none if too few.
+    def _try_spend(self, pieces: Mapping[str, int], now: float) -> bool:
+        """Spend retries by service; spend none if there are too few.
 
-        ``kept_share`` is the share of the reserves that must be left over.
+        Each planner that follows a lost one begins with a full reserve. With
+        each that was lost lately after the first, it uses half as much of it,
+        so that all together use the reserves of three at most.
         """
-        pieces: collections.Counter[str] = collections.Counter()
-        for stage in stages:
-            request = stage.stage_request
-            if request.pieces:
-                pieces[request.service] += request.pieces
+        kept_share = 1 - math.pow(2, 1 - max(self._lost, 1))
         for service, count in pieces.items():
             kept = self._reserve(service) * kept_share
             if not self.budget(service).allows(count + kept, now):
@@ -163,9 +160,21 @@
             self.failed_jobs.append(FailedJob(job, 'results_lost'))
             return
         numbers = set(_inputs.stages_to_rerun(job.stages, call_piece.stage))
-        if not self._try_spend([job.stages[one] for one in numbers], now):
+        pieces = _count_pieces(job.stages[one] for one in numbers)
+        if not self._try_spend(pieces, now):
             self.failed_jobs.append(FailedJob(job, _NO_BUDGET))
             return
         job.stages[call_piece.stage].enqueue(call_piece.piece)
         for number in numbers:
             self._releaser.release(job.rerun_stage(number))
+
+
+def _count_pieces(
+    stages: Iterable[_stage_state.StageState],
+) -> collections.Counter[str]:
+    """Return the number of pieces of stages by service."""
+    pieces: collections.Counter[str] = collections.Counter()
+    for stage in stages:
+        request = stage.stage_request
+        pieces[request.service] += request.pieces
+    return +pieces
