--- a/soak/_findings.py
+++ b/soak/_findings.py
@@ -210,6 +210,14 @@
         """Note that a caller got no whole answer."""
         self.statuses[reason] += 1
 
+    def check_budget(self) -> None:
+        """Find services that got more repeats than they may in a window."""
+        self.broken += [
+            f'budget: {window}'
+            for window in self.budget_rule.worst()
+            if window.excess > 0
+        ]
+
     def report(self, seed: int, seconds: float) -> str:
         """Return the figures as one line of JSON."""
         kinds = collections.Counter(
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -50,6 +50,7 @@
         folder = pathlib.Path(plan.logs or temporary)
         folder.mkdir(parents=True, exist_ok=True)
         await _play(plan, findings, folder)
+    findings.check_budget()
     return findings, findings.report(plan.seed, plan.seconds)
 
 
