--- a/soak/_findings.py
+++ b/soak/_findings.py
@@ -9,6 +9,7 @@
 import trio
 
 from lentilspool.platform.tests import stand_ins
+from soak import _budget_rule
 
 # Statuses that promise: it has not run, and never will.
 _NOT_RUN: Final = frozenset((408, 421, 429, 503))
@@ -21,6 +22,8 @@
 EVENT_END: Final = b'\n\n'
 # Software versions of endpoints that serve side by side.
 VERSIONS: Final = ('v1.1', 'v1.2')
+# Service of all stages.
+PIECES: Final = 'prepare'
 Content = tuple[str, bytes, bytes]
 
 
@@ -138,6 +141,7 @@
         self.statuses: collections.Counter[str] = collections.Counter()
         self.status_of: dict[str, int] = {}
         self.resumed: collections.Counter[str] = collections.Counter()
+        self.budget_rule = _budget_rule.BudgetRule(_budget_rule.Allowance())
         self.restores = 0
         self.last_run_at: dict[str, float] = {}
         self.broken: list[str] = []
@@ -162,6 +166,12 @@
     def asks(self, asked: Asked) -> None:
         """Note a request before it is sent."""
         self._asked[asked.request_id] = asked
+        services = {asked.service, *([PIECES] if asked.counts else [])}
+        self.budget_rule.sent(trio.current_time(), services)
+
+    def received(self, service: str, unit: str) -> None:
+        """Note that a request or piece arrived, also if it is rejected."""
+        self.budget_rule.arrived(trio.current_time(), service, unit)
 
     def ran(
         self,
@@ -239,6 +249,14 @@
         if not any(one.startswith(events) for one in streams):
             self._break('order', f'{asked.request_id}: {events!r}')
 
+    def check_budget(self) -> None:
+        """Find services that got more repeats than they may in a window."""
+        self.broken += [
+            f'budget: {window}'
+            for window in self.budget_rule.worst()
+            if window.excess > 0
+        ]
+
     def report(self, seed: int, seconds: float) -> str:
         """Return the figures as one line of JSON."""
         kinds = collections.Counter(
--- a/src/lentilspool/gateway/_streams.py
+++ b/src/lentilspool/gateway/_streams.py
@@ -51,6 +51,7 @@
         )
         # Endpoints that may be sound but were silent for too long.
         self._left_silent: set[str] = set()
+        self._pieces_ran = False
 
     async def serve(self) -> None:
         """Plan and send the request until it has its final answer."""
@@ -87,6 +88,7 @@
         if isinstance(decision, serving.Refuse):
             self._plan = None
             return await self._plan_again(decision)
+        self._pieces_ran = True
         if decision.endpoint.service not in _next_attempt.current_services(
             in_flight
         ):
@@ -142,6 +144,7 @@
             avoid=tuple(in_flight.tried_incarnations - self._left_silent),
             content=in_flight.content,
             version=self._origin.version,
+            repeated=self._pieces_ran,
         )
 
     async def _send(
--- a/src/lentilspool/serving/_plan_types.py
+++ b/src/lentilspool/serving/_plan_types.py
@@ -68,6 +68,12 @@
     version: str | None = None
     """Software version that the engine must have; None for any."""
 
+    repeated: bool = False
+    """Whether its pieces may have run before, for another plan."""
+
+    planners_lost: int = 0
+    """Planners lost lately, as the sender saw it."""
+
     @property
     def shared_tokens(self) -> int:
         """Number of tokens in prompt parts that other requests may share."""
@@ -186,7 +192,15 @@
     """Digests of the contents whose pieces the call holds."""
 
 
-Action = StartCall | RunAt | Refuse | FreeResults | CheckEndpoint
+@dataclasses.dataclass(frozen=True, slots=True)
+class Begun:
+    """Notice that the first pieces of a request are sent."""
+
+    key: str
+    """Plan of the request."""
+
+
+Action = StartCall | RunAt | Refuse | Begun | FreeResults | CheckEndpoint
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -254,7 +268,7 @@
     """
 
     retry_share: float = 0.1
-    """Retried pieces allowed, as a share of the pieces that succeed."""
+    """Retried pieces of a service allowed for each request that it has run."""
 
     retry_reserve: float = 12
     """Retried pieces of a service allowed in addition."""
