Let a planned stop wait for requests that last over a second

Callers of an entry that stops as planned got "server disconnected without sending a response", or an answer without its end, for requests that the entry had read and passed on.

Cause: the HTTP server had a limit of its own for the drain. One second after it stopped listening it cancelled every connection, whatever drain_limit_s says (30 s). Beside load the requests of the scenario last longer than that.

Ruled out: the endpoints' time alone.

Change: the server waits without a limit. The daemon's drain limit ends the wait as for all other components, and its stop closes what is left.

--- a/src/lentilspool/daemons/_http_server.py
+++ b/src/lentilspool/daemons/_http_server.py
@@ -1,6 +1,7 @@
 """HTTP server component, which runs an ASGI application in Hypercorn."""
 
 import logging
+import math
 import socket
 from typing import Any, Final
 
@@ -11,7 +12,6 @@
 from lentilspool.daemons import _asgi
 
 _LISTEN_BACKLOG: Final = 1024
-_GRACEFUL_TIMEOUT_S: Final = 1.0
 
 
 class HttpServer:
@@ -49,7 +49,7 @@
         await self._nursery.start(self._serve)
 
     async def drain(self) -> None:
-        """Close idle connections and wait for responses in flight."""
+        """Close idle connections; wait for all responses in flight."""
         self._stopping.set()
         await self._ended.wait()
 
@@ -69,7 +69,8 @@
     async def _serve(self, task_status: Any) -> None:
         server = hypercorn_config.Config()
         server.bind = [f'fd://{self._socket.detach()}']
-        server.graceful_timeout = _GRACEFUL_TIMEOUT_S
+        # The daemon limits the drain, and ends it with ``stop``.
+        server.graceful_timeout = math.inf
         server.loglevel = 'ERROR'
         server.errorlog = logging.getLogger('hypercorn.error')
         server.accesslog = None
