Answer a request that is received as its idle connection is closed

Callers of an entry that stops as planned got "server disconnected without sending a response" for a request that the entry had read, or ran.

Cause: Hypercorn closes the socket of an idle connection from a task of its own, in the stop and after the keep-alive time. If the connection's reader received a request in the same or the tick before, the request was passed to the application and its answer found the socket closed. On a starved host ticks are long and many connections are ready in one.

Evidence: test_http_server.py sends a request a given number of ticks after the drain began. Now each request is either answered or its connection is closed before it was received.

Ruled out: closing after a check that no request has begun. trio's receive passes a checkpoint after it has taken the bytes, so there is a tick in which neither h11 nor Hypercorn knows of them.

Change: the wait for bytes is cancelled, not the socket closed; a cancelled receive in trio has either lost nothing or returns its bytes. The server accepts connections itself, since Hypercorn's `serve` has no place for another connection class. The listen backlog is the setting's, or 1024; it was 100 where no setting names one.

--- a/src/lentilspool/daemons/_http_server.py
+++ b/src/lentilspool/daemons/_http_server.py
@@ -1,15 +1,13 @@
 """HTTP server component, which runs an ASGI application in Hypercorn."""
 
 import logging
-import math
 import socket
 from typing import Any, Final
 
 import trio
 from hypercorn import config as hypercorn_config
-from hypercorn import trio as hypercorn_trio
 
-from lentilspool.daemons import _asgi
+from lentilspool.daemons import _asgi, _http_connection
 
 _LISTEN_BACKLOG: Final = 1024
 
@@ -35,7 +33,8 @@
         self._scope = trio.CancelScope()
         self._ended = trio.Event()
         self._socket = socket.create_server(
-            (address, port), backlog=_LISTEN_BACKLOG
+            (address, port),
+            backlog=self._options.get('backlog', _LISTEN_BACKLOG),
         )
         self._port: int = self._socket.getsockname()[1]
 
@@ -68,19 +67,16 @@
 
     async def _serve(self, task_status: Any) -> None:
         server = hypercorn_config.Config()
-        server.bind = [f'fd://{self._socket.detach()}']
-        # The daemon limits the drain, and ends it with ``stop``.
-        server.graceful_timeout = math.inf
         server.loglevel = 'ERROR'
         server.errorlog = logging.getLogger('hypercorn.error')
         server.accesslog = None
         for name, setting in self._options.items():
             setattr(server, name, setting)
+        connections = _http_connection.Connections(self._app, server)
+        listener = trio.SocketListener(
+            trio.socket.from_stdlib_socket(self._socket)
+        )
         with self._scope:
-            await hypercorn_trio.serve(
-                self._app,
-                server,
-                shutdown_trigger=self._stopping.wait,
-                task_status=task_status,
-            )
+            # The daemon limits the drain, and ends it with ``stop``.
+            await connections.serve(listener, self._stopping, task_status)
         self._ended.set()
