End an entry's notice when callers have noticed

Callers that sent to an entry up to half a second after its planned stop began got 503 "draining" or "all attempts to connect failed" on a busy host.

Cause: the entry took requests for exactly one second after it said not ready, by its own clock. Where callers, balancer or the entry itself run late, requests that were due in the first half second arrive after that.

Ruled out: a longer fixed second; it would hold up every stop and still be a bet on the host's speed.

Change: the entry takes requests for a second and on until none has come for half a second, five seconds at most. A stop of a calm entry takes as long as before.

--- a/src/lentilspool/daemons/_caller_api.py
+++ b/src/lentilspool/daemons/_caller_api.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from lentilspool import kernel, pipeline, settings
+from lentilspool import kernel, membership, pipeline, settings
 from lentilspool.daemons import (
     _acceptor,
     _asgi,
@@ -21,7 +21,6 @@
 
 _PIPELINES_PATH: Final = '/v1/pipelines/'
 _REQUESTS_PATH: Final = '/v1/requests/'
-_BALANCER_NOTICE_S: Final = 1.0
 _OK: Final = 200
 _CREATED: Final = 201
 _ACCEPTED: Final = 202
@@ -37,7 +36,7 @@
     """ASGI application of an entry.
 
     When a drain begins, ``/readyz`` reports not ready at once, but requests
-    are accepted for a short time, because the load balancer still sends
+    are accepted until no more come, because the load balancer still sends
     some until it has read ``/readyz``. After that, requests are refused with
     ``NotRun``.
     """
@@ -59,6 +58,7 @@
         self._metrics = status.metrics
         self._status = status
         self._scopes: dict[str, trio.CancelScope] = {}
+        self._notice = membership.ReadinessNotice()
         self._refusing = False
 
     async def __call__(
@@ -72,7 +72,9 @@
 
     async def drain(self) -> None:
         """Give the load balancer time to notice, then refuse requests."""
-        await trio.sleep(_BALANCER_NOTICE_S)
+        self._notice.begin(trio.current_time())
+        while trio.current_time() < self._notice.ends_at():
+            await trio.sleep_until(self._notice.ends_at())
         self._refusing = True
 
     def dump(self) -> dict[str, object]:
@@ -107,6 +109,7 @@
         serve: Serve,
     ) -> None:
         """Read and check a request for a pipeline; serve it or refuse it."""
+        self._notice.on_request(trio.current_time())
         name = scope['path'].removeprefix(_PIPELINES_PATH).partition('/')[0]
         submission = await self._reader.read(name, scope, receive)
         if isinstance(submission, _problem.Response):
--- a/src/lentilspool/membership/__init__.py
+++ b/src/lentilspool/membership/__init__.py
@@ -17,6 +17,8 @@
 from lentilspool.membership._lease_table import LeaseTable as LeaseTable
 from lentilspool.membership._leaving import LeavingNotice as LeavingNotice
 from lentilspool.membership._leaving import NoticeLimits as NoticeLimits
+from lentilspool.membership._leaving import ReadinessLimits as ReadinessLimits
+from lentilspool.membership._leaving import ReadinessNotice as ReadinessNotice
 from lentilspool.membership._member import ActiveConfig as ActiveConfig
 from lentilspool.membership._member import Heartbeat as Heartbeat
 from lentilspool.membership._member import HostState as HostState
--- a/src/lentilspool/membership/_leaving.py
+++ b/src/lentilspool/membership/_leaving.py
@@ -1,4 +1,4 @@
-"""Leaving notice, repeated until every lease holder acknowledges it."""
+"""How processes that stop as planned make it known."""
 
 import dataclasses
 from collections.abc import Iterable
@@ -66,3 +66,48 @@
     def can_exit(self, in_flight: int, now: float) -> bool:
         """Tell whether the process can exit without interrupting a call."""
         return not in_flight and self.done(now)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadinessLimits:
+    """Times for which a stopping entry goes on taking requests, in seconds."""
+
+    least_s: float = 1.0
+    """Two polls of a balancer that asks every half second."""
+
+    quiet_s: float = 0.5
+    """Time without a new request after which callers have noticed."""
+
+    most_s: float = 5.0
+    """Limit for callers that go on sending to an entry that is not ready."""
+
+
+class ReadinessNotice:
+    """Decides how long an entry that is not ready any more takes requests.
+
+    Call ``begin`` when the entry reports not ready, and ``on_request`` for
+    each new request. Callers that learn of it late, or are slow to connect,
+    put off the end, up to the limit.
+    """
+
+    def __init__(self, limits: ReadinessLimits | None = None) -> None:
+        self._limits = limits or ReadinessLimits()
+        self._began_at = 0.0
+        self._last_request_at = 0.0
+
+    def begin(self, now: float) -> None:
+        """Record that the entry reports not ready from now on."""
+        self._began_at = now
+
+    def on_request(self, now: float) -> None:
+        """Record a new request."""
+        self._last_request_at = now
+
+    def ends_at(self) -> float:
+        """Return the time from which new requests are refused."""
+        limits = self._limits
+        noticed_at = max(
+            self._began_at + limits.least_s,
+            self._last_request_at + limits.quiet_s,
+        )
+        return min(noticed_at, self._began_at + limits.most_s)
--- a/src/lentilspool/membership/tests/test_leaving.py
+++ b/src/lentilspool/membership/tests/test_leaving.py
@@ -1,6 +1,7 @@
 import random
 
 import hypothesis
+import pytest
 from hypothesis import strategies
 
 from lentilspool import membership
@@ -76,3 +77,27 @@
         for table in tables.values():
             member = table.live_member('s', now)
             assert member is None or member.leaving
+
+
+class TestReadinessNotice:
+    @pytest.mark.parametrize(
+        ('requests', 'ends_at'),
+        [
+            ((), 11),
+            ((9.9,), 11),
+            ((10.4,), 11),
+            # Callers that connect late are served, not turned away.
+            ((10.9,), 11.4),
+            ((10.9, 11.3, 11.7), 12.2),
+            # Callers that never notice do not hold up the stop.
+            (tuple(10 + 0.4 * step for step in range(20)), 15),
+        ],
+    )
+    def test_ends_when_callers_have_noticed(
+        self, requests: tuple[float, ...], ends_at: float
+    ) -> None:
+        notice = membership.ReadinessNotice()
+        notice.begin(10)
+        for at in requests:
+            notice.on_request(at)
+        assert notice.ends_at() == pytest.approx(ends_at)
