Don't count time in which the entry stood still as notice

In one of 18 runs beside 8 busy processes (load 17 on 8 cores), the scenario "An entry stops as planned under load" still ended with "all attempts to connect failed": 2 of the requests had ended when the entry closed its listener.

Cause: the notice compared clock readings. A process that stands still for most of a second finds the second over when it goes on, with the callers' requests still unread in its sockets.

Change: the notice counts waits of 50 ms, each as 50 ms at most, however long it took. A calm entry's notice is still a second.

--- a/src/lentilspool/daemons/_caller_api.py
+++ b/src/lentilspool/daemons/_caller_api.py
@@ -73,8 +73,8 @@
     async def drain(self) -> None:
         """Give the load balancer time to notice, then refuse requests."""
         self._notice.begin(trio.current_time())
-        while trio.current_time() < self._notice.ends_at():
-            await trio.sleep_until(self._notice.ends_at())
+        while wait_s := self._notice.wait_s(trio.current_time()):
+            await trio.sleep(wait_s)
         self._refusing = True
 
     def dump(self) -> dict[str, object]:
@@ -109,7 +109,7 @@
         serve: Serve,
     ) -> None:
         """Read and check a request for a pipeline; serve it or refuse it."""
-        self._notice.on_request(trio.current_time())
+        self._notice.on_request()
         name = scope['path'].removeprefix(_PIPELINES_PATH).partition('/')[0]
         submission = await self._reader.read(name, scope, receive)
         if isinstance(submission, _problem.Response):
--- a/src/lentilspool/membership/_leaving.py
+++ b/src/lentilspool/membership/_leaving.py
@@ -81,33 +81,47 @@
     most_s: float = 5.0
     """Limit for callers that go on sending to an entry that is not ready."""
 
+    step_s: float = 0.05
+    """Time after which the entry asks again."""
+
 
 class ReadinessNotice:
     """Decides how long an entry that is not ready any more takes requests.
 
-    Call ``begin`` when the entry reports not ready, and ``on_request`` for
-    each new request. Callers that learn of it late, or are slow to connect,
-    put off the end, up to the limit.
+    Call ``begin`` when the entry reports not ready, then ``wait_s`` until it
+    returns 0, each time after waiting as long as it says. Call
+    ``on_request`` for each new request. Callers that learn of it late, or
+    are slow to connect, put off the end, up to the limit. Of each wait, no
+    more than a step counts: while the process stood still, it took no
+    requests and answered no balancer.
     """
 
     def __init__(self, limits: ReadinessLimits | None = None) -> None:
         self._limits = limits or ReadinessLimits()
-        self._began_at = 0.0
-        self._last_request_at = 0.0
+        self._asked_at = 0.0
+        self._run_s = 0.0
+        self._quiet_s = 0.0
+        self._requested = False
 
     def begin(self, now: float) -> None:
         """Record that the entry reports not ready from now on."""
-        self._began_at = now
+        self._asked_at = now
 
-    def on_request(self, now: float) -> None:
+    def on_request(self) -> None:
         """Record a new request."""
-        self._last_request_at = now
+        self._requested = True
 
-    def ends_at(self) -> float:
-        """Return the time from which new requests are refused."""
+    def wait_s(self, now: float) -> float:
+        """Return how long to wait; 0 once new requests are to be refused."""
         limits = self._limits
-        noticed_at = max(
-            self._began_at + limits.least_s,
-            self._last_request_at + limits.quiet_s,
+        counted_s = min(now - self._asked_at, limits.step_s)
+        self._asked_at = now
+        self._run_s += counted_s
+        self._quiet_s = 0 if self._requested else self._quiet_s + counted_s
+        self._requested = False
+        noticed = (
+            self._run_s >= limits.least_s and self._quiet_s >= limits.quiet_s
         )
-        return min(noticed_at, self._began_at + limits.most_s)
+        if noticed or self._run_s >= limits.most_s:
+            return 0
+        return limits.step_s
