--- a/features/delivery.feature
+++ b/features/delivery.feature
@@ -61,7 +61,6 @@
     When 60 day plans are sent while the sidecar "model-0" stops
     Then every request is complete
 
-  @known_red
   Scenario: An entry stops as planned under load
     When 40 day plans are sent to entry 0 while it stops
     Then every request is complete
