Give a version published during a load a turn of its own

"At most 1 engine was out of service at a time" failed beside load with 2; requests were refused as no engine was left.

Cause: an engine that holds no model loads without a turn, as it gives no capacity. While its sidecar has not heard that the load ended, it counts as out of service, and a busy member needs no turn for its next order. A version published in that time was therefore loaded by every such engine at once, without the settle time and without turns. On a starved host the sidecar hears later, so the window is wider.

Evidence: test_rollout.py, a target that changes while an order is unanswered: before the change the next step sends the order for it though nine members have not reported; the test failed.

Ruled out: turns judged by time. A member that has not heard of another for long waits; only the settle time is measured, from the member's own change.

Change: once an engine is seen to hold a model and its target is not the one for which it was taken out of service, it serves again and waits for a turn. An engine that is still empty loads the later version at once, as before. An order that is under way is never given up.

--- a/src/lentilspool/orders/_endpoint.py
+++ b/src/lentilspool/orders/_endpoint.py
@@ -32,6 +32,8 @@
         self._schedule = schedule
         self._busy = False
         self._granted = False
+        # Target for which the engine was last taken out of service.
+        self._granted_target = _types.EngineState()
         self._version = 0
         self._target = _types.EngineState()
 
@@ -85,12 +87,13 @@
         wall-clock time, in seconds; ``in_flight`` is the number of calls
         that the engine runs.
         """
-        if self._queue.settled:
+        if self._queue.settled or self._is_turn_over(now):
             self._busy = False
             self._granted = False
         if not self._granted and self._may_start_order(now, wall):
             self._busy = True
             self._granted = True
+            self._granted_target = self._target
         may_send = self._granted and not in_flight
         step = self._queue.step(now, may_send)
         if isinstance(step, _types.SendOrder):
@@ -120,6 +123,19 @@
             'waits_for': list(decision.waits_for),
         }
 
+    def _is_turn_over(self, now: float) -> bool:
+        """Tell whether the engine serves again and its target has changed.
+
+        It then needs a turn for the new target, as every engine of the pool
+        may have been loading for the one before.
+        """
+        needed = self._queue.needed_order(now)
+        return (
+            needed is not None
+            and not needed.empty
+            and self._granted_target != self._target
+        )
+
     def _may_start_order(self, now: float, wall: float) -> bool:
         needed = self._queue.needed_order(now)
         if needed is None:
--- a/src/lentilspool/orders/tests/test_rollout.py
+++ b/src/lentilspool/orders/tests/test_rollout.py
@@ -229,6 +229,38 @@
         assert isinstance(endpoint.step(1.3, 1.3, 0), orders.Wait)
         assert isinstance(endpoint.step(2.6, 2.6, 0), orders.SendOrder)
 
+    def test_version_published_during_a_load_waits_for_a_turn(self) -> None:
+        endpoint = self._endpoint()
+        endpoint.rollout.set_pool(_NAMES)
+        pool = config.PoolDocument(kind='engine', model='m', model_version='1')
+        endpoint.update_target(3, pool, _PARAMETERS, 0)
+        self._read(endpoint, 0, orders.EngineState())
+        sent = endpoint.step(2.6, 2.6, 0)
+        assert isinstance(sent, orders.SendOrder)
+        later = config.PoolDocument(kind='engine', model='m', model_version='2')
+        endpoint.update_target(4, later, _PARAMETERS, 3)
+        assert isinstance(endpoint.step(3.1, 3.1, 0), orders.Wait)
+        assert endpoint.busy
+        endpoint.queue.record_answer(orders.Applied(sent.order.fencing), 4)
+        self._read(endpoint, 4, orders.target_state(pool))
+        assert isinstance(endpoint.step(5.1, 5.1, 0), orders.Wait)
+        assert not endpoint.busy
+        assert not endpoint.progress('s0').done
+
+    def test_engine_still_empty_loads_the_later_version_at_once(self) -> None:
+        endpoint = self._endpoint()
+        endpoint.rollout.set_pool(_NAMES)
+        pool = config.PoolDocument(kind='engine', model='m', model_version='1')
+        endpoint.update_target(3, pool, _PARAMETERS, 0)
+        self._read(endpoint, 0, orders.EngineState())
+        assert isinstance(endpoint.step(2.6, 2.6, 1), orders.Wait)
+        assert endpoint.busy
+        later = config.PoolDocument(kind='engine', model='m', model_version='2')
+        endpoint.update_target(4, later, _PARAMETERS, 3)
+        step = endpoint.step(3.1, 3.1, 0)
+        assert isinstance(step, orders.SendOrder)
+        assert step.order.target == orders.target_state(later)
+
     def test_settle_time_comes_from_configuration(self) -> None:
         endpoint = self._endpoint()
         pool = config.PoolDocument(kind='engine', model='m')
