Wait longer for a store that answers late

A gateway that starts while the store takes over 1.5 s for an answer (over 1 s for a watch after a loss) answered 503 for as long as that lasted, and a running one learned of no change.

Cause: each read was given up at a fixed limit and begun anew, so a store slower than the limit was never read.

Evidence: test_store.py, a store that answers after 0.25 s with a limit of 0.1 s: before the change no listing was read in 5 s and the test failed.

Ruled out for the same symptom ("three gateways over a store" not ended in 15 s): the gateways' own share of the processor.

Change: the limit doubles with each call that times out, up to four times, and is the setting again after an answer within it. Calls that fail at once (refused, reset, 503) don't lengthen it.

--- a/src/lentilspool/gateway/_store.py
+++ b/src/lentilspool/gateway/_store.py
@@ -44,12 +44,12 @@
         self._relist_at: float | None = None
         self._lost_at: float | None = None
         self._recovered_at = 0.0
-        self._calls = 0
+        self._patience = serving.StorePatience()
 
     @property
     def calls(self) -> int:
         """Number of calls to the store so far."""
-        return self._calls
+        return self._patience.calls
 
     async def serve(self) -> None:
         """List, then watch; list again when a watch cannot continue."""
@@ -87,7 +87,7 @@
         with trio.CancelScope() as scope:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._stop_at_era, scope)
-                answer = await self._get(target, watch_s + _WATCH_MARGIN_S)
+                answer = await self._get(target, _WATCH_MARGIN_S, watch_s)
                 nursery.cancel_scope.cancel()
         if answer is not None:
             return answer
@@ -193,16 +193,27 @@
             self._lost_at = now
             _events.STORE_LOST.log(_logger, prefix=self._prefix)
 
-    async def _get(self, target: str, timeout_s: float) -> platform.Page | int:
-        """Return a page, or the status if it is not 200; 0 if no answer came."""
-        self._calls += 1
+    async def _get(
+        self, target: str, limit_s: float, wait_s: float = 0
+    ) -> platform.Page | int:
+        """Return a page, or the status if it is not 200; 0 if no answer came.
+
+        The store is asked to wait for ``wait_s`` and may take ``limit_s``
+        more, or longer if it has been late before.
+        """
         status = 0
         body = b''
-        with trio.move_on_after(timeout_s):
+        due_at = _clock.now() + wait_s
+        timeout_s = wait_s + self._patience.factor * limit_s
+        scope = trio.CancelScope(deadline=trio.current_time() + timeout_s)
+        with scope:
             connection = self._connection or await self._connect()
             self._connection = connection
             if connection:
                 status, body = await self._send_and_receive(connection, target)
+        late_s = _clock.now() - due_at
+        ended = not scope.cancelled_caught
+        self._patience.record(late_s, limit_s, ended=ended)
         if self._connection and not self._connection.reusable:
             with trio.CancelScope(shield=True):
                 await self._connection.close()
--- a/src/lentilspool/gateway/tests/test_store.py
+++ b/src/lentilspool/gateway/tests/test_store.py
@@ -96,6 +96,48 @@
             await trio.sleep(CHANGE_INTERVAL_S)
 
 
+class LateStore(FakeStore):
+    """Store that answers every read later than the reader first waits."""
+
+    late_s = 0.25
+
+    async def serve(
+        self, request: _http_server.Request, reply: _http_server.Reply
+    ) -> None:
+        await trio.sleep(self.late_s)
+        await super().serve(request, reply)
+
+
+class TestLateStore:
+    def test_is_read_though_it_answers_after_the_first_limit(self) -> None:
+        async def check() -> None:
+            store = LateStore()
+            published = _published.PublishedState()
+            async with trio.open_nursery() as nursery:
+                server = _http_server.Server(
+                    '127.0.0.1:0', store.serve, lambda: LIMITS
+                )
+                await nursery.start(server.serve)
+                own = settings.StoreSettings(
+                    f'127.0.0.1:{server.port}',
+                    read_timeout_s=0.1,
+                    retry_s=0.02,
+                )
+                reader = _store.StoreReader(
+                    platform.ENDPOINT_PREFIX, own, published
+                )
+                nursery.start_soon(reader.serve)
+                with trio.fail_after(5):
+                    await self.watched(store)
+                nursery.cancel_scope.cancel()
+
+        trio.run(check)
+
+    async def watched(self, store: LateStore) -> None:
+        while not store.watches:
+            await trio.sleep(CHANGE_INTERVAL_S)
+
+
 class RestoredStore:
     """Store that comes back from an older copy when it is told to."""
 
--- a/src/lentilspool/serving/__init__.py
+++ b/src/lentilspool/serving/__init__.py
@@ -34,6 +34,7 @@
 from lentilspool.serving._entry_order import Position as Position
 from lentilspool.serving._entry_order import is_outdated as is_outdated
 from lentilspool.serving._entry_order import order_of_era as order_of_era
+from lentilspool.serving._patience import StorePatience as StorePatience
 from lentilspool.serving._plan_types import Action as Action
 from lentilspool.serving._plan_types import CheckEndpoint as CheckEndpoint
 from lentilspool.serving._plan_types import FreeResults as FreeResults
--- a/src/lentilspool/settings/_gateway.py
+++ b/src/lentilspool/settings/_gateway.py
@@ -18,7 +18,8 @@
     in groups and each watch is billed, so one watch reads several changes."""
 
     read_timeout_s: float = 1.5
-    """Seconds after which a read times out."""
+    """Seconds after which a read times out; up to four times that after reads
+    that timed out."""
 
     retry_s: float = 0.25
     """Seconds between a failed read and its retry."""
