Say what is known of the start of three gateways beside load

When the gateways don't serve in time, the step now fails with their starts and the end of each log, where it only said TooSlowError. Its limit is unchanged.

--- a/features/steps/store_steps.py
+++ b/features/steps/store_steps.py
@@ -15,6 +15,7 @@
 _WRITE_AGAIN_S = 1.2
 _OK = 200
 _MARGIN_S = 0.001
+_LOG_CHARACTERS = 2000
 
 
 async def _start(context):
@@ -32,7 +33,21 @@
         gateway.configure(tuple(one.peers for one in world.gateways))
         context.loop.nursery.start_soon(gateway.store_way.serve)
         context.loop.nursery.start_soon(gateway.serve)
-    await _served(context, 'again', _START_S)
+    try:
+        await _served(context, 'again', _START_S)
+    except trio.TooSlowError as error:
+        raise AssertionError(_state_of(world.gateways, folder)) from error
+
+
+def _state_of(gateways, folder):
+    """Return how often each gateway was started, and the end of its log."""
+    return {
+        gateway.name: (
+            gateway.starts,
+            (folder / f'{gateway.name}.log').read_text()[-_LOG_CHARACTERS:],
+        )
+        for gateway in gateways
+    }
 
 
 async def _served(context, route, seconds):
