--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -20,6 +20,7 @@
     _proxy.Mode.reset,
     _proxy.Mode.silent,
     _proxy.Mode.one_way,
+    _proxy.Mode.endless,
 )
 _DRAIN_S: Final = 4.0
 _MOST_ROUTES: Final = 60
@@ -69,7 +70,7 @@
                 self._hurt_link,
                 self._hurt_link,
                 self._hurt_store,
-                self._crash,
+                self.crash,
                 self._drain,
                 self._configure,
                 self._drills.restore,
@@ -85,6 +86,12 @@
         self.endpoints.append(endpoint)
         self.store.list_endpoint(endpoint)
 
+    async def crash(self) -> None:
+        """End an endpoint with all its results; another one starts."""
+        endpoint = self._rng.choice(self.endpoints)
+        endpoint.scope.cancel()
+        self._crashed(endpoint)
+
     async def _kill(self) -> None:
         self._rng.choice(self.gateways).kill()
 
@@ -108,12 +115,6 @@
         await trio.sleep(self._rng.uniform(0.3, 3))
         way.set_mode(_proxy.Mode.passing)
 
-    async def _crash(self) -> None:
-        """End an endpoint with all its results; another one starts."""
-        endpoint = self._rng.choice(self.endpoints)
-        endpoint.scope.cancel()
-        self._crashed(endpoint)
-
     def _crashed(self, endpoint: _endpoints.Endpoint) -> None:
         if endpoint in self.endpoints:
             self.endpoints.remove(endpoint)
--- a/src/lentilspool/daemons/_http_server.py
+++ b/src/lentilspool/daemons/_http_server.py
@@ -6,12 +6,10 @@
 
 import trio
 from hypercorn import config as hypercorn_config
-from hypercorn import trio as hypercorn_trio
 
-from lentilspool.daemons import _asgi
+from lentilspool.daemons import _asgi, _http_connection
 
 _LISTEN_BACKLOG: Final = 1024
-_GRACEFUL_TIMEOUT_S: Final = 1.0
 
 
 class HttpServer:
@@ -35,7 +33,8 @@
         self._scope = trio.CancelScope()
         self._ended = trio.Event()
         self._socket = socket.create_server(
-            (address, port), backlog=_LISTEN_BACKLOG
+            (address, port),
+            backlog=self._options.get('backlog', _LISTEN_BACKLOG),
         )
         self._port: int = self._socket.getsockname()[1]
 
@@ -49,7 +48,7 @@
         await self._nursery.start(self._serve)
 
     async def drain(self) -> None:
-        """Close idle connections and wait for responses in flight."""
+        """Close idle connections; wait for all responses in flight."""
         self._stopping.set()
         await self._ended.wait()
 
@@ -68,18 +67,16 @@
 
     async def _serve(self, task_status: Any) -> None:
         server = hypercorn_config.Config()
-        server.bind = [f'fd://{self._socket.detach()}']
-        server.graceful_timeout = _GRACEFUL_TIMEOUT_S
         server.loglevel = 'ERROR'
         server.errorlog = logging.getLogger('hypercorn.error')
         server.accesslog = None
         for name, setting in self._options.items():
             setattr(server, name, setting)
+        connections = _http_connection.Connections(self._app, server)
+        listener = trio.SocketListener(
+            trio.socket.from_stdlib_socket(self._socket)
+        )
         with self._scope:
-            await hypercorn_trio.serve(
-                self._app,
-                server,
-                shutdown_trigger=self._stopping.wait,
-                task_status=task_status,
-            )
+            # The daemon limits the drain, and ends it with ``stop``.
+            await connections.serve(listener, self._stopping, task_status)
         self._ended.set()
--- a/src/lentilspool/gateway/_in_flight.py
+++ b/src/lentilspool/gateway/_in_flight.py
@@ -17,6 +17,7 @@
     _pool,
     _published,
     _stop,
+    _stream_records,
 )
 
 _logger: Final = logging.getLogger(__name__)
@@ -71,6 +72,9 @@
     repeat_callers: serving.RepeatCallerDetector
     """Estimates how long callers waited in earlier attempts, by route."""
 
+    streams: _stream_records.StreamRecords
+    """Software versions that began streams."""
+
 
 class RetryBudgets:
     """Retry budgets by service.
@@ -119,6 +123,8 @@
         self.matched = matched
         self.content = serving.content_digest(call, self.team, body)
         self.arrived_at = _clock.now()
+        # When the caller got the last event of its stream.
+        self.last_event_at = self.arrived_at
         self.attempt_counts = serving.AttemptCounts()
         self.tried_incarnations: set[str] = set()
         self.attempt_open = False
@@ -153,9 +159,9 @@
         return min(self.caller_time_left_s, timeout_s) - _ANSWER_TRANSIT_S
 
     @property
-    def first_event_time_left_s(self) -> float:
-        """Seconds until the caller abandons a stream without events."""
-        return self.arrived_at + self.route.patience_s - _clock.now()
+    def next_event_time_left_s(self) -> float:
+        """Seconds until the caller abandons a stream without another event."""
+        return self.last_event_at + self.route.patience_s - _clock.now()
 
     @property
     def target_time_left_s(self) -> float:
@@ -182,6 +188,7 @@
             request_id=self.call.request_id,
             endpoint=endpoint.name,
             service=endpoint.service,
+            version=endpoint.version,
             attempt=self.attempt_counts.sent + 1,
             left_ms=round(time_left_s * _MS_PER_S),
             configuration=self.context.published.version,
--- a/src/lentilspool/gateway/_peer_server.py
+++ b/src/lentilspool/gateway/_peer_server.py
@@ -14,6 +14,7 @@
     _local_planning,
     _peers,
     _sockets,
+    _stream_records,
 )
 
 _logger: Final = logging.getLogger(__name__)
@@ -142,6 +143,9 @@
         )
 
     def _handle_plan_note(self, note: wire.PlanNote) -> None:
+        if note.call_id == _stream_records.NOTES_CALL:
+            self._cluster.streams.handle(note.event, self._enqueue)
+            return
         key = self._request_keys.get(note.call_id)
         if key is None:
             return
@@ -150,8 +154,13 @@
         self._planning.record_event(key, note.event)
 
     def _send_decision(
-        self, call_id: int, decision: _local_planning.PlanDecision
+        self,
+        call_id: int,
+        decision: _local_planning.PlanDecision | serving.Begun,
     ) -> None:
+        if isinstance(decision, serving.Begun):
+            self._enqueue(wire.PlanNote(call_id, _peers.BEGUN))
+            return
         if isinstance(decision, serving.Refuse):
             self._request_keys.pop(call_id, None)
             reply = _peers.PlanReply(refuse=decision)
--- a/src/lentilspool/gateway/_peers.py
+++ b/src/lentilspool/gateway/_peers.py
@@ -19,11 +19,16 @@
     _local_planning,
     _published,
     _sockets,
+    _stream_records,
 )
 
 _logger: Final = logging.getLogger(__name__)
 _OUTBOX_CAPACITY: Final = 1000
-PlanCallback = Callable[[_local_planning.PlanDecision | None], None]
+PlanCallback = Callable[
+    [_local_planning.PlanDecision | serving.Begun | None], None
+]
+# Event that a planner reports when it sends the first pieces of a request.
+BEGUN: Final = 'begun'
 _KINDS: Final = (_published.CONFIGURATION, _published.ENDPOINTS)
 # One heartbeat in this many lists all known gateways; the others are short.
 _HEARTBEATS_PER_GOSSIP: Final = 4
@@ -90,6 +95,7 @@
         self.quarantine = quarantine
         self.roster = roster
         self.published = published
+        self.streams = _stream_records.StreamRecords(published)
         self._catch_ups = [
             serving.CatchUp(
                 peer_settings.catch_up_after_s, peer_settings.catch_up_limit_s
@@ -219,7 +225,8 @@
     ) -> int:
         """Request a plan from the other gateway; return the call id.
 
-        The callback is called once, with None if the connection is lost.
+        The callback is called once, with None if the connection is lost, and
+        before that if the first pieces are sent.
         """
         self._last_call_id += 1
         self._waiting_plans[self._last_call_id] = callback
@@ -239,6 +246,11 @@
         if self.is_up:
             self._enqueue(wire.PlanNote(call_id, event))
 
+    def send_note(self, text: str) -> None:
+        """Send a note about streams, if the connection is up."""
+        if self.is_up:
+            self._enqueue(wire.PlanNote(_stream_records.NOTES_CALL, text))
+
     async def serve(self) -> None:
         """Keep the connection open, reconnecting until cancelled."""
         with self.scope:
@@ -318,6 +330,7 @@
             if self._stream is None:
                 self._stream = stream
                 _events.PEER_BACK.log(_logger, peer=self.address)
+                self._cluster.streams.greet(self)
             if not self._try_handle(message):
                 break
             message = await stream.receive()
@@ -349,6 +362,10 @@
                 self._cluster.quarantine.merge(message)
             case wire.PlanAnswer():
                 self._handle_plan_answer(message)
+            case wire.PlanNote(_stream_records.NOTES_CALL, text):
+                self._cluster.streams.handle(text, self._enqueue)
+            case wire.PlanNote(event=event) if event == BEGUN:
+                self._handle_begun(message)
             case _:
                 _events.PEER_MESSAGE.log(
                     _logger, peer=self.address, kind=type(message).__name__
@@ -358,6 +375,11 @@
         for request in self._cluster.apply_heartbeat(heartbeat):
             self._enqueue(request)
 
+    def _handle_begun(self, note: wire.PlanNote) -> None:
+        callback = self._waiting_plans.get(note.call_id)
+        if callback:
+            callback(serving.Begun(''))
+
     def _handle_plan_answer(self, answer: wire.PlanAnswer) -> None:
         callback = self._waiting_plans.pop(answer.call_id, None)
         if callback:
--- a/src/lentilspool/gateway/tests/test_silence.py
+++ b/src/lentilspool/gateway/tests/test_silence.py
@@ -15,8 +15,14 @@
     return 'part'
 
 
+async def receive_event(watch: _silence.SilenceWatch, seconds: float) -> None:
+    """Receive a part after some seconds and pass its event on."""
+    await watch.receive(functools.partial(read_after, seconds))
+    watch.record_progress()
+
+
 class TestSilenceWatch:
-    def test_each_read_has_the_whole_limit(self) -> None:
+    def test_each_event_has_the_whole_limit(self) -> None:
         async def check() -> None:
             watch = _silence.SilenceWatch(LIMIT_S)
             silent_at: list[float] = []
@@ -29,7 +35,7 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(note)
                 for pause_s in (1.5, 1.5, 1.5, 5):
-                    await watch.receive(functools.partial(read_after, pause_s))
+                    await receive_event(watch, pause_s)
             assert silent_at == [1.5 * 3 + LIMIT_S]
 
         trio.run(check, clock=testing.MockClock(autojump_threshold=0))
@@ -37,19 +43,19 @@
     def test_time_without_a_read_does_not_count(self) -> None:
         async def check() -> None:
             watch = _silence.SilenceWatch(LIMIT_S)
-            await watch.receive(lambda: read_after(1))
+            await watch.receive(functools.partial(read_after, 1))
             with trio.move_on_after(LIMIT_S * 3) as scope:
                 await watch.wait_until_silent()
             assert scope.cancelled_caught
 
         trio.run(check, clock=testing.MockClock(autojump_threshold=0))
 
-    def test_action_ends_when_a_part_arrives(self) -> None:
+    def test_action_ends_when_an_event_arrives(self) -> None:
         async def check() -> None:
             watch = _silence.SilenceWatch(LIMIT_S)
             began_at = trio.current_time()
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(watch.receive, lambda: read_after(3))
+                nursery.start_soon(receive_event, watch, 3)
                 await watch.wait_until_silent()
                 await watch.unless_resumed(trio.sleep_forever)
             assert trio.current_time() - began_at == 3
@@ -61,9 +67,18 @@
             watch = _silence.SilenceWatch(LIMIT_S)
             began_at = trio.current_time()
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(watch.receive, lambda: read_after(9))
+                nursery.start_soon(receive_event, watch, 9)
                 await watch.wait_until_silent()
                 await watch.unless_resumed(lambda: trio.sleep(1))
                 assert trio.current_time() - began_at == LIMIT_S + 1
 
         trio.run(check, clock=testing.MockClock(autojump_threshold=0))
+
+    def test_bytes_without_an_event_are_no_progress(self) -> None:
+        async def check() -> None:
+            watch = _silence.SilenceWatch(LIMIT_S)
+            for _ in range(3):
+                await watch.receive(functools.partial(read_after, 1))
+            assert watch.is_overdue
+
+        trio.run(check, clock=testing.MockClock(autojump_threshold=0))
--- a/src/lentilspool/membership/_leaving.py
+++ b/src/lentilspool/membership/_leaving.py
@@ -1,4 +1,4 @@
-"""Leaving notice, repeated until every lease holder acknowledges it."""
+"""How processes that stop as planned make it known."""
 
 import dataclasses
 from collections.abc import Iterable
@@ -66,3 +66,62 @@
     def can_exit(self, in_flight: int, now: float) -> bool:
         """Tell whether the process can exit without interrupting a call."""
         return not in_flight and self.done(now)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadinessLimits:
+    """Times for which a stopping entry goes on taking requests, in seconds."""
+
+    least_s: float = 1.0
+    """Two polls of a balancer that asks every half second."""
+
+    quiet_s: float = 0.5
+    """Time without a new request after which callers have noticed."""
+
+    most_s: float = 5.0
+    """Limit for callers that go on sending to an entry that is not ready."""
+
+    step_s: float = 0.05
+    """Time after which the entry asks again."""
+
+
+class ReadinessNotice:
+    """Decides how long an entry that is not ready any more takes requests.
+
+    Call ``begin`` when the entry reports not ready, then ``wait_s`` until it
+    returns 0, each time after waiting as long as it says. Call
+    ``on_request`` for each new request. Callers that learn of it late, or
+    are slow to connect, put off the end, up to the limit. Of each wait, no
+    more than a step counts: while the process stood still, it took no
+    requests and answered no balancer.
+    """
+
+    def __init__(self, limits: ReadinessLimits | None = None) -> None:
+        self._limits = limits or ReadinessLimits()
+        self._asked_at = 0.0
+        self._run_s = 0.0
+        self._quiet_s = 0.0
+        self._requested = False
+
+    def begin(self, now: float) -> None:
+        """Record that the entry reports not ready from now on."""
+        self._asked_at = now
+
+    def on_request(self) -> None:
+        """Record a new request."""
+        self._requested = True
+
+    def wait_s(self, now: float) -> float:
+        """Return how long to wait; 0 once new requests are to be refused."""
+        limits = self._limits
+        counted_s = min(now - self._asked_at, limits.step_s)
+        self._asked_at = now
+        self._run_s += counted_s
+        self._quiet_s = 0 if self._requested else self._quiet_s + counted_s
+        self._requested = False
+        noticed = (
+            self._run_s >= limits.least_s and self._quiet_s >= limits.quiet_s
+        )
+        if noticed or self._run_s >= limits.most_s:
+            return 0
+        return limits.step_s
--- a/src/lentilspool/membership/tests/test_leaving.py
+++ b/src/lentilspool/membership/tests/test_leaving.py
@@ -1,6 +1,7 @@
 import random
 
 import hypothesis
+import pytest
 from hypothesis import strategies
 
 from lentilspool import membership
@@ -76,3 +77,37 @@
         for table in tables.values():
             member = table.live_member('s', now)
             assert member is None or member.leaving
+
+
+class TestReadinessNotice:
+    @pytest.mark.parametrize(
+        ('requests', 'pause_s', 'ends_at'),
+        [
+            ((), 0, 1),
+            ((0.4,), 0, 1),
+            # Callers that connect late are served, not turned away.
+            ((0.9,), 0, 1.4),
+            ((0.9, 1.3, 1.7), 0, 2.2),
+            # Callers that never notice do not hold up the stop.
+            (tuple(0.4 * step for step in range(20)), 0, 5),
+            # A process that stood still has taken no requests meanwhile.
+            ((), 3, 4),
+            ((3.2,), 3, 4),
+            ((3.9,), 3, 4.4),
+        ],
+    )
+    def test_ends_when_callers_have_noticed(
+        self, requests: tuple[float, ...], pause_s: float, ends_at: float
+    ) -> None:
+        now = 10.0
+        notice = membership.ReadinessNotice()
+        notice.begin(now)
+        due = [now + at for at in requests]
+        wait_s = notice.wait_s(now) + pause_s
+        while wait_s:
+            now += wait_s
+            while due and due[0] <= now:
+                due.pop(0)
+                notice.on_request()
+            wait_s = notice.wait_s(now)
+        assert now - 10 == pytest.approx(ends_at, abs=0.1)
--- a/src/lentilspool/platform/_requests.py
+++ b/src/lentilspool/platform/_requests.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 from lentilspool import serving
-from lentilspool.platform import _errors, _names
+from lentilspool.platform import _digits, _errors, _names
 
 _MS_PER_S: Final = 1000.0
 # Engines accept ranks from 0 to 9; a request without a rank has rank 5.
@@ -66,6 +66,7 @@
         pieces=_numbers(by_name, _names.PIECES, _MAX_PIECES),
         piece_key=_text(by_name, _names.PIECE_KEY),
         last_event=_last_event(by_name),
+        resumed_id=_text(by_name, _names.RESUMED_ID),
     )
 
 
@@ -176,7 +177,8 @@
     parts = []
     for entry in filter(None, text.split(',')):
         key, _, tokens = entry.strip().partition(':')
-        if not tokens.isdigit():
+        number = _digits.decode_number(tokens)
+        if number is None or number > _MAX_NUMBER:
             raise _errors.FormatError('Prompt-Prefix', f'bad entry {entry!r}')
-        parts.append(serving.PromptPart(key, int(tokens)))
+        parts.append(serving.PromptPart(key, number))
     return tuple(parts)
--- a/src/lentilspool/platform/tests/test_formats.py
+++ b/src/lentilspool/platform/tests/test_formats.py
@@ -2,6 +2,8 @@
 
 import base64
 import json
+from collections.abc import Callable
+from functools import partial
 
 import msgspec
 import pytest
@@ -63,6 +65,8 @@
     'state': 'ready',
     'born': 1700000000000,
 }
+NESTED = b'{"unknown":%b' % (b'[' * 100_000)
+LONG_NUMBER = b'9' * 5000
 
 
 def call(*more: tuple[bytes, bytes]) -> serving.Call:
@@ -122,6 +126,12 @@
         decoded = call((b'Connection', b'x-hop'), (b'X-Hop', b'1'))
         assert b'x-hop' not in dict(decoded.headers)
 
+    def test_resumed_stream_is_named_and_the_name_passed_on(self) -> None:
+        decoded = call((b'Resumes', b'7a12'), (b'Last-Event-Id', b'3'))
+        assert decoded.resumed_id == '7a12'
+        assert decoded.last_event == 3
+        assert (b'resumes', b'7a12') in decoded.headers
+
     def test_request_id_cannot_be_dropped_by_the_caller(self) -> None:
         decoded = call((b'Connection', b'request-id, host'))
         assert {b'request-id', b'host'} <= set(dict(decoded.headers))
@@ -223,6 +233,12 @@
         decoded = platform.decode_endpoint('i-1', msgspec.json.encode(ENTRY))
         assert decoded.address == '10.0.0.9:8080'
         assert decoded.ready and decoded.born_ms == 1700000000000
+        assert decoded.version == 'v1'
+
+    def test_entry_without_a_version_is_kept(self) -> None:
+        plain = {key: held for key, held in ENTRY.items() if key != 'version'}
+        decoded = platform.decode_endpoint('i-1', msgspec.json.encode(plain))
+        assert not decoded.version
 
     @pytest.mark.parametrize(
         'change',
@@ -231,6 +247,8 @@
             {'address': 'nowhere'},
             {'slots': 'many'},
             {'service': None},
+            {'version': 12},
+            {'version': None},
         ],
     )
     def test_invalid_entry_is_refused(self, change: dict[str, object]) -> None:
@@ -279,3 +297,42 @@
             platform.PieceOutcome('x', ''),
             platform.PieceOutcome('', 'gone'),
         )
+
+
+class TestUnreadableBytes:
+    @pytest.mark.parametrize(
+        'decode',
+        [
+            platform.decode_stage_answer,
+            platform.decode_page,
+            platform.decode_configuration,
+            partial(platform.decode_endpoint, 'e'),
+        ],
+    )
+    def test_deep_nesting_is_a_format_error(
+        self, decode: Callable[[bytes], object]
+    ) -> None:
+        with pytest.raises(platform.FormatError):
+            decode(NESTED)
+
+    def test_entry_with_deep_nesting_has_no_state(self) -> None:
+        assert platform.decode_entry_state(NESTED) is None
+
+    def test_long_number_in_a_head_is_ignored(self) -> None:
+        head = platform.decode_answer_head(
+            200, [(b'Server-Load', b'1,2,%b' % LONG_NUMBER)]
+        )
+        assert head.load is None
+
+    @pytest.mark.parametrize(
+        'port', [LONG_NUMBER.decode(), '\N{SUPERSCRIPT TWO}']
+    )
+    def test_unreadable_port_is_a_format_error(self, port: str) -> None:
+        payload = {**ENTRY, 'address': f'10.0.0.9:{port}'}
+        with pytest.raises(platform.FormatError):
+            platform.decode_endpoint('e', msgspec.json.encode(payload))
+
+    def test_long_number_in_a_request_is_a_format_error(self) -> None:
+        parts = b'5c1e:%b' % LONG_NUMBER
+        with pytest.raises(platform.FormatError):
+            call((b'Prompt-Prefix', parts))
--- a/src/lentilspool/retries/_budget.py
+++ b/src/lentilspool/retries/_budget.py
@@ -38,7 +38,12 @@
         return self._balance
 
     def update_reserve(self, reserve: float) -> None:
-        """Set the reserve; a balance above it decays with the window."""
+        """Set the reserve; a smaller one withdraws what is above it.
+
+        What successes have earned stays, and decays with the window.
+        """
+        earned = max(self._balance - self._reserve, 0)
+        self._balance = min(self._balance, reserve + earned)
         self._reserve = reserve
 
     def record_success(self, now: float) -> None:
@@ -46,12 +51,16 @@
         self._update_balance(now)
         self._balance += self._retries_per_success
 
-    def try_spend(self, now: float) -> bool:
-        """Spend one retry; return False if the balance is below one."""
+    def allows(self, retries: float, now: float) -> bool:
+        """Whether that many retries may be spent."""
         self._update_balance(now)
-        if self._balance < 1:
+        return self._balance >= retries
+
+    def try_spend(self, now: float, retries: int = 1) -> bool:
+        """Spend retries; spend none and return False if they are too many."""
+        if not self.allows(retries, now):
             return False
-        self._balance -= 1
+        self._balance -= retries
         return True
 
     def _update_balance(self, now: float) -> None:
--- a/src/lentilspool/serving/__init__.py
+++ b/src/lentilspool/serving/__init__.py
@@ -34,7 +34,9 @@
 from lentilspool.serving._entry_order import Position as Position
 from lentilspool.serving._entry_order import is_outdated as is_outdated
 from lentilspool.serving._entry_order import order_of_era as order_of_era
+from lentilspool.serving._patience import StorePatience as StorePatience
 from lentilspool.serving._plan_types import Action as Action
+from lentilspool.serving._plan_types import Begun as Begun
 from lentilspool.serving._plan_types import CheckEndpoint as CheckEndpoint
 from lentilspool.serving._plan_types import FreeResults as FreeResults
 from lentilspool.serving._plan_types import Piece as Piece
@@ -46,14 +48,24 @@
 from lentilspool.serving._plan_types import StageRequest as StageRequest
 from lentilspool.serving._plan_types import StartCall as StartCall
 from lentilspool.serving._planner import Planner as Planner
+from lentilspool.serving._planner_losses import PlannerLosses as PlannerLosses
 from lentilspool.serving._repeat_callers import (
     RepeatCallerDetector as RepeatCallerDetector,
 )
 from lentilspool.serving._roster import Member as Member
 from lentilspool.serving._roster import Roster as Roster
+from lentilspool.serving._roster import spread_over_zones as spread_over_zones
 from lentilspool.serving._route_table import Matched as Matched
 from lentilspool.serving._route_table import NoRoute as NoRoute
 from lentilspool.serving._route_table import RouteTable as RouteTable
 from lentilspool.serving._route_table import UnknownKey as UnknownKey
 from lentilspool.serving._route_table import pick_service as pick_service
+from lentilspool.serving._stream_versions import StreamVersion as StreamVersion
+from lentilspool.serving._stream_versions import (
+    StreamVersions as StreamVersions,
+)
+from lentilspool.serving._stream_versions import (
+    VersionHistory as VersionHistory,
+)
+from lentilspool.serving._stream_versions import stream_key as stream_key
 from lentilspool.serving._suspects import Suspects as Suspects
