Add histories of the soak, judges of LOST and ORDER, and soak judge

The soak judged promises of its own inside the run. Histories hold what was observed from outside as JSON lines of a versioned format; a file that is cut off, holds other lines or has another version is refused with the number of the line and exit status 2. Judges are pure functions of a history and use nothing of the gateway's code; 'python -m soak judge HISTORY' prints findings as rule, clause, moment and requests.

LOST: kept connections, SIGTERM, SIGHUP, changes of configuration (three times as often as apart from them, by share of requests; not after seven tenths of the time), resumed streams. ORDER: missing, doubled, joined, complete too early, two software versions. Each clause has the history that just breaks it and the nearest one that does not.

No run of the soak writes a history yet.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,6 +1,7 @@
 """``python -m soak``: runs seeds one after another.
 
 Prints a line of JSON a seed; ends with 1 if a promise was broken.
+``python -m soak judge HISTORY`` judges the history of a run instead.
 """
 
 import dataclasses
@@ -9,7 +10,7 @@
 import fire
 import trio
 
-from soak import _run
+from soak import _judge_command, _run
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -58,6 +59,18 @@
     return Soak(plan, seeds)
 
 
+def main(arguments: list[str]) -> int:
+    """Run the command that is named; return the exit status."""
+    if arguments[:1] == ['judge']:
+        chosen = fire.Fire(
+            _judge_command.command, arguments[1:], serialize=lambda _: ''
+        )
+    else:
+        chosen = fire.Fire(command, arguments, serialize=lambda _: '')
+    if isinstance(chosen, Soak | _judge_command.Judgement):
+        return chosen.run()
+    return 2
+
+
 if __name__ == '__main__':
-    chosen = fire.Fire(command, serialize=lambda _: '')
-    sys.exit(chosen.run() if isinstance(chosen, Soak) else 2)
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/soak/judges/_disruptions.py
@@ -0,0 +1,116 @@
+"""When machines, endpoints and the store are disrupted, and who is in touch."""
+
+import collections
+import dataclasses
+import math
+from typing import Final
+
+from soak import _history, _terms
+
+# A sound endpoint may fall silent for a while; that is no disruption.
+SILENCE: Final = 'quiet'
+
+
+@dataclasses.dataclass(slots=True)
+class Span:
+    """A span of time in which a place is disrupted."""
+
+    begin: float
+    """Its begin."""
+
+    end: float = math.inf
+    """Its end."""
+
+    planned: bool = False
+    """Whether it belongs to planned work."""
+
+
+class Disruptions:
+    """Spans of disruption by place."""
+
+    def __init__(self, history: _history.History) -> None:
+        self._bounds = history.bounds
+        self._spans: dict[str, list[Span]] = collections.defaultdict(list)
+        self._open: dict[tuple[str, str], Span] = {}
+        self._ended_alone: set[str] = set()
+        for observation in history.observations:
+            if isinstance(observation, _history.Process):
+                self._process(observation)
+            elif isinstance(observation, _history.Disrupted):
+                self._link(observation)
+
+    def hurts(
+        self,
+        place: str,
+        first: float,
+        last: float,
+        *,
+        unplanned_only: bool = False,
+    ) -> bool:
+        """Whether the place is disrupted at some moment of a span."""
+        return any(
+            span.begin <= last and span.end >= first
+            for span in self._spans[place]
+            if not (unplanned_only and span.planned)
+        )
+
+    def in_touch(self, machine: str, at: float) -> bool:
+        """Whether a machine and the store were calm long enough."""
+        first = at - self._bounds.stable_window_s
+        return not any(
+            self.hurts(place, first, at) for place in (machine, _history.STORE)
+        )
+
+    def _link(self, seen: _history.Disrupted) -> None:
+        if seen.how == SILENCE:
+            return
+        if seen.over:
+            self._shut(seen.place, seen.how, seen.at)
+        else:
+            self._begin(seen.place, seen.how, Span(seen.at))
+
+    def _process(self, seen: _history.Process) -> None:
+        machine = seen.machine
+        stop = self._open.get((machine, 'stop'))
+        match seen.change:
+            case _terms.Change.paused:
+                self._begin(machine, 'pause', Span(seen.at))
+            case _terms.Change.resumed:
+                self._shut(machine, 'pause', seen.at)
+            case _terms.Change.killed:
+                late = stop is not None and (
+                    seen.at >= stop.begin + self._bounds.grace_s
+                )
+                self._begin(machine, 'kill', Span(seen.at, planned=late))
+            case _terms.Change.terminated:
+                self._begin(machine, 'stop', Span(seen.at, planned=True))
+            case _terms.Change.ended:
+                if not self._is_stopping(machine):
+                    self._ended_alone.add(machine)
+            case _terms.Change.started:
+                self._start(machine, seen.at)
+
+    def _is_stopping(self, machine: str) -> bool:
+        return any((machine, how) in self._open for how in ('kill', 'stop'))
+
+    def _start(self, machine: str, at: float) -> None:
+        """Close what a new process ends; a start is a disruption itself."""
+        cause = self._open.get((machine, 'kill'))
+        cause = cause or self._open.get((machine, 'stop'))
+        planned = cause is not None and cause.planned
+        for how in ('kill', 'stop', 'pause'):
+            self._shut(machine, how, at)
+        if machine in self._ended_alone:
+            self._ended_alone.discard(machine)
+        else:
+            self._spans[machine].append(Span(at, at, planned=planned))
+
+    def _begin(self, place: str, how: str, span: Span) -> None:
+        if (place, how) not in self._open:
+            self._open[place, how] = span
+            self._spans[place].append(span)
+
+    def _shut(self, place: str, how: str, at: float) -> None:
+        span = self._open.pop((place, how), None)
+        if span:
+            span.end = at
