Add judges of BUDGET, GONE, TWICE and REFUSED

BUDGET: attempts beyond those of the route, and time beyond the deadline (the window of repeats has a module of its own, and crashes by content are not judged). GONE: arrivals after the client left, and work that goes on; 'a few' is read as more than three, as in LOST and BUDGET. TWICE: a second run, and a stream that goes on while its first endpoint works. REFUSED: a refusal of a request that has run or runs later.

--- a/soak/_history.py
+++ b/soak/_history.py
@@ -77,6 +77,12 @@
     time_s: float
     """Time until the client's deadline or the route's timeout."""
 
+    deadline_s: float = 0
+    """Time until the client's deadline, as the request states it."""
+
+    attempts: int = 1
+    """Endpoints to which the route allows one attempt to be sent."""
+
     kept: bool = False
     """Whether the connection had carried a request before."""
 
@@ -140,6 +146,9 @@
     left_s: float | None = None
     """Time until the deadline that it was told; None if it was told none."""
 
+    lasts_s: float = 0
+    """Time for which the work would last if it is not disturbed."""
+
 
 class Worked(Observation, frozen=True, tag='worked'):
     """An endpoint has ended its work on a request."""
--- a/soak/_terms.py
+++ b/soak/_terms.py
@@ -1,6 +1,10 @@
 """Terms in which histories describe requests, work and processes."""
 
 import enum
+from typing import Final
+
+# A sound endpoint may fall silent for a while; that is no disruption.
+QUIET: Final = 'quiet'
 
 
 class Kind(enum.Enum):
--- a/soak/judges/_all.py
+++ b/soak/judges/_all.py
@@ -3,9 +3,24 @@
 from typing import Final
 
 from soak import _history
-from soak.judges import _finding, _lost, _order
+from soak.judges import (
+    _budget,
+    _finding,
+    _gone,
+    _lost,
+    _order,
+    _refused,
+    _twice,
+)
 
-JUDGES: Final[tuple[_finding.Judge, ...]] = (_lost.judge, _order.judge)
+JUDGES: Final[tuple[_finding.Judge, ...]] = (
+    _lost.judge,
+    _order.judge,
+    _budget.judge,
+    _gone.judge,
+    _twice.judge,
+    _refused.judge,
+)
 
 
 def judge(history: _history.History) -> list[_finding.Finding]:
--- a/soak/judges/_disruptions.py
+++ b/soak/judges/_disruptions.py
@@ -3,13 +3,9 @@
 import collections
 import dataclasses
 import math
-from typing import Final
 
 from soak import _history, _terms
 
-# A sound endpoint may fall silent for a while; that is no disruption.
-SILENCE: Final = 'quiet'
-
 
 @dataclasses.dataclass(slots=True)
 class Span:
@@ -62,7 +58,7 @@
         )
 
     def _link(self, seen: _history.Disrupted) -> None:
-        if seen.how == SILENCE:
+        if seen.how == _terms.QUIET:
             return
         if seen.over:
             self._shut(seen.place, seen.how, seen.at)
