Record the history of each soak run and judge it beside the findings

Each run writes its history into the folder of the logs, reads it back and judges it; findings of judges are printed as 'rules' and 'judged' and end the command with 1. The checks of the run stay as they are; the body of a stream is compared without the name of the run that marks each event.

Added to the traffic: endpoints of two software versions side by side, callers that take a broken or silent stream up again at another gateway, callers that leave, SIGHUP, endpoints that fall silent for about a second, a route that moves between two services while requests are in flight, and '--planned', which draws planned work only.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,6 +1,6 @@
 """``python -m soak``: runs seeds one after another.
 
-Prints a line of JSON a seed; ends with 1 if a promise was broken.
+Prints a line of JSON a seed; ends with 1 if a promise or a rule was broken.
 ``python -m soak judge HISTORY`` judges the history of a run instead.
 """
 
@@ -31,7 +31,7 @@
             findings, line = trio.run(_run.run, plan)
             sys.stdout.write(f'{line}\n')
             sys.stdout.flush()
-            broken += bool(findings.broken)
+            broken += bool(findings.broken or findings.judged)
         return int(broken > 0)
 
 
@@ -43,6 +43,7 @@
     callers: int = 12,
     plant: str = '',
     logs: str = '',
+    planned: bool = False,
 ) -> Soak:
     """Run gateways under faults and check what callers and endpoints see.
 
@@ -53,9 +54,10 @@
         gateways: Gateway processes.
         callers: Callers at the same time.
         plant: Guard to switch off: resend, blind, era or fatal.
-        logs: Folder for the gateways' logs.
+        logs: Folder for the gateways' logs and the histories.
+        planned: Only planned work and endpoints that fall silent.
     """
-    plan = _run.Plan(seed, seconds, gateways, callers, plant, logs)
+    plan = _run.Plan(seed, seconds, gateways, callers, plant, logs, planned)
     return Soak(plan, seeds)
 
 
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -1,23 +1,51 @@
 """Callers: open load, connections that are kept, whole answers read."""
 
+import dataclasses
 import random
+import types
+import zlib
 from typing import Final
 
 import h11
 import trio
 
 from lentilspool.platform.tests import stand_ins
-from soak import _findings, _gateways, _published
+from soak import _findings, _gateways, _history, _published, _terms
 
 _DEADLINE_S: Final = 5.0
+# Deadline that requests state.
+_TOLD_S: Final = 4.5
 _BYTES: Final = 65536
 NOT_FOUND: Final = 404
+_OK: Final = 200
+# Timeout of the routes, which is shorter than the deadline of callers.
+_TIME_S: Final = 4.0
+# Share of resumable streams, and of long requests, whose caller leaves.
+_BROKEN_SHARE: Final = 0.15
+_MOST_TRIES: Final = 3
+# Pause in a resumable stream after which its caller goes elsewhere.
+_PAUSE_S: Final = 0.4
+_PROMPT_PARTS: Final = b'prompt-prefix'
+# First parts of prompts, so that several endpoints hold some of them.
+_FIRST_PARTS: Final = 6
+_RETRY_S: Final = 0.1
 _KINDS: Final = (
     ('once', 'desk', False, ()),
     ('again', 'desk', True, ()),
+    ('moving', 'desk', True, ()),
     ('draft', 'model', False, (1, 3)),
     ('resume', 'model', True, (2, 8)),
 )
+_ENDS: Final = types.MappingProxyType(
+    {
+        '': _terms.End.whole,
+        'closed': _terms.End.closed,
+        'broken': _terms.End.closed,
+        'not whole': _terms.End.garbled,
+        'deadline': _terms.End.left,
+        'left': _terms.End.left,
+    }
+)
 # Route, service, whether it may repeat, pieces by stage, and what ends endpoints.
 Harmful = tuple[str, str, bool, tuple[int, ...], _findings.Harm]
 HARMFUL: Final[tuple[Harmful, ...]] = (
@@ -29,6 +57,75 @@
 )
 
 
+def _kind(asked: _findings.Asked) -> _terms.Kind:
+    """Return the kind of a request, as the routes of the soak declare it."""
+    if asked.counts:
+        kinds = (_terms.Kind.stream, _terms.Kind.resumable)
+    else:
+        kinds = (_terms.Kind.unsafe, _terms.Kind.safe)
+    return kinds[asked.repeatable]
+
+
+def _prompt_of(asked: _findings.Asked) -> bytes:
+    """Return the parts of a prompt, which attempts of a stream share."""
+    first = zlib.crc32(asked.target) % _FIRST_PARTS
+    last = asked.resumes or asked.request_id
+    return f'aa{first}:400,{last}:100'.encode()
+
+
+@dataclasses.dataclass(slots=True)
+class Progress:
+    """How much of an answer was read, and of the stream in all attempts."""
+
+    status: int = 0
+    """Status of the latest answer; 0 before its head was read."""
+
+    stamp: str = ''
+    """Signature of the latest answer."""
+
+    whole: bool = False
+    """Whether the latest answer is a whole success."""
+
+    at_end: bool = False
+    """Whether the gateway has ended the connection."""
+
+    noted: int = 0
+    """Events of the latest answer."""
+
+    last_event: int = 0
+    """Number of the last event of all attempts."""
+
+    patience_s: float = _DEADLINE_S
+    """Time after which the caller leaves if no answer has begun."""
+
+    leave_after: int = 0
+    """Events after which the caller breaks its connection; 0 for never."""
+
+    @property
+    def leaves(self) -> bool:
+        """Whether the caller breaks its connection now."""
+        return 0 < self.leave_after <= self.noted
+
+    @property
+    def may_go_on(self) -> bool:
+        """Whether the stream can be taken up again."""
+        begun = 0 < self.last_event < _findings.EVENTS
+        return begun and not self.whole
+
+    def begin(self) -> None:
+        """Begin the next attempt."""
+        self.status = 0
+        self.stamp = ''
+        self.whole = False
+        self.at_end = False
+        self.noted = 0
+
+    def add(self, number: int) -> None:
+        """Add an event."""
+        self.noted += 1
+        self.last_event = max(self.last_event, number)
+
+
 class Caller:
     """One caller; uses its connection again while it stays open."""
 
@@ -46,12 +143,22 @@
         self._count = 0
         self._stream: trio.SocketStream | None = None
         self._http = h11.Connection(h11.CLIENT)
+        self._gateway = gateways[0]
+        self._used = False
+        self._progress = Progress()
 
     async def serve(self, pause_s: float) -> None:
         """Ask again and again until cancelled."""
         while True:
             await trio.sleep(self._rng.expovariate(1 / pause_s))
-            await self._ask(self._next())
+            asked = self._next()
+            if asked.target.startswith(b'/resume/'):
+                await self.ask_stream(asked)
+            else:
+                self._progress = Progress()
+                if asked.moved_to and self._rng.random() < _BROKEN_SHARE:
+                    self._progress.patience_s = self._rng.uniform(0.05, 0.5)
+                await self._ask(asked)
 
     async def repeat(
         self, number: int, harmful: Harmful, pause_s: float
@@ -75,6 +182,30 @@
             await self._close()
             await trio.sleep(self._rng.uniform(0, 2 * pause_s))
 
+    async def ask_stream(self, asked: _findings.Asked) -> None:
+        """Ask for a stream, and take it up again at other gateways."""
+        self._progress = Progress()
+        breaks = self._rng.random() < _BROKEN_SHARE
+        if breaks:
+            last = _findings.EVENTS - 1
+            self._progress.leave_after = self._rng.randint(1, last)
+        await self._ask(asked)
+        first = asked.request_id
+        for _ in range(_MOST_TRIES):
+            if not self._progress.may_go_on:
+                return
+            await self._close()
+            await trio.sleep(_RETRY_S)
+            self._progress.leave_after = 0
+            self._count += 1
+            again = dataclasses.replace(
+                asked,
+                request_id=f'{self._number}-{self._count}',
+                after=self._progress.last_event,
+                resumes=first,
+            )
+            await self._ask(again)
+
     async def status_of(self, route: str) -> int:
         """Ask for a route of the plain service; return the status, or 0."""
         self._count += 1
@@ -103,9 +234,11 @@
             service,
             repeatable,
             counts,
+            moved_to='counter' if name == 'moving' else '',
         )
 
     async def _ask(self, asked: _findings.Asked) -> None:
+        self._progress.begin()
         self._findings.asks(asked)
         reason = 'deadline'
         with trio.move_on_after(_DEADLINE_S):
@@ -115,39 +248,115 @@
                 reason = 'broken'
             except h11.RemoteProtocolError:
                 reason = 'not whole'
+        self._note_end(asked, reason)
         if reason:
-            self._findings.unanswered(asked, reason)
+            # A caller that leaves on purpose does not miss its answer.
+            if reason != 'left':
+                self._findings.unanswered(asked, reason)
             await self._close()
 
+    def _note_end(self, asked: _findings.Asked, reason: str) -> None:
+        how = _ENDS[reason]
+        if reason == 'not whole' and self._progress.at_end:
+            how = _terms.End.closed
+        recorder = self._findings.recorder
+        ended = _history.Ended(
+            recorder.now(),
+            asked.request_id,
+            how,
+            self._progress.status,
+            self._progress.stamp,
+        )
+        recorder.note(ended)
+
+    def _note_sent(self, asked: _findings.Asked) -> None:
+        recorder = self._findings.recorder
+        sent = _history.Sent(
+            recorder.now(),
+            asked.request_id,
+            self._gateway.name,
+            asked.target.decode().split('/')[1],
+            _kind(asked),
+            _TIME_S,
+            deadline_s=_TOLD_S,
+            attempts=_published.attempts_of(repeatable=asked.repeatable),
+            kept=self._used,
+            after=asked.after,
+            resumes=asked.resumes,
+        )
+        recorder.note(sent)
+
+    async def _connect(self) -> trio.SocketStream:
+        """Connect to a gateway, another one than before if there is one."""
+        others = [one for one in self._gateways if one is not self._gateway]
+        self._gateway = self._rng.choice(others or self._gateways)
+        self._http = h11.Connection(h11.CLIENT)
+        self._used = False
+        return await trio.open_tcp_stream('127.0.0.1', self._gateway.callers)
+
     async def _exchange(self, asked: _findings.Asked) -> str:
         """Return why there is no answer; empty if there is one."""
         if self._stream is None:
-            gateway = self._rng.choice(self._gateways)
-            self._http = h11.Connection(h11.CLIENT)
-            self._stream = await trio.open_tcp_stream(
-                '127.0.0.1', gateway.callers
-            )
+            self._stream = await self._connect()
         await self._stream.send_all(self._request(asked))
-        head = await self._event(self._stream)
+        self._note_sent(asked)
+        head = await self._head(self._stream)
+        if head is None:
+            return 'left'
         if not isinstance(head, h11.Response):
             return 'closed'
+        stamp = stand_ins.decode_signature(head.headers)
+        self._progress.status = head.status_code
+        self._progress.stamp = stamp
         body = b''
-        event = await self._event(self._stream)
+        event = await self._next_part(asked, self._stream)
         while isinstance(event, h11.Data):
             body += bytes(event.data)
-            event = await self._event(self._stream)
+            self._note_events(asked, body)
+            if self._progress.leaves:
+                return 'left'
+            event = await self._next_part(asked, self._stream)
+        if event is None:
+            return 'left'
         if not isinstance(event, h11.EndOfMessage):
             return 'closed'
-        stamp = stand_ins.decode_signature(head.headers)
+        self._progress.whole = head.status_code == _OK
         self._findings.answered(asked, head.status_code, body, stamp)
         await self._keep()
         return ''
 
+    def _note_events(self, asked: _findings.Asked, body: bytes) -> None:
+        """Note the events that are whole and were not noted yet."""
+        if not asked.counts or self._progress.status != _OK:
+            return
+        recorder = self._findings.recorder
+        for number, run in _findings.marks_of(body)[self._progress.noted :]:
+            self._progress.add(number)
+            got = _history.Got(recorder.now(), asked.request_id, number, run)
+            recorder.note(got)
+
+    async def _head(self, stream: trio.SocketStream) -> object | None:
+        """Return the begin of an answer; None if the caller has left."""
+        with trio.move_on_after(self._progress.patience_s):
+            return await self._event(stream)
+        return None
+
+    async def _next_part(
+        self, asked: _findings.Asked, stream: trio.SocketStream
+    ) -> object | None:
+        """Return the next part; None after too long a pause in a stream."""
+        may_leave = self._progress.may_go_on and asked.repeatable
+        with trio.move_on_after(_PAUSE_S if may_leave else _DEADLINE_S):
+            return await self._event(stream)
+        return None
+
     async def _event(self, stream: trio.SocketStream) -> object:
         """Return the next part of an answer."""
         event: object = self._http.next_event()
         while event is h11.NEED_DATA:
-            self._http.receive_data(await stream.receive_some(_BYTES))
+            received = await stream.receive_some(_BYTES)
+            self._progress.at_end = not received
+            self._http.receive_data(received)
             event = self._http.next_event()
         return event
 
@@ -156,10 +365,20 @@
         headers = stand_ins.caller_headers(
             asked.request_id,
             _published.key_of(asked.team),
-            _DEADLINE_S - 0.5,
+            _TOLD_S,
             pieces,
         )
         length = str(len(asked.body)).encode()
+        if asked.counts:
+            headers = [
+                *(one for one in headers if one[0].lower() != _PROMPT_PARTS),
+                (_PROMPT_PARTS, _prompt_of(asked)),
+            ]
+        if asked.resumes:
+            headers += [
+                (b'last-event-id', str(asked.after).encode()),
+                (b'resumes', asked.resumes.encode()),
+            ]
         headers += [
             (b'host', _published.HOST.encode()),
             (b'content-length', length),
@@ -176,6 +395,7 @@
         states = {self._http.our_state, self._http.their_state}
         if states == {h11.DONE}:
             self._http.start_next_cycle()
+            self._used = True
         else:
             await self._close()
 
--- a/soak/_drills.py
+++ b/soak/_drills.py
@@ -66,6 +66,7 @@
         store.restore(self._rng.uniform(0.5, 6))
         await trio.sleep(self._rng.uniform(0.2, 1.5))
         self._world.write_again()
+        store.settle()
 
     async def _repeat_harmful(self) -> None:
         """Send a request that ends its endpoints, again and again."""
@@ -98,6 +99,7 @@
     leaving = next(one for one in world.endpoints if one.service == 'desk')
     leaving.ready = False
     store.list_endpoint(leaving)
+    store.settle()
     await trio.sleep(_IN_FORCE_S)
     in_force_at = trio.current_time()
     for number, gateway in enumerate(world.gateways):
--- a/soak/_endpoints.py
+++ b/soak/_endpoints.py
@@ -1,6 +1,7 @@
 """Endpoints that keep a record of everything they were asked."""
 
 import itertools
+import random
 from collections.abc import Callable
 from typing import Final
 
@@ -9,14 +10,39 @@
 from lentilspool import serving
 from lentilspool.gateway import _http_server
 from lentilspool.platform.tests import stand_ins
-from soak import _findings, _proxy
+from soak import _findings, _history, _proxy, _terms
 
 _LIMITS: Final = serving.CallLimits(65536, 1_000_000, 5, 30)
 _WORK_S: Final = 0.03
-_EVENT_S: Final = 0.02
+_EVENT_S: Final = 0.06
+_LONG_WORK_S: Final = 1.2
 _names = itertools.count(1)
 
 
+def _left_s(request: _http_server.Request) -> float | None:
+    """Return the time until the deadline that a request states."""
+    for name, stated in request.headers:
+        if name.lower() == b'deadline-ms' and stated.isdigit():
+            return int(stated) / 1000
+    return None
+
+
+def _lasts_s(
+    request: _http_server.Request, sent: stand_ins.EndpointRequest
+) -> float:
+    """Return how long the work on a request lasts."""
+    if sent.results is not None:
+        return _EVENT_S * (_findings.EVENTS - sent.last_event)
+    return _LONG_WORK_S if request.target.startswith(b'/moving/') else _WORK_S
+
+
+def pick(endpoints: list['Endpoint'], rng: random.Random) -> 'Endpoint':
+    """Draw an endpoint; half of the time it is an engine."""
+    service = rng.choice(('model', ''))
+    engines = [one for one in endpoints if one.service == service]
+    return rng.choice(engines or endpoints)
+
+
 class Endpoint:
     """One start of an endpoint: plain, stage or engine, as it is asked."""
 
@@ -25,13 +51,17 @@
         service: str,
         findings: _findings.Findings,
         ended: Callable[['Endpoint'], None],
+        version: str = '',
     ) -> None:
         number = next(_names)
         self.name = f'{service}-{number}'
         self.service = service
+        self.version = version
         self.born_ms = number
         self.ready = True
         self._sequence = 0
+        self._silent_until = 0.0
+        self._runs = itertools.count(1)
         self._findings = findings
         self._ended = ended
         self._server = _http_server.Server(
@@ -53,6 +83,20 @@
         """Address that it publishes."""
         return f'127.0.0.1:{self.proxy.port}'
 
+    def crash(self) -> None:
+        """End with all results."""
+        recorder = self._findings.recorder
+        ended = _history.Disrupted(recorder.now(), self.name, 'crashed')
+        recorder.note(ended)
+        self.scope.cancel()
+
+    def fall_silent(self, seconds: float) -> None:
+        """Write nothing for a time, and go on."""
+        self._silent_until = trio.current_time() + seconds
+        now = self._findings.recorder.now()
+        quiet = _history.Disrupted(now, self.name, _terms.QUIET)
+        self._findings.recorder.note(quiet)
+
     def next_sequence(self) -> int:
         """Return the number of the next write of its entry."""
         self._sequence += 1
@@ -90,23 +134,59 @@
         request: _http_server.Request,
         sent: stand_ins.EndpointRequest,
         reply: _http_server.Reply,
+    ) -> None:
+        """Work on a request, and record the run."""
+        run = f'{self.name}/{next(self._runs)}'
+        recorder = self._findings.recorder
+        ran = _history.Ran(
+            recorder.now(),
+            sent.request_id,
+            run,
+            self.name,
+            sent.last_event,
+            0 if sent.results is None else _findings.EVENTS,
+            _left_s(request),
+            _lasts_s(request, sent),
+        )
+        recorder.note(ran)
+        how = _terms.Work.dropped
+        try:
+            await self._work(request, sent, reply, run)
+            how = _terms.Work.whole
+        finally:
+            if self.scope.cancel_called:
+                how = _terms.Work.broken
+            recorder.note(_history.Worked(recorder.now(), run, how))
+
+    async def _work(
+        self,
+        request: _http_server.Request,
+        sent: stand_ins.EndpointRequest,
+        reply: _http_server.Reply,
+        run: str,
     ) -> None:
         self._findings.ran(self, sent, request)
         if self._findings.harms(sent.request_id, _findings.Harm.request):
             await self._crash()
         headers = stand_ins.answer_headers(sent.request_id, self.name)
         if sent.results is None:
-            await trio.sleep(_WORK_S)
+            await self._pause(_lasts_s(request, sent))
             body = _findings.body_of(sent.request_id)
             await self._whole(reply, headers, body)
             return
         self._findings.read(sent.request_id, sent.results)
         await reply.write_head(200, headers, b'')
         for number in range(sent.last_event + 1, _findings.EVENTS + 1):
-            await trio.sleep(_EVENT_S)
-            await reply.write_chunk(_findings.event_of(sent.request_id, number))
+            await self._pause(_EVENT_S)
+            await reply.write_chunk(
+                _findings.event_of(sent.request_id, number, run)
+            )
         await reply.write_end()
 
+    async def _pause(self, seconds: float) -> None:
+        await trio.sleep(seconds)
+        await trio.sleep_until(self._silent_until)
+
     async def _run_pieces(self, body: bytes, reply: _http_server.Reply) -> None:
         pieces = stand_ins.decode_pieces(body)
         for piece in pieces:
@@ -130,7 +210,7 @@
     async def _crash(self) -> None:
         """End as a crashed process does: its connections are reset."""
         self.proxy.set_mode(_proxy.Mode.reset)
-        self.scope.cancel()
+        self.crash()
         self._ended(self)
         await trio.sleep_forever()
 
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -10,19 +10,21 @@
     _endpoints,
     _findings,
     _gateways,
+    _history,
+    _planned_work,
     _proxy,
     _published,
 )
 
-_SERVICES: Final = (('desk', 3), ('prepare', 3), ('model', 3))
+_SERVICES: Final = (('desk', 3), ('counter', 2), ('prepare', 3), ('model', 4))
+# Software versions that serve side by side.
+_VERSIONS: Final = ('1.4', '1.5')
 _MODES: Final = (
     _proxy.Mode.delayed,
     _proxy.Mode.reset,
     _proxy.Mode.silent,
     _proxy.Mode.one_way,
 )
-_DRAIN_S: Final = 4.0
-_MOST_ROUTES: Final = 60
 
 
 class World:
@@ -38,17 +40,19 @@
         self._rng = rng
         self._nursery = nursery
         self.store = _published.Store()
+        self.store.recorder = findings.recorder
         self.gateways: list[_gateways.Gateway] = []
         self.endpoints: list[_endpoints.Endpoint] = []
         self.gone: list[_endpoints.Endpoint] = []
         self._drills = _drills.Drills(self, findings, rng, nursery)
+        self.planned = _planned_work.PlannedWork(self, rng, nursery)
 
     async def start(self) -> None:
         """Start store and endpoints, and publish the first configuration."""
         await self._nursery.start(self.store.server.serve)
         for service, count in _SERVICES:
-            for _ in range(count):
-                await self.add(service)
+            for index in range(count):
+                await self.add(service, _VERSIONS[index % len(_VERSIONS)])
         self.store.publish(0)
 
     def write_again(self) -> None:
@@ -59,28 +63,33 @@
         for endpoint in self.endpoints:
             self.store.list_endpoint(endpoint)
 
+    def drop(self, endpoint: _endpoints.Endpoint) -> None:
+        """Remove the entry of an endpoint that is gone."""
+        self.gone.append(endpoint)
+        self.store.drop_endpoint(endpoint)
+
     async def disturb(self) -> None:
         """Do one fault, drawn at random; some go on in the background."""
         fault = self._rng.choice(
             (
+                *self.planned.kinds,
                 self._kill,
-                self._stop,
                 self._pause,
                 self._hurt_link,
                 self._hurt_link,
                 self._hurt_store,
                 self._crash,
-                self._drain,
-                self._configure,
                 self._drills.restore,
                 self._drills.harm,
             )
         )
         await fault()
 
-    async def add(self, service: str) -> None:
+    async def add(self, service: str, version: str) -> None:
         """Start an endpoint and list it."""
-        endpoint = _endpoints.Endpoint(service, self._findings, self._crashed)
+        endpoint = _endpoints.Endpoint(
+            service, self._findings, self._crashed, version
+        )
         await self._nursery.start(endpoint.serve)
         self.endpoints.append(endpoint)
         self.store.list_endpoint(endpoint)
@@ -88,30 +97,33 @@
     async def _kill(self) -> None:
         self._rng.choice(self.gateways).kill()
 
-    async def _stop(self) -> None:
-        self._nursery.start_soon(self._rng.choice(self.gateways).stop)
-
     async def _pause(self) -> None:
         gateway = self._rng.choice(self.gateways)
         self._nursery.start_soon(gateway.pause, self._rng.uniform(0.5, 3))
 
     async def _hurt_link(self) -> None:
-        endpoint = self._rng.choice(self.endpoints)
-        self._nursery.start_soon(self._hurt, endpoint.proxy)
+        endpoint = _endpoints.pick(self.endpoints, self._rng)
+        self._nursery.start_soon(self._hurt, endpoint.proxy, endpoint.name)
 
     async def _hurt_store(self) -> None:
         gateway = self._rng.choice(self.gateways)
-        self._nursery.start_soon(self._hurt, gateway.store_way)
-
-    async def _hurt(self, way: _proxy.Proxy) -> None:
-        way.set_mode(self._rng.choice(_MODES))
+        self._nursery.start_soon(self._hurt, gateway.store_way, gateway.name)
+
+    async def _hurt(self, way: _proxy.Proxy, place: str) -> None:
+        mode = self._rng.choice(_MODES)
+        way.set_mode(mode)
+        recorder = self._findings.recorder
+        hurt = _history.Disrupted(recorder.now(), place, mode.value)
+        recorder.note(hurt)
         await trio.sleep(self._rng.uniform(0.3, 3))
         way.set_mode(_proxy.Mode.passing)
+        over = _history.Disrupted(recorder.now(), place, mode.value, over=True)
+        recorder.note(over)
 
     async def _crash(self) -> None:
         """End an endpoint with all its results; another one starts."""
-        endpoint = self._rng.choice(self.endpoints)
-        endpoint.scope.cancel()
+        endpoint = _endpoints.pick(self.endpoints, self._rng)
+        endpoint.crash()
         self._crashed(endpoint)
 
     def _crashed(self, endpoint: _endpoints.Endpoint) -> None:
@@ -121,25 +133,5 @@
 
     async def _replace(self, gone: _endpoints.Endpoint) -> None:
         await trio.sleep(self._rng.uniform(0.2, 2))
-        self._drop(gone)
-        await self.add(gone.service)
-
-    async def _drain(self) -> None:
-        endpoint = self._rng.choice(self.endpoints)
-        await self.add(endpoint.service)
-        self.endpoints.remove(endpoint)
-        endpoint.ready = False
-        self.store.list_endpoint(endpoint)
-        self._nursery.start_soon(self._leave, endpoint)
-
-    def _drop(self, endpoint: _endpoints.Endpoint) -> None:
-        self.gone.append(endpoint)
-        self.store.drop_endpoint(endpoint)
-
-    async def _leave(self, endpoint: _endpoints.Endpoint) -> None:
-        await trio.sleep(_DRAIN_S)
-        self._drop(endpoint)
-        endpoint.scope.cancel()
-
-    async def _configure(self) -> None:
-        self.store.publish(self._rng.randrange(_MOST_ROUTES))
+        self.drop(gone)
+        await self.add(gone.service, gone.version)
--- a/soak/_findings.py
+++ b/soak/_findings.py
@@ -4,11 +4,14 @@
 import dataclasses
 import enum
 import json
+import re
 from typing import Final, Protocol
 
 import trio
 
 from lentilspool.platform.tests import stand_ins
+from soak import _recorder
+from soak.judges import _finding
 
 # Statuses that promise: it has not run, and never will.
 _NOT_RUN: Final = frozenset((408, 421, 429, 503))
@@ -18,6 +21,8 @@
 _MOST_LATE_RUNS: Final = 3
 # Events of each stream.
 EVENTS: Final = 8
+_MARK: Final = re.compile(rb'^(data: \S+) \S+$', re.MULTILINE)
+_MARKED: Final = re.compile(rb'id: (\d+)\ndata: \S+ (\S+)\n\n')
 Content = tuple[str, bytes, bytes]
 
 
@@ -79,6 +84,15 @@
     harm: Harm = Harm.none
     """Which part of it ends endpoints."""
 
+    moved_to: str = ''
+    """Service to which its route may be moved."""
+
+    after: int = 0
+    """Number of the event after which its stream goes on; 0 for a new one."""
+
+    resumes: str = ''
+    """Request that brought the first event of the stream."""
+
     @property
     def content(self) -> Content:
         """What repeats of the request have in common."""
@@ -90,9 +104,17 @@
     return f'answer to {request_id}'.encode() * 3
 
 
-def event_of(request_id: str, number: int) -> bytes:
-    """Return an event of the only right stream."""
-    return f'id: {number}\ndata: {request_id}\n\n'.encode()
+def event_of(request_id: str, number: int, run: str = '') -> bytes:
+    """Return an event of the only right stream, marked by its run."""
+    mark = f' {run}' if run else ''
+    return f'id: {number}\ndata: {request_id}{mark}\n\n'.encode()
+
+
+def marks_of(body: bytes) -> list[tuple[int, str]]:
+    """Return the number and the run of each whole event of a stream."""
+    return [
+        (int(number), run.decode()) for number, run in _MARKED.findall(body)
+    ]
 
 
 class Findings:
@@ -108,6 +130,8 @@
         self.statuses: collections.Counter[str] = collections.Counter()
         self.status_of: dict[str, int] = {}
         self.restores = 0
+        self.recorder = _recorder.Recorder()
+        self.judged: list[_finding.Finding] = []
         self.last_run_at: dict[str, float] = {}
         self.broken: list[str] = []
 
@@ -154,7 +178,7 @@
             self._break('unasked', f'{name} with another target or body')
         if sent.team != asked.team or sent.api_key:
             self._break('unasked', f'{name} for team {sent.team!r}')
-        if endpoint.service != asked.service:
+        if endpoint.service not in {asked.service, asked.moved_to}:
             self._break('route', f'{name} at {endpoint.name}')
 
     def piece(self, piece: stand_ins.Piece) -> None:
@@ -193,7 +217,8 @@
             self._refused.add(name)
             if self._runs[name] and not asked.repeatable:
                 self._break('refused', f'{name} got {status} and has run')
-        if status == 200 and (not stamp or body != self._right(asked)):
+        right = self._right(asked)
+        if status == 200 and (not stamp or _MARK.sub(rb'\1', body) != right):
             self._break('mixed', f'{name}: {len(body)} bytes, {stamp!r}')
 
     def unanswered(self, asked: Asked, reason: str) -> None:
@@ -205,6 +230,9 @@
         kinds = collections.Counter(
             one.partition(':')[0] for one in self.broken
         )
+        rules = collections.Counter(
+            f'{one.rule} {one.clause}' for one in self.judged
+        )
         figures = {
             'seed': seed,
             'seconds': seconds,
@@ -215,6 +243,10 @@
             'deaths': self.deaths,
             'broken': dict(kinds),
             'first': self.broken[:_MOST_SHOWN],
+            'rules': dict(rules),
+            'judged': [
+                dataclasses.asdict(one) for one in self.judged[:_MOST_SHOWN]
+            ],
         }
         return json.dumps(figures)
 
@@ -223,7 +255,7 @@
             return body_of(asked.request_id)
         return b''.join(
             event_of(asked.request_id, number)
-            for number in range(1, EVENTS + 1)
+            for number in range(asked.after + 1, EVENTS + 1)
         )
 
     def _whole_inputs(
--- a/soak/_gateways.py
+++ b/soak/_gateways.py
@@ -12,7 +12,7 @@
 
 import trio
 
-from soak import _proxy
+from soak import _history, _proxy, _recorder, _terms
 
 _GRACE_S: Final = 9.0
 _RESTART_S: Final = 0.3
@@ -47,6 +47,7 @@
         self._log = folder / f'{name}.log'
         self._process: subprocess.Popen[bytes] | None = None
         self.starts = 0
+        self.recorder = _recorder.Recorder()
         self.modules: tuple[str, ...] = ('lentilspool.programs.gateway',)
 
     def configure(self, known: tuple[int, ...]) -> None:
@@ -70,34 +71,50 @@
                 self._start()
                 while self._process and self._process.poll() is None:
                     await trio.sleep(_RESTART_S / 3)
+                self._note(_terms.Change.ended)
                 await trio.sleep(_RESTART_S)
         finally:
             self._kill()
 
     def kill(self) -> None:
         """End the process without notice."""
+        self._note(_terms.Change.killed)
         self._signal(signal.SIGKILL)
 
+    def reload(self) -> None:
+        """Let the process read its settings again."""
+        self._note(_terms.Change.reloaded)
+        self._signal(signal.SIGHUP)
+
     async def stop(self) -> None:
         """Stop the process as planned, and end it after the grace time."""
         process = self._process
+        self._note(_terms.Change.terminated)
         self._signal(signal.SIGTERM)
         with trio.move_on_after(_GRACE_S):
             while process and process.poll() is None:
                 await trio.sleep(_RESTART_S)
         if process and process.poll() is None:
+            self._note(_terms.Change.killed)
             process.kill()
 
     async def pause(self, seconds: float) -> None:
         """Let the process stand still for a time."""
         process = self._process
+        self._note(_terms.Change.paused)
         self._signal(signal.SIGSTOP)
         await trio.sleep(seconds)
+        self._note(_terms.Change.resumed)
         if process and process.poll() is None:
             process.send_signal(signal.SIGCONT)
 
+    def _note(self, change: _terms.Change) -> None:
+        now = self.recorder.now()
+        self.recorder.note(_history.Process(now, self.name, change))
+
     def _start(self) -> None:
         self.starts += 1
+        self._note(_terms.Change.started)
         with self._log.open('ab') as log:
             self._process = subprocess.Popen(
                 [sys.executable, '-m', *self.modules]
--- a/soak/_published.py
+++ b/soak/_published.py
@@ -8,11 +8,12 @@
 from lentilspool import platform, serving
 from lentilspool.gateway import _http_server
 from lentilspool.platform.tests import stand_ins
-from soak import _endpoints
+from soak import _endpoints, _history, _recorder
 
 _LIMITS: Final = serving.CallLimits(65536, 65536, 5, 60)
 _WATCH_S: Final = 5.0
 _MOST_COPIES: Final = 200
+_DESK: Final = 'desk'
 HOST: Final = 'soak.example'
 TEAMS: Final = ('brides', 'clerks')
 
@@ -22,15 +23,23 @@
     return f'key-of-{team}'
 
 
-def document(version: int, extra_routes: int) -> bytes:
+def attempts_of(*, repeatable: bool) -> int:
+    """Return the endpoints to which one attempt of a route may be sent."""
+    return 2 if repeatable else 1
+
+
+def document(version: int, extra_routes: int, moving_to: str = _DESK) -> bytes:
     """Return a configuration with some routes that nobody asks for."""
     chain = [
         {'service': 'prepare', 'bytes': 1000},
         {'service': 'prepare', 'after': [0], 'bytes': 1000},
     ]
     routes = [
-        _route('once', 'unsafe', 'desk'),
-        _route('again', 'safe', 'desk', attempts=2),
+        _route('once', 'unsafe', _DESK),
+        _route('again', 'safe', _DESK, attempts=attempts_of(repeatable=True)),
+        _route(
+            'moving', 'safe', moving_to, attempts=attempts_of(repeatable=True)
+        ),
         _route('draft', 'streaming', 'model', stages=chain),
         _route(
             'resume',
@@ -38,10 +47,10 @@
             'model',
             stages=chain,
             resumable=True,
-            attempts=2,
+            attempts=attempts_of(repeatable=True),
         ),
         *(
-            _route(f'new{index}', 'safe', 'desk')
+            _route(f'new{index}', 'safe', _DESK)
             for index in range(extra_routes)
         ),
     ]
@@ -55,7 +64,8 @@
         'handle_s': 4,
     }
     services = [
-        {'name': 'desk', 'max_connections': 100},
+        {'name': _DESK, 'max_connections': 100},
+        {'name': 'counter', 'max_connections': 100},
         {'name': 'prepare', 'max_connections': 100, 'pieces': pieces},
         {
             'name': 'model',
@@ -111,12 +121,25 @@
         )
         self.version = 0
         self._document = b''
+        self._moving_to = _DESK
+        self.recorder = _recorder.Recorder()
 
     def publish(self, extra_routes: int) -> None:
         """Put the next configuration in force."""
         self.version += 1
-        self._document = document(self.version, extra_routes)
+        self._document = document(self.version, extra_routes, self._moving_to)
+        version = self.version
+        services = {'moving': self._moving_to}
+        now = self.recorder.now()
+        sent = _history.Configured(now, version, services=services)
+        self.recorder.note(sent)
         self.publish_again()
+        self.recorder.note(_history.Configured(now, version, taken=True))
+
+    def move_route(self, extra_routes: int) -> None:
+        """Move a route to the other service that can serve it."""
+        self._moving_to = 'counter' if self._moving_to == _DESK else _DESK
+        self.publish(extra_routes)
 
     def publish_again(self) -> None:
         """Write the latest configuration, as the operator does after a loss."""
@@ -135,12 +158,17 @@
 
     async def leave(self, seconds: float) -> None:
         """Be away for a time: waiting watches are cut, calls are refused."""
+        self._note('restore')
         self._away = True
         self._changed.set()
         self._changed = trio.Event()
         await trio.sleep(seconds)
         self._away = False
 
+    def settle(self) -> None:
+        """Note that its writers have written again what was lost."""
+        self._note('restore', over=True)
+
     def list_endpoint(self, endpoint: _endpoints.Endpoint) -> None:
         """Publish what an endpoint says of itself."""
         entry = stand_ins.encode_entry(
@@ -151,11 +179,33 @@
             ready=endpoint.ready,
             sequence=endpoint.next_sequence(),
         )
-        self._put(f'{platform.ENDPOINT_PREFIX}{endpoint.name}', entry)
+        versioned = {**json.loads(entry), 'version': endpoint.version}
+        key = f'{platform.ENDPOINT_PREFIX}{endpoint.name}'
+        self._put(key, json.dumps(versioned).encode())
+        self._note_entry(endpoint, ready=endpoint.ready)
 
     def drop_endpoint(self, endpoint: _endpoints.Endpoint) -> None:
         """Remove the entry of an endpoint that is gone."""
         self._put(f'{platform.ENDPOINT_PREFIX}{endpoint.name}', None)
+        self._note_entry(endpoint, ready=False)
+
+    def _note(self, how: str, *, over: bool = False) -> None:
+        now = self.recorder.now()
+        self.recorder.note(
+            _history.Disrupted(now, _history.STORE, how, over=over)
+        )
+
+    def _note_entry(
+        self, endpoint: _endpoints.Endpoint, *, ready: bool
+    ) -> None:
+        listed = _history.Listed(
+            self.recorder.now(),
+            endpoint.name,
+            endpoint.service,
+            endpoint.version,
+            ready,
+        )
+        self.recorder.note(listed)
 
     def _put(self, key: str, payload: bytes | None) -> None:
         self._copies.append(
--- /dev/null
+++ b/soak/_recorder.py
@@ -0,0 +1,36 @@
+"""Records what a run observes, for its history."""
+
+import pathlib
+
+import trio
+
+from soak import _history, _history_file
+
+
+class Recorder:
+    """Keeps observations in the order in which they are made."""
+
+    def __init__(self) -> None:
+        self._begun: float | None = None
+        self._observations: list[_history.Observation] = []
+
+    @property
+    def observations(self) -> tuple[_history.Observation, ...]:
+        """What was noted."""
+        return tuple(self._observations)
+
+    def now(self) -> float:
+        """Return the time since the first call."""
+        now = trio.current_time()
+        if self._begun is None:
+            self._begun = now
+        return now - self._begun
+
+    def note(self, observation: _history.Observation) -> None:
+        """Note what was observed just now."""
+        self._observations.append(observation)
+
+    def write(self, path: pathlib.Path, seed: int) -> None:
+        """Write the history of the run."""
+        header = _history.Header(_history.FORMAT, _history.VERSION, seed)
+        _history_file.write(path, header, self._observations)
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -8,7 +8,15 @@
 
 import trio
 
-from soak import _callers, _drills, _faults, _findings, _gateways
+from soak import (
+    _callers,
+    _drills,
+    _faults,
+    _findings,
+    _gateways,
+    _history_file,
+)
+from soak.judges import _all
 
 _START_S: Final = 15.0
 _CALM_S: Final = 6.0
@@ -39,6 +47,9 @@
     logs: str = ''
     """Folder for logs; a temporary one by default."""
 
+    planned: bool = False
+    """Whether only planned work goes on."""
+
     settle_s: float = 15
     """Time after the faults until most requests must be served again."""
 
@@ -50,6 +61,7 @@
         folder = pathlib.Path(plan.logs or temporary)
         folder.mkdir(parents=True, exist_ok=True)
         await _play(plan, findings, folder)
+        _judge(findings, folder / f'history-{plan.seed}.jsonl', plan.seed)
     return findings, findings.report(plan.seed, plan.seconds)
 
 
@@ -65,6 +77,7 @@
             gateway = _gateways.Gateway(f'g{index}', folder, port)
             if plan.plant:
                 gateway.modules = ('soak.planted', f'--plant={plan.plant}')
+            gateway.recorder = findings.recorder
             world.gateways.append(gateway)
         known = tuple(one.peers for one in world.gateways[:3])
         for gateway in world.gateways:
@@ -80,13 +93,23 @@
         with trio.move_on_after(plan.seconds):
             while True:
                 await trio.sleep(rng.uniform(0.1, 1))
-                await world.disturb()
+                await (world.planned.begin if plan.planned else world.disturb)()
         await _recover(findings, plan.settle_s)
         if plan.settle_s >= _STORE_SETTLE_S:
             await _drills.check_last_restore(world, findings)
         nursery.cancel_scope.cancel()
 
 
+def _judge(findings: _findings.Findings, path: pathlib.Path, seed: int) -> None:
+    """Write the history, and judge what can be read of it."""
+    findings.recorder.write(path, seed)
+    history = _history_file.read(path)
+    if isinstance(history, _history_file.HistoryError):
+        findings.broken.append(f'history: {history}')
+        return
+    findings.judged = _all.judge(history)
+
+
 async def _first_answer(findings: _findings.Findings) -> None:
     with trio.move_on_after(_START_S):
         while not findings.statuses['200']:
