Add judges of DRAIN, CONFIG, ROUTE, MIXED, UNASKED, DENIED and RECOVER

DRAIN: work later than allowed after the store, while stable, took an endpoint's leaving. CONFIG: old services and denials, both shares of requests without an answer after their timeout, machines that regress. ROUTE: services that no version allows. MIXED: signatures and bodies of plain requests, bytes that are no answer. UNASKED: requests, contents, teams, keys. DENIED: both counts. RECOVER: the share after the last fault. What each leaves out is named in its module.

Each clause has the history that just breaks it and the nearest one that does not.

--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -10,7 +10,14 @@
 import trio
 
 from lentilspool.platform.tests import stand_ins
-from soak import _findings, _gateways, _history, _published, _terms
+from soak import (
+    _findings,
+    _gateways,
+    _history,
+    _published,
+    _recorder,
+    _terms,
+)
 
 _DEADLINE_S: Final = 5.0
 # Deadline that requests state.
@@ -83,6 +90,9 @@
     stamp: str = ''
     """Signature of the latest answer."""
 
+    answer: str = ''
+    """Digest of the latest answer, if it is whole and no stream."""
+
     whole: bool = False
     """Whether the latest answer is a whole success."""
 
@@ -116,6 +126,7 @@
         """Begin the next attempt."""
         self.status = 0
         self.stamp = ''
+        self.answer = ''
         self.whole = False
         self.at_end = False
         self.noted = 0
@@ -266,6 +277,7 @@
             how,
             self._progress.status,
             self._progress.stamp,
+            self._progress.answer,
         )
         recorder.note(ended)
 
@@ -279,6 +291,9 @@
             _kind(asked),
             _TIME_S,
             deadline_s=_TOLD_S,
+            timeout_s=_TIME_S,
+            content=_recorder.digest(asked.target, asked.body),
+            team=asked.team,
             attempts=_published.attempts_of(repeatable=asked.repeatable),
             kept=self._used,
             after=asked.after,
@@ -321,6 +336,8 @@
         if not isinstance(event, h11.EndOfMessage):
             return 'closed'
         self._progress.whole = head.status_code == _OK
+        if not asked.counts:
+            self._progress.answer = _recorder.digest(body)
         self._findings.answered(asked, head.status_code, body, stamp)
         await self._keep()
         return ''
--- a/soak/_endpoints.py
+++ b/soak/_endpoints.py
@@ -10,7 +10,7 @@
 from lentilspool import serving
 from lentilspool.gateway import _http_server
 from lentilspool.platform.tests import stand_ins
-from soak import _findings, _history, _proxy, _terms
+from soak import _findings, _history, _proxy, _recorder, _terms
 
 _LIMITS: Final = serving.CallLimits(65536, 1_000_000, 5, 30)
 _WORK_S: Final = 0.03
@@ -138,15 +138,24 @@
         """Work on a request, and record the run."""
         run = f'{self.name}/{next(self._runs)}'
         recorder = self._findings.recorder
+        is_stream = sent.results is not None
         ran = _history.Ran(
             recorder.now(),
             sent.request_id,
             run,
             self.name,
             sent.last_event,
-            0 if sent.results is None else _findings.EVENTS,
+            _findings.EVENTS if is_stream else 0,
             _left_s(request),
-            _lasts_s(request, sent),
+            content=_recorder.digest(request.target, request.body),
+            team=sent.team,
+            has_key=bool(sent.api_key),
+            answer=(
+                ''
+                if is_stream
+                else _recorder.digest(_findings.body_of(sent.request_id))
+            ),
+            lasts_s=_lasts_s(request, sent),
         )
         recorder.note(ran)
         how = _terms.Work.dropped
--- a/soak/_history.py
+++ b/soak/_history.py
@@ -33,6 +33,12 @@
     drain_s: float = 2.0
     """Time in which an endpoint that leaves is used no more."""
 
+    downgrade_s: float = 0.25
+    """Time after which a machine that showed a version keeps to it."""
+
+    recover_s: float = 12.0
+    """Time after the last fault in which service is back."""
+
 
 class Header(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """First line of a history."""
@@ -83,6 +89,15 @@
     attempts: int = 1
     """Endpoints to which the route allows one attempt to be sent."""
 
+    timeout_s: float = 0
+    """Time until the route's timeout."""
+
+    content: str = ''
+    """Digest of method, path, query and body."""
+
+    team: str = ''
+    """Team whose key it carries."""
+
     kept: bool = False
     """Whether the connection had carried a request before."""
 
@@ -122,7 +137,10 @@
     """Status that was read; 0 for none."""
 
     stamp: str = ''
-    """Signature of the endpoint that answered."""
+    """Endpoint whose signature the answer bears."""
+
+    answer: str = ''
+    """Digest of the whole body; empty for a stream."""
 
 
 class Ran(Observation, frozen=True, tag='ran'):
@@ -146,6 +164,18 @@
     left_s: float | None = None
     """Time until the deadline that it was told; None if it was told none."""
 
+    content: str = ''
+    """Digest of method, path, query and body as they arrived."""
+
+    team: str = ''
+    """Team that it was told."""
+
+    has_key: bool = False
+    """Whether the client's key was passed on."""
+
+    answer: str = ''
+    """Digest of the whole body that it answers; empty for a stream."""
+
     lasts_s: float = 0
     """Time for which the work would last if it is not disturbed."""
 
--- a/soak/_published.py
+++ b/soak/_published.py
@@ -129,7 +129,8 @@
         self.version += 1
         self._document = document(self.version, extra_routes, self._moving_to)
         version = self.version
-        services = {'moving': self._moving_to}
+        routes = json.loads(self._document)['routes']
+        services = {one['prefix'].strip('/'): one['service'] for one in routes}
         now = self.recorder.now()
         sent = _history.Configured(now, version, services=services)
         self.recorder.note(sent)
--- a/soak/_recorder.py
+++ b/soak/_recorder.py
@@ -1,11 +1,20 @@
 """Records what a run observes, for its history."""
 
+import hashlib
 import pathlib
+from typing import Final
 
 import trio
 
 from soak import _history, _history_file
 
+_DIGITS: Final = 16
+
+
+def digest(*parts: bytes) -> str:
+    """Return a digest of the parts of a message."""
+    return hashlib.sha256(b'\0'.join(parts)).hexdigest()[:_DIGITS]
+
 
 class Recorder:
     """Keeps observations in the order in which they are made."""
--- a/soak/judges/_all.py
+++ b/soak/judges/_all.py
@@ -5,12 +5,19 @@
 from soak import _history
 from soak.judges import (
     _budget,
+    _config,
+    _denied,
+    _drain,
     _finding,
     _gone,
     _lost,
+    _mixed,
     _order,
+    _recover,
     _refused,
+    _route,
     _twice,
+    _unasked,
 )
 
 JUDGES: Final[tuple[_finding.Judge, ...]] = (
@@ -20,6 +27,13 @@
     _gone.judge,
     _twice.judge,
     _refused.judge,
+    _drain.judge,
+    _config.judge,
+    _route.judge,
+    _mixed.judge,
+    _unasked.judge,
+    _denied.judge,
+    _recover.judge,
 )
 
 
--- a/soak/judges/_disruptions.py
+++ b/soak/judges/_disruptions.py
@@ -57,6 +57,19 @@
             self.hurts(place, first, at) for place in (machine, _history.STORE)
         )
 
+    def last(self) -> Span | None:
+        """Return the span of machines or endpoints that ends last.
+
+        A span without an end is that of a process or endpoint that is gone.
+        """
+        spans = [
+            Span(span.begin, span.begin if span.end == math.inf else span.end)
+            for place, of_place in self._spans.items()
+            for span in of_place
+            if place != _history.STORE
+        ]
+        return max(spans, key=lambda span: span.end, default=None)
+
     def _link(self, seen: _history.Disrupted) -> None:
         if seen.how == _terms.QUIET:
             return
--- /dev/null
+++ b/soak/tests/test_judge_answers.py
@@ -0,0 +1,207 @@
+"""What breaks MIXED, UNASKED, DENIED or RECOVER, and what does not."""
+
+import pytest
+
+from soak import _history, _terms
+from soak.judges import _denied, _mixed, _recover, _unasked
+from soak.tests import builders
+
+END = _terms.End
+SAFE = _terms.Kind.safe
+
+
+def answered(
+    status: int = 200,
+    stamp: str = 'e',
+    answer: str = 'body',
+    *,
+    how: _terms.End = END.whole,
+    work: _terms.Work = _terms.Work.whole,
+) -> builders.Lines:
+    """Return a request that runs at endpoint e, and its answer."""
+    return [
+        _history.Sent(1, 'req', 'm', 'route', SAFE, 4),
+        _history.Ran(1, 'req', 'e/1', 'e', answer='body'),
+        _history.Worked(2, 'e/1', work),
+        _history.Ended(2, 'req', how, status, stamp, answer),
+    ]
+
+
+class TestMixed:
+    @pytest.mark.parametrize(
+        ('lines', 'broken'),
+        [
+            (answered(), []),
+            (answered(stamp=''), ['no signature']),
+            (answered(answer='other'), ['body']),
+            (answered(stamp='f'), ['body']),
+            (answered(504, '', 'other'), []),
+            (answered(answer='other', how=END.closed), []),
+            (answered(how=END.garbled), ['no answer']),
+            (answered(how=END.garbled, work=_terms.Work.broken), []),
+        ],
+        ids=[
+            'right',
+            'no signature',
+            'another body',
+            'of another endpoint',
+            'failure',
+            'ended early',
+            'garbled',
+            'garbled by the endpoint',
+        ],
+    )
+    def test_success_is_the_answer_of_its_endpoint(
+        self, lines: builders.Lines, broken: list[str]
+    ) -> None:
+        found = builders.clauses(_mixed.judge, lines)
+        assert [clause for clause, _ in found] == broken
+
+
+SENT = _history.Sent(
+    1, 'req', 'm', 'route', SAFE, 4, content='asked', team='team'
+)
+
+
+class TestUnasked:
+    @pytest.mark.parametrize(
+        ('request_id', 'content', 'team', 'has_key', 'broken'),
+        [
+            ('req', 'asked', 'team', False, []),
+            ('other', 'asked', 'team', False, ['no client']),
+            ('req', 'changed', 'team', False, ['changed']),
+            ('req', 'asked', 'other', False, ['team']),
+            ('req', 'asked', 'team', True, ['key']),
+        ],
+    )
+    def test_run_is_what_the_client_sent(
+        self,
+        request_id: str,
+        content: str,
+        team: str,
+        has_key: bool,
+        broken: list[str],
+    ) -> None:
+        ran = _history.Ran(
+            1,
+            request_id,
+            'e/1',
+            'e',
+            content=content,
+            team=team,
+            has_key=has_key,
+        )
+        found = builders.clauses(_unasked.judge, [SENT, ran])
+        assert [clause for clause, _ in found] == broken
+
+    def test_run_may_be_seen_before_its_client_has_noted_it(self) -> None:
+        ran = _history.Ran(0.9, 'req', 'e/1', 'e', content='asked', team='team')
+        assert not builders.clauses(_unasked.judge, [ran, SENT])
+
+
+def denied(
+    count: int, status: int = 404, stamp: str = '', route: str = 'route'
+) -> builders.Lines:
+    """Return requests that are answered at once."""
+    lines: builders.Lines = []
+    for index in range(count):
+        name = f'{status}{stamp}{index}'
+        lines += [
+            _history.Sent(10, name, 'm', route, SAFE, 4),
+            _history.Ended(10, name, END.whole, status, stamp),
+        ]
+    return lines
+
+
+CONFIGURED = (
+    _history.Configured(0, 1, services={'route': 'desk', 'old': 'desk'}),
+    _history.Configured(5, 2, services={'route': 'desk'}),
+)
+
+
+class TestDenied:
+    @pytest.mark.parametrize(
+        ('lines', 'broken'),
+        [
+            (denied(6), ['denied']),
+            (denied(5), []),
+            ([*denied(6), *denied(494, 200, 'e')], []),
+            ([*denied(6), *denied(493, 200, 'e')], ['denied']),
+            (denied(6, 400), ['denied']),
+            (denied(6, 429), []),
+            (denied(6, 503), []),
+            (denied(6, 404, 'e'), []),
+            (denied(6, route='old'), []),
+        ],
+        ids=[
+            'six',
+            'five',
+            'six of 500',
+            'six of 499',
+            'bad request',
+            'refused',
+            'unavailable',
+            'of the endpoint',
+            'not in every version',
+        ],
+    )
+    def test_more_than_five_and_one_in_500(
+        self, lines: builders.Lines, broken: list[str]
+    ) -> None:
+        found = builders.clauses(_denied.judge, lines, CONFIGURED)
+        assert [clause for clause, _ in found] == broken
+
+    @pytest.mark.parametrize(
+        ('count', 'status', 'broken'),
+        [
+            (11, 404, ['denied', 'out of touch']),
+            (10, 404, ['denied']),
+            (5, 404, []),
+            (11, 400, []),
+        ],
+    )
+    def test_machines_out_of_touch(
+        self, count: int, status: int, broken: list[str]
+    ) -> None:
+        lines = denied(count, status)
+        hurt = [_history.Disrupted(9, 'm', 'silent')]
+        found = builders.clauses(_denied.judge, lines, CONFIGURED, hurt)
+        assert [clause for clause, _ in found] == broken
+
+
+FAULT = (
+    _history.Disrupted(10, 'm', 'silent'),
+    _history.Disrupted(12, 'm', 'silent', over=True),
+)
+
+
+class TestRecover:
+    """The last fault goes on from 10 to 12; bounds allow 12 s after it."""
+
+    def served(self, at: float, of_ten: int) -> builders.Lines:
+        lines: builders.Lines = []
+        for index in range(10):
+            status = 200 if index < of_ten else 503
+            name = f'{at}-{index}'
+            lines += [
+                _history.Sent(at, name, 'm', 'route', SAFE, 4),
+                _history.Ended(at + 1, name, END.whole, status),
+            ]
+        return lines
+
+    @pytest.mark.parametrize(
+        ('before', 'after', 'at', 'broken'),
+        [
+            (3, 2, 24.1, 1),
+            (3, 3, 24.1, 0),
+            (2, 2, 24.1, 0),
+            (3, 2, 23.9, 0),
+        ],
+        ids=['not served', 'served', 'not served before', 'too early'],
+    )
+    def test_quarter_is_served_again(
+        self, before: int, after: int, at: float, broken: int
+    ) -> None:
+        lines = [*self.served(1, before), *self.served(at, after)]
+        found = builders.clauses(_recover.judge, lines, FAULT)
+        assert len(found) == broken
--- /dev/null
+++ b/soak/tests/test_stored_histories.py
@@ -0,0 +1,38 @@
+"""Histories of runs that broke a rule, cut down to what breaks it."""
+
+import pathlib
+from typing import Final
+
+import pytest
+
+from soak import _history, _history_file
+from soak.judges import _all
+
+_FOLDER: Final = pathlib.Path(__file__).parent / 'histories'
+
+
+class TestStoredHistories:
+    @pytest.mark.parametrize(
+        ('name', 'rule', 'clause', 'requests'),
+        [
+            # Two streams went on at a runner of another version in one
+            # answer, one after its client had taken it up again.
+            (
+                'seed-2-versions.jsonl',
+                'ORDER',
+                'versions',
+                ('1-29', '15-26', '2-24'),
+            ),
+        ],
+    )
+    def test_rule_is_found_broken(
+        self, name: str, rule: str, clause: str, requests: tuple[str, ...]
+    ) -> None:
+        history = _history_file.read(_FOLDER / name)
+        assert isinstance(history, _history.History)
+        found = [
+            (one.rule, one.clause, one.requests)
+            for one in _all.judge(history)
+            if one.rule == rule
+        ]
+        assert found == [(rule, clause, requests)]
