Judge crashes, readiness beside SIGTERM, failures and prompts; describe judges

BUDGET: requests that run again after they crashed three endpoints. DRAIN: machines that stay ready after SIGTERM; gateways are probed each second. MIXED: failures signed with another status than the endpoint gave. UNASKED: headers of prompts.

--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -80,6 +80,33 @@
     return f'aa{first}:400,{last}:100'.encode()
 
 
+def _headers_of(asked: _findings.Asked) -> stand_ins.Headers:
+    """Return the headers of a request."""
+    pieces = ','.join(str(count) for count in asked.counts)
+    headers = stand_ins.caller_headers(
+        asked.request_id,
+        _published.key_of(asked.team),
+        _TOLD_S,
+        pieces,
+    )
+    length = str(len(asked.body)).encode()
+    if asked.counts:
+        headers = [
+            *(one for one in headers if one[0].lower() != _PROMPT_PARTS),
+            (_PROMPT_PARTS, _prompt_of(asked)),
+        ]
+    if asked.resumes:
+        headers += [
+            (b'last-event-id', str(asked.after).encode()),
+            (b'resumes', asked.resumes.encode()),
+        ]
+    return [
+        *headers,
+        (b'host', _published.HOST.encode()),
+        (b'content-length', length),
+    ]
+
+
 @dataclasses.dataclass(slots=True)
 class Progress:
     """How much of an answer was read, and of the stream in all attempts."""
@@ -281,7 +308,7 @@
         )
         recorder.note(ended)
 
-    def _note_sent(self, asked: _findings.Asked) -> None:
+    def _note_sent(self, asked: _findings.Asked, prompt: str) -> None:
         recorder = self._findings.recorder
         sent = _history.Sent(
             recorder.now(),
@@ -294,6 +321,7 @@
             timeout_s=_TIME_S,
             content=_recorder.digest(asked.target, asked.body),
             team=asked.team,
+            prompt=prompt,
             attempts=_published.attempts_of(repeatable=asked.repeatable),
             kept=self._used,
             after=asked.after,
@@ -313,8 +341,10 @@
         """Return why there is no answer; empty if there is one."""
         if self._stream is None:
             self._stream = await self._connect()
-        await self._stream.send_all(self._request(asked))
-        self._note_sent(asked)
+        headers = _headers_of(asked)
+        request = self._encode(asked, headers)
+        await self._stream.send_all(request)
+        self._note_sent(asked, _recorder.prompt_digest(headers))
         head = await self._head(self._stream)
         if head is None:
             return 'left'
@@ -377,29 +407,9 @@
             event = self._http.next_event()
         return event
 
-    def _request(self, asked: _findings.Asked) -> bytes:
-        pieces = ','.join(str(count) for count in asked.counts)
-        headers = stand_ins.caller_headers(
-            asked.request_id,
-            _published.key_of(asked.team),
-            _TOLD_S,
-            pieces,
-        )
-        length = str(len(asked.body)).encode()
-        if asked.counts:
-            headers = [
-                *(one for one in headers if one[0].lower() != _PROMPT_PARTS),
-                (_PROMPT_PARTS, _prompt_of(asked)),
-            ]
-        if asked.resumes:
-            headers += [
-                (b'last-event-id', str(asked.after).encode()),
-                (b'resumes', asked.resumes.encode()),
-            ]
-        headers += [
-            (b'host', _published.HOST.encode()),
-            (b'content-length', length),
-        ]
+    def _encode(
+        self, asked: _findings.Asked, headers: stand_ins.Headers
+    ) -> bytes:
         events = (
             h11.Request(method='POST', target=asked.target, headers=headers),
             h11.Data(data=asked.body),
--- a/soak/_endpoints.py
+++ b/soak/_endpoints.py
@@ -61,6 +61,7 @@
         self.ready = True
         self._sequence = 0
         self._silent_until = 0.0
+        self._crashed_by = ''
         self._runs = itertools.count(1)
         self._findings = findings
         self._ended = ended
@@ -150,6 +151,7 @@
             content=_recorder.digest(request.target, request.body),
             team=sent.team,
             has_key=bool(sent.api_key),
+            prompt=_recorder.prompt_digest(request.headers),
             answer=(
                 ''
                 if is_stream
@@ -164,7 +166,8 @@
             how = _terms.Work.whole
         finally:
             if self.scope.cancel_called:
-                how = _terms.Work.broken
+                is_cause = self._crashed_by == sent.request_id
+                how = _terms.Work.crashed if is_cause else _terms.Work.broken
             recorder.note(_history.Worked(recorder.now(), run, how))
 
     async def _work(
@@ -176,6 +179,7 @@
     ) -> None:
         self._findings.ran(self, sent, request)
         if self._findings.harms(sent.request_id, _findings.Harm.request):
+            self._crashed_by = sent.request_id
             await self._crash()
         headers = stand_ins.answer_headers(sent.request_id, self.name)
         if sent.results is None:
--- a/soak/_gateways.py
+++ b/soak/_gateways.py
@@ -16,6 +16,8 @@
 
 _GRACE_S: Final = 9.0
 _RESTART_S: Final = 0.3
+_PROBE_S: Final = 1.0
+_PROBE: Final = b'GET /readyz HTTP/1.1\r\nhost: soak\r\n\r\n'
 _PORTS: Final = range(20_000, 32_000)
 
 
@@ -76,6 +78,16 @@
         finally:
             self._kill()
 
+    async def probe(self) -> None:
+        """Ask again and again whether the process is ready."""
+        while True:
+            await trio.sleep(_PROBE_S)
+            ready = False
+            with trio.move_on_after(_PROBE_S), contextlib.suppress(OSError):
+                ready = await self._is_ready()
+            now = self.recorder.now()
+            self.recorder.note(_history.Probed(now, self.name, ready))
+
     def kill(self) -> None:
         """End the process without notice."""
         self._note(_terms.Change.killed)
@@ -112,6 +124,16 @@
         now = self.recorder.now()
         self.recorder.note(_history.Process(now, self.name, change))
 
+    async def _is_ready(self) -> bool:
+        stream = await trio.open_tcp_stream('127.0.0.1', self._readiness)
+        async with stream:
+            try:
+                await stream.send_all(_PROBE)
+                head = await stream.receive_some()
+            except trio.BrokenResourceError:
+                return False
+        return head.startswith(b'HTTP/1.1 200')
+
     def _start(self) -> None:
         self.starts += 1
         self._note(_terms.Change.started)
--- a/soak/_history.py
+++ b/soak/_history.py
@@ -98,6 +98,9 @@
     team: str = ''
     """Team whose key it carries."""
 
+    prompt: str = ''
+    """Digest of its model, tokens and parts of the prompt."""
+
     kept: bool = False
     """Whether the connection had carried a request before."""
 
@@ -173,6 +176,12 @@
     has_key: bool = False
     """Whether the client's key was passed on."""
 
+    prompt: str = ''
+    """Digest of its model, tokens and parts of the prompt, as told."""
+
+    status: int = 200
+    """Status that it answers."""
+
     answer: str = ''
     """Digest of the whole body that it answers; empty for a stream."""
 
@@ -216,6 +225,16 @@
     """What happened."""
 
 
+class Probed(Observation, frozen=True, tag='probed'):
+    """A machine was asked whether it is ready."""
+
+    machine: str
+    """Machine."""
+
+    ready: bool
+    """Whether it answered that it is."""
+
+
 class Disrupted(Observation, frozen=True, tag='disrupted'):
     """A disruption of the links of a place, or of the store, begins or ends."""
 
@@ -257,6 +276,7 @@
     | Worked
     | Listed
     | Process
+    | Probed
     | Disrupted
     | Configured
     | Closed
--- a/soak/_recorder.py
+++ b/soak/_recorder.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import pathlib
+from collections.abc import Iterable
 from typing import Final
 
 import trio
@@ -9,6 +10,7 @@
 from soak import _history, _history_file
 
 _DIGITS: Final = 16
+_PROMPT: Final = (b'model', b'token-counts', b'prompt-prefix')
 
 
 def digest(*parts: bytes) -> str:
@@ -16,6 +18,13 @@
     return hashlib.sha256(b'\0'.join(parts)).hexdigest()[:_DIGITS]
 
 
+def prompt_digest(headers: Iterable[tuple[bytes, bytes]]) -> str:
+    """Return a digest of the headers of a prompt; empty without any."""
+    named = {name.lower(): stated for name, stated in headers}
+    parts = [named[name] for name in _PROMPT if name in named]
+    return digest(*parts) if parts else ''
+
+
 class Recorder:
     """Keeps observations in the order in which they are made."""
 
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -84,6 +84,7 @@
             gateway.configure(known)
             nursery.start_soon(gateway.store_way.serve)
             nursery.start_soon(gateway.serve)
+            nursery.start_soon(gateway.probe)
         for number in range(plan.callers):
             caller = _callers.Caller(
                 number, world.gateways, findings, random.Random(rng.random())
--- a/soak/_terms.py
+++ b/soak/_terms.py
@@ -44,6 +44,9 @@
     broken = 'broken'
     """The endpoint broke off."""
 
+    crashed = 'crashed'
+    """The request made the endpoint end."""
+
 
 class Change(enum.Enum):
     """What happens to the process of a machine."""
--- a/soak/judges/_attempts.py
+++ b/soak/judges/_attempts.py
@@ -15,6 +15,12 @@
     worked: _history.Worked | None = None
     """Its end, if it was seen."""
 
+    @property
+    def broke_off(self) -> bool:
+        """Whether its endpoint ended it."""
+        ends = (_terms.Work.broken, _terms.Work.crashed)
+        return self.worked is not None and self.worked.how in ends
+
     def active(self, first: float, last: float) -> bool:
         """Whether it was at work in that span."""
         return self.ran.at <= last and (
--- a/soak/judges/_budget.py
+++ b/soak/judges/_budget.py
@@ -3,6 +3,8 @@
 The clause of repeats in a window has a module of its own.
 """
 
+import collections
+import math
 from typing import Final
 
 from soak import _history, _terms
@@ -13,19 +15,22 @@
 _SLACK_S: Final = 0.5
 _MOST_LONG: Final = 20
 _LONG_SHARE: Final = 0.2
+_CRASHES: Final = 3
+_MOST_RETRIES: Final = 3
 _KINDS: Final = (_terms.Kind.safe, _terms.Kind.unsafe)
 
 
 def judge(history: _history.History) -> list[_finding.Finding]:
-    """Judge attempts and deadlines."""
+    """Judge attempts, deadlines and crashes."""
     budget = _Budget(history)
-    return [*budget.attempts(), *budget.deadlines()]
+    return [*budget.attempts(), *budget.deadlines(), *budget.crashes()]
 
 
 class _Budget:
     """Judges one history."""
 
     def __init__(self, history: _history.History) -> None:
+        self._stable_window_s = history.bounds.stable_window_s
         self._attempts = _attempts.Attempts(history)
         self._disruptions = _disruptions.Disruptions(history)
 
@@ -59,13 +64,35 @@
             return []
         return [_found('deadline', too_long)]
 
+    def crashes(self) -> list[_finding.Finding]:
+        """Find requests that run again after they have crashed endpoints."""
+        repeats: dict[tuple[str, str], list[_attempts.Attempt]] = (
+            collections.defaultdict(list)
+        )
+        for attempt in self._attempts.all:
+            repeats[attempt.sent.team, attempt.sent.content].append(attempt)
+        found = []
+        for same in repeats.values():
+            known_at = _known_at(same) + self._stable_window_s
+            late = [one for one in same if self._runs_after(one, known_at)]
+            if len(late) > _MOST_RETRIES:
+                found.append(_found('crashes', late))
+        return found
+
+    def _runs_after(self, attempt: _attempts.Attempt, at: float) -> bool:
+        return any(
+            run.ran.at > at
+            and self._disruptions.in_touch(attempt.sent.machine, run.ran.at)
+            for run in attempt.runs
+        )
+
     def _endpoints(self, attempt: _attempts.Attempt) -> set[str]:
         """Return the endpoints of an attempt that neither end nor are cut."""
         last = attempt.ended.at if attempt.ended else attempt.sent.at
         return {
             run.ran.endpoint
             for run in attempt.runs
-            if not _broke_off(run)
+            if not run.broke_off
             and not self._disruptions.hurts(
                 run.ran.endpoint, run.ran.at, max(run.ran.at, last)
             )
@@ -79,8 +106,16 @@
         )
 
 
-def _broke_off(run: _attempts.Run) -> bool:
-    return run.worked is not None and run.worked.how is _terms.Work.broken
+def _known_at(same: list[_attempts.Attempt]) -> float:
+    """Return when the third endpoint was crashed; infinity for never."""
+    crashed_at = sorted(
+        run.worked.at
+        for attempt in same
+        for run in attempt.runs
+        if run.worked and run.worked.how is _terms.Work.crashed
+    )
+    too_few = len(crashed_at) < _CRASHES
+    return math.inf if too_few else crashed_at[_CRASHES - 1]
 
 
 def _is_late(attempt: _attempts.Attempt, run: _attempts.Run) -> bool:
--- a/soak/judges/_drain.py
+++ b/soak/judges/_drain.py
@@ -1,11 +1,17 @@
-"""DRAIN: endpoints that leave get no more work.
+"""DRAIN: endpoints and machines that leave get no more work."""
 
-That a fleet stays ready beside SIGTERM is not judged.
-"""
+import collections
+from typing import Final
 
-from soak import _history
+from soak import _history, _terms
 from soak.judges import _attempts, _disruptions, _finding
 
+# The platform's figures.
+_READY_S: Final = 4.0
+_MISSES: Final = 2
+_LEAST_READY: Final = 2
+_READY_SHARE: Final = 0.25
+
 
 class _Drain:
     """Judges one history."""
@@ -56,5 +62,55 @@
 
 
 def judge(history: _history.History) -> list[_finding.Finding]:
-    """Judge work that arrives after an endpoint's leaving."""
-    return _Drain(history).judge()
+    """Judge all clauses."""
+    return [*_Drain(history).judge(), *_Readiness(history).judge()]
+
+
+class _Readiness:
+    """Judges machines that are ready though they stop."""
+
+    def __init__(self, history: _history.History) -> None:
+        self._probes: dict[str, list[_history.Probed]] = (
+            collections.defaultdict(list)
+        )
+        self._changes: dict[str, list[_history.Process]] = (
+            collections.defaultdict(list)
+        )
+        for seen in history.observations:
+            if isinstance(seen, _history.Probed):
+                self._probes[seen.machine].append(seen)
+            elif isinstance(seen, _history.Process):
+                self._changes[seen.machine].append(seen)
+
+    def judge(self) -> list[_finding.Finding]:
+        """Count machines that are ready some time after SIGTERM."""
+        signals = [
+            seen
+            for changes in self._changes.values()
+            for seen in changes
+            if seen.change is _terms.Change.terminated
+            and self._is_ready(seen.machine, seen.at)
+        ]
+        late = [
+            seen
+            for seen in signals
+            if self._is_ready(seen.machine, seen.at + _READY_S)
+            and not self._has_ended(seen.machine, seen.at)
+        ]
+        few = len(late) < _LEAST_READY
+        if few or len(late) <= _READY_SHARE * len(signals):
+            return []
+        latest = max(seen.at for seen in late) + _READY_S
+        return [_finding.Finding('DRAIN', 'ready', latest, ())]
+
+    def _is_ready(self, machine: str, at: float) -> bool:
+        """Whether it counts as ready: two misses in a row take it out."""
+        probes = [one.ready for one in self._probes[machine] if one.at <= at]
+        return any(probes[-_MISSES:])
+
+    def _has_ended(self, machine: str, signal_at: float) -> bool:
+        ends = (_terms.Change.ended, _terms.Change.killed)
+        return any(
+            signal_at <= one.at <= signal_at + _READY_S and one.change in ends
+            for one in self._changes[machine]
+        )
--- a/soak/judges/_lost.py
+++ b/soak/judges/_lost.py
@@ -73,9 +73,7 @@
 
     def _is_sound(self, run: _attempts.Run, at: float) -> bool:
         """Whether the endpoint of a run did not break off, and is reached."""
-        worked = run.worked
-        broken = worked is not None and worked.how is _terms.Work.broken
-        return not broken and not self._disruptions.hurts(
+        return not run.broke_off and not self._disruptions.hurts(
             run.ran.endpoint, run.ran.at - self._bounds.stable_window_s, at
         )
 
--- a/soak/judges/_mixed.py
+++ b/soak/judges/_mixed.py
@@ -31,23 +31,26 @@
     if ended is None:
         return ''
     if ended.how is _terms.End.garbled:
-        return '' if _broke_off(attempt) else 'no answer'
-    if ended.how is not _terms.End.whole or ended.status not in _SUCCESS:
+        broke_off = any(run.broke_off for run in attempt.runs)
+        return '' if broke_off else 'no answer'
+    if ended.how is not _terms.End.whole:
         return ''
+    signed = [
+        run.ran for run in attempt.runs if run.ran.endpoint == ended.stamp
+    ]
+    return _signature_clause(ended, signed, is_stream=attempt.is_stream)
+
+
+def _signature_clause(
+    ended: _history.Ended, signed: list[_history.Ran], *, is_stream: bool
+) -> str:
+    """Compare a whole answer with those of the endpoint that signed it."""
+    if ended.status not in _SUCCESS:
+        statuses = {ran.status for ran in signed}
+        is_right = not ended.stamp or ended.status in statuses
+        return '' if is_right else 'status'
     if not ended.stamp:
         return 'no signature'
-    if attempt.is_stream:
+    if is_stream or any(ran.answer == ended.answer for ran in signed):
         return ''
-    answers = {
-        run.ran.answer
-        for run in attempt.runs
-        if run.ran.endpoint == ended.stamp
-    }
-    return '' if ended.answer in answers else 'body'
-
-
-def _broke_off(attempt: _attempts.Attempt) -> bool:
-    return any(
-        run.worked is not None and run.worked.how is _terms.Work.broken
-        for run in attempt.runs
-    )
+    return 'body'
--- a/soak/judges/_unasked.py
+++ b/soak/judges/_unasked.py
@@ -1,6 +1,6 @@
 """UNASKED: endpoints run what clients sent, and nothing else.
 
-Pieces, headers of prompts and of memory are not judged.
+Pieces and headers of memory are not judged.
 """
 
 from soak import _history
@@ -31,4 +31,6 @@
         return 'changed'
     if ran.team != sent.team:
         return 'team'
+    if ran.prompt != sent.prompt:
+        return 'prompt'
     return 'key' if ran.has_key else ''
--- a/soak/tests/test_judge_answers.py
+++ b/soak/tests/test_judge_answers.py
@@ -1,5 +1,6 @@
 """What breaks MIXED, UNASKED, DENIED or RECOVER, and what does not."""
 
+import msgspec
 import pytest
 
 from soak import _history, _terms
@@ -37,6 +38,7 @@
             (answered(stamp='f'), ['body']),
             (answered(504, '', 'other'), []),
             (answered(answer='other', how=END.closed), []),
+            (answered(504, 'e', 'other'), ['status']),
             (answered(how=END.garbled), ['no answer']),
             (answered(how=END.garbled, work=_terms.Work.broken), []),
         ],
@@ -46,6 +48,7 @@
             'another body',
             'of another endpoint',
             'failure',
+            'failure in the name of an endpoint',
             'ended early',
             'garbled',
             'garbled by the endpoint',
@@ -59,43 +62,44 @@
 
 
 SENT = _history.Sent(
-    1, 'req', 'm', 'route', SAFE, 4, content='asked', team='team'
+    1,
+    'req',
+    'm',
+    'route',
+    SAFE,
+    4,
+    content='asked',
+    team='team',
+    prompt='parts',
 )
 
 
 class TestUnasked:
     @pytest.mark.parametrize(
-        ('request_id', 'content', 'team', 'has_key', 'broken'),
+        ('change', 'broken'),
         [
-            ('req', 'asked', 'team', False, []),
-            ('other', 'asked', 'team', False, ['no client']),
-            ('req', 'changed', 'team', False, ['changed']),
-            ('req', 'asked', 'other', False, ['team']),
-            ('req', 'asked', 'team', True, ['key']),
+            ({}, []),
+            ({'request': 'other'}, ['no client']),
+            ({'content': 'changed'}, ['changed']),
+            ({'team': 'other'}, ['team']),
+            ({'prompt': 'other'}, ['prompt']),
+            ({'has_key': True}, ['key']),
         ],
     )
     def test_run_is_what_the_client_sent(
-        self,
-        request_id: str,
-        content: str,
-        team: str,
-        has_key: bool,
-        broken: list[str],
+        self, change: dict[str, object], broken: list[str]
     ) -> None:
-        ran = _history.Ran(
-            1,
-            request_id,
-            'e/1',
-            'e',
-            content=content,
-            team=team,
-            has_key=has_key,
+        right = _history.Ran(
+            1, 'req', 'e/1', 'e', content='asked', team='team', prompt='parts'
         )
+        ran = msgspec.structs.replace(right, **change)
         found = builders.clauses(_unasked.judge, [SENT, ran])
         assert [clause for clause, _ in found] == broken
 
     def test_run_may_be_seen_before_its_client_has_noted_it(self) -> None:
-        ran = _history.Ran(0.9, 'req', 'e/1', 'e', content='asked', team='team')
+        ran = _history.Ran(
+            0.9, 'req', 'e/1', 'e', content='asked', team='team', prompt='parts'
+        )
         assert not builders.clauses(_unasked.judge, [ran, SENT])
 
 
--- a/soak/tests/test_judge_budget.py
+++ b/soak/tests/test_judge_budget.py
@@ -79,6 +79,60 @@
         assert not builders.clauses(_budget.judge, lines)
 
 
+class TestCrashes:
+    """The third crash is at 10.3; machines may learn of it until 13.3."""
+
+    def repeats(
+        self, crashes: int, late: int, at: float, team: str = 'team'
+    ) -> builders.Lines:
+        lines: builders.Lines = []
+        for index in range(crashes + late):
+            is_late = index >= crashes
+            begin = at if is_late else 10 + index / 10
+            name = f'r{index}'
+            run = f'e{index}/1'
+            how = _terms.Work.whole if is_late else _terms.Work.crashed
+            sent = _history.Sent(
+                begin,
+                name,
+                'm',
+                'route',
+                KIND.safe,
+                4,
+                deadline_s=4,
+                content='fatal',
+                team=team if is_late else 'team',
+            )
+            lines += [
+                sent,
+                _history.Ran(begin, name, run, f'e{index}', left_s=4),
+                _history.Worked(begin + 0.1, run, how),
+            ]
+        return lines
+
+    @pytest.mark.parametrize(
+        ('crashes', 'late', 'at', 'team', 'broken'),
+        [
+            (3, 4, 13.31, 'team', 1),
+            (3, 3, 13.31, 'team', 0),
+            (3, 4, 13.29, 'team', 0),
+            (2, 4, 13.31, 'team', 0),
+            (3, 4, 13.31, 'other', 0),
+        ],
+        ids=['four', 'three', 'in time', 'two crashes', 'another caller'],
+    )
+    def test_four_retries_run_after_the_third_crash(
+        self, crashes: int, late: int, at: float, team: str, broken: int
+    ) -> None:
+        lines = self.repeats(crashes, late, at, team)
+        assert len(builders.clauses(_budget.judge, lines)) == broken
+
+    def test_machines_out_of_touch_are_left_out(self) -> None:
+        lines = self.repeats(3, 4, 13.31)
+        lines.append(_history.Disrupted(11, 'm', 'silent'))
+        assert not builders.clauses(_budget.judge, lines)
+
+
 class TestDeadline:
     @pytest.mark.parametrize(
         ('runs', 'count', 'kind', 'broken'),
--- a/soak/tests/test_judge_changes.py
+++ b/soak/tests/test_judge_changes.py
@@ -87,6 +87,51 @@
         assert len(found) == broken
 
 
+class TestReadiness:
+    """Machines that got SIGTERM at 10, and whether they are ready at 14."""
+
+    def machines(
+        self, *, ready: int, out: int, misses: int = 2
+    ) -> builders.Lines:
+        lines: builders.Lines = []
+        for index in range(ready + out):
+            name = f'm{index}'
+            stays = index < ready
+            lines.append(_history.Probed(9, name, ready=True))
+            lines.append(_history.Process(10, name, _terms.Change.terminated))
+            lines += [
+                _history.Probed(14 - miss, name, ready=stays)
+                for miss in range(misses)
+            ]
+        return lines
+
+    @pytest.mark.parametrize(
+        ('ready', 'out', 'broken'),
+        [(2, 5, 1), (2, 6, 0), (1, 0, 0)],
+        ids=['over a quarter', 'a quarter', 'one'],
+    )
+    def test_machines_that_stop_are_not_ready(
+        self, ready: int, out: int, broken: int
+    ) -> None:
+        lines = self.machines(ready=ready, out=out)
+        assert len(builders.clauses(_drain.judge, lines)) == broken
+
+    @pytest.mark.parametrize(('misses', 'broken'), [(1, 1), (2, 0)])
+    def test_two_misses_take_a_machine_out(
+        self, misses: int, broken: int
+    ) -> None:
+        lines = self.machines(ready=0, out=2, misses=misses)
+        assert len(builders.clauses(_drain.judge, lines)) == broken
+
+    @pytest.mark.parametrize(('at', 'broken'), [(13.9, 0), (14.1, 1)])
+    def test_machines_that_have_ended_are_left_out(
+        self, at: float, broken: int
+    ) -> None:
+        lines = self.machines(ready=2, out=0)
+        lines.append(_history.Process(at, 'm0', _terms.Change.ended))
+        assert len(builders.clauses(_drain.judge, lines)) == broken
+
+
 class TestOldVersion:
     @pytest.mark.parametrize(
         ('lines', 'broken'),
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -17,9 +17,11 @@
 
 
 @functools.cache
-def played(seed: int) -> _findings.Findings:
+def played(seed: int, *, planned: bool = False) -> _findings.Findings:
     """Return what a short run of a seed finds."""
-    plan = _run.Plan(seed, seconds=4, gateways=2, callers=4, settle_s=1)
+    plan = _run.Plan(
+        seed, seconds=4, gateways=2, callers=4, planned=planned, settle_s=1
+    )
     findings, _ = trio.run(_run.run, plan)
     return findings
 
@@ -38,6 +40,10 @@
     def test_no_rule_is_broken(self, seed: int) -> None:
         assert not played(seed).judged
 
+    @pytest.mark.parametrize('seed', SEEDS)
+    def test_planned_work_breaks_no_rule(self, seed: int) -> None:
+        assert not played(seed, planned=True).judged
+
 
 class TestFindings:
     def test_answer_of_another_request_is_found(self) -> None:
