--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -53,7 +53,7 @@
         seconds: Time with faults in each.
         gateways: Gateway processes.
         callers: Callers at the same time.
-        plant: Guard to switch off: resend, blind, era or fatal.
+        plant: Guard to switch off: resend, blind, era, fatal or abrupt.
         logs: Folder for the gateways' logs and the histories.
         planned: Only planned work and endpoints that fall silent.
     """
--- a/soak/judges/_disruptions.py
+++ b/soak/judges/_disruptions.py
@@ -3,9 +3,13 @@
 import collections
 import dataclasses
 import math
+from typing import Final
 
 from soak import _history, _terms
 
+# The platform's figure.
+_OWN_END_S: Final = 1.0
+
 
 @dataclasses.dataclass(slots=True)
 class Span:
@@ -50,6 +54,11 @@
             if not (unplanned_only and span.planned)
         )
 
+    def holds_up(self, endpoint: str, at: float) -> bool:
+        """Whether a request may be late as the link was harmed shortly ago."""
+        first = at - self._bounds.stable_window_s
+        return self.hurts(endpoint, first, at)
+
     def in_touch(self, machine: str, at: float) -> bool:
         """Whether a machine and the store were calm long enough."""
         first = at - self._bounds.stable_window_s
@@ -93,12 +102,21 @@
                 self._begin(machine, 'kill', Span(seen.at, planned=late))
             case _terms.Change.terminated:
                 self._begin(machine, 'stop', Span(seen.at, planned=True))
-            case _terms.Change.ended:
-                if not self._is_stopping(machine):
-                    self._ended_alone.add(machine)
+            case _terms.Change.ended if not self._is_stopping(machine):
+                self._end(machine, seen.at)
             case _terms.Change.started:
                 self._start(machine, seen.at)
 
+    def _end(self, machine: str, at: float) -> None:
+        """Note a process that ended by itself.
+
+        It counts as running on, unless a disruption may have ended it.
+        """
+        if self.hurts(machine, at - _OWN_END_S, at):
+            self._begin(machine, 'kill', Span(at))
+        else:
+            self._ended_alone.add(machine)
+
     def _is_stopping(self, machine: str) -> bool:
         return any((machine, how) in self._open for how in ('kill', 'stop'))
 
--- a/soak/judges/_drain.py
+++ b/soak/judges/_drain.py
@@ -33,7 +33,9 @@
             )
             for attempt in self._attempts.all
             for run in attempt.runs
-            if self._is_late(run.ran) and self._is_in_touch(attempt, run)
+            if self._is_late(run.ran)
+            and self._is_in_touch(attempt, run)
+            and not self._disruptions.holds_up(run.ran.endpoint, run.ran.at)
         ]
 
     def _list(self, seen: _history.Listed) -> None:
--- a/soak/judges/_gone.py
+++ b/soak/judges/_gone.py
@@ -32,6 +32,7 @@
             if any(
                 run.ran.at > left_at + _AFTER_S
                 and self._is_told(attempt, left_at, run.ran.at)
+                and not self._disruptions.holds_up(run.ran.endpoint, run.ran.at)
                 for run in attempt.runs
             )
         ]
--- a/soak/tests/test_judge_gone.py
+++ b/soak/tests/test_judge_gone.py
@@ -44,6 +44,17 @@
         lines = left(count, ran_at=at, worked_at=at)
         assert len(builders.clauses(_gone.judge, lines)) == broken
 
+    @pytest.mark.parametrize(('at', 'broken'), [(7.5, 1), (7.7, 0)])
+    def test_requests_held_up_by_a_link_are_left_out(
+        self, at: float, broken: int
+    ) -> None:
+        lines = left(4, ran_at=LEFT_AT + 0.6, worked_at=LEFT_AT + 0.6)
+        lines += [
+            _history.Disrupted(at, 'e', 'silent'),
+            _history.Disrupted(at, 'e', 'silent', over=True),
+        ]
+        assert len(builders.clauses(_gone.judge, lines)) == broken
+
     @pytest.mark.parametrize(('at', 'broken'), [(6.9, 1), (7.1, 0), (10.5, 0)])
     def test_machines_out_of_touch_are_left_out(
         self, at: float, broken: int
