Judge pieces and inputs of stages from the history

MIXED: pieces and streams are given all results of their own stages, each once. The stand-in of the stage service decodes the key of a piece.

--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -322,6 +322,8 @@
             content=_recorder.digest(asked.target, asked.body),
             team=asked.team,
             prompt=prompt,
+            pieces=asked.counts,
+            key=asked.request_id if asked.counts else '',
             attempts=_published.attempts_of(repeatable=asked.repeatable),
             kept=self._used,
             after=asked.after,
--- a/soak/_endpoints.py
+++ b/soak/_endpoints.py
@@ -157,6 +157,7 @@
                 if is_stream
                 else _recorder.digest(_findings.body_of(sent.request_id))
             ),
+            inputs=sent.results or (),
             lasts_s=_lasts_s(request, sent),
         )
         recorder.note(ran)
@@ -202,8 +203,10 @@
 
     async def _run_pieces(self, body: bytes, reply: _http_server.Reply) -> None:
         pieces = stand_ins.decode_pieces(body)
-        for piece in pieces:
+        handles = [f'{self.address}/{next(self._handles)}' for _ in pieces]
+        for piece, handle in zip(pieces, handles, strict=True):
             self._findings.piece(piece)
+            self._note_piece(piece, handle)
         requests = {one.request_id for one in pieces}
         harmful = [
             request_id
@@ -213,13 +216,24 @@
         if harmful:
             await self._crash()
         await trio.sleep(_WORK_S)
-        handles = []
-        for piece in pieces:
-            handle = f'{self.address}/{next(self._handles)}'
+        for piece, handle in zip(pieces, handles, strict=True):
             self._findings.made(handle, piece)
-            handles.append(handle)
         await self._whole(reply, [], stand_ins.encode_stage_answer(handles))
 
+    def _note_piece(self, piece: stand_ins.Piece, handle: str) -> None:
+        recorder = self._findings.recorder
+        asked = _history.Piece(
+            recorder.now(),
+            piece.request_id,
+            self.name,
+            piece.stage,
+            piece.piece,
+            piece.inputs,
+            handle,
+            piece.key,
+        )
+        recorder.note(asked)
+
     async def _crash(self) -> None:
         """End as a crashed process does: its connections are reset."""
         self.proxy.set_mode(_proxy.Mode.reset)
--- a/soak/_history.py
+++ b/soak/_history.py
@@ -8,54 +8,11 @@
 
 import msgspec
 
-from soak import _terms
+from soak import _history_head, _terms
 
-FORMAT: Final = 'lentilspool-soak-history'
-VERSION: Final = 1
 STORE: Final = 'store'
 
 
-class Bounds(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Time bounds of the rules, in seconds, as the run was made with them."""
-
-    stable_window_s: float = 3.0
-    """Time without disruption after which a machine is in touch."""
-
-    grace_s: float = 8.0
-    """Time from SIGTERM to SIGKILL."""
-
-    loss_slack_s: float = 0.2
-    """Time after which a whole request counts as read."""
-
-    config_apply_s: float = 2.0
-    """Time in which an acknowledged configuration comes into force."""
-
-    drain_s: float = 2.0
-    """Time in which an endpoint that leaves is used no more."""
-
-    downgrade_s: float = 0.25
-    """Time after which a machine that showed a version keeps to it."""
-
-    recover_s: float = 12.0
-    """Time after the last fault in which service is back."""
-
-
-class Header(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """First line of a history."""
-
-    format: str
-    """Name of the format."""
-
-    version: int
-    """Version of the format."""
-
-    seed: int = 0
-    """Seed of the run."""
-
-    bounds: Bounds = Bounds()
-    """Bounds that hold in the run."""
-
-
 class Observation(
     msgspec.Struct, frozen=True, tag=True, forbid_unknown_fields=True
 ):
@@ -101,6 +58,12 @@
     prompt: str = ''
     """Digest of its model, tokens and parts of the prompt."""
 
+    pieces: tuple[int, ...] = ()
+    """Pieces of each stage; a stage takes all results of the one before."""
+
+    key: str = ''
+    """Key of its pieces."""
+
     kept: bool = False
     """Whether the connection had carried a request before."""
 
@@ -185,6 +148,9 @@
     answer: str = ''
     """Digest of the whole body that it answers; empty for a stream."""
 
+    inputs: tuple[str, ...] = ()
+    """Handles of the results that it is given."""
+
     lasts_s: float = 0
     """Time for which the work would last if it is not disturbed."""
 
@@ -199,6 +165,31 @@
     """How it ended."""
 
 
+class Piece(Observation, frozen=True, tag='piece'):
+    """An endpoint is asked for a piece of a stage."""
+
+    request: str
+    """Request to which it belongs."""
+
+    endpoint: str
+    """Endpoint that is asked."""
+
+    stage: int
+    """Index of the stage."""
+
+    piece: int
+    """Index of the piece in its stage."""
+
+    inputs: tuple[str, ...] = ()
+    """Handles of the results that it is given."""
+
+    handle: str = ''
+    """Handle of its own result."""
+
+    key: str = ''
+    """Key that it is told; empty for none."""
+
+
 class Listed(Observation, frozen=True, tag='listed'):
     """The store has taken what an endpoint states of itself."""
 
@@ -273,6 +264,7 @@
     | Got
     | Ended
     | Ran
+    | Piece
     | Worked
     | Listed
     | Process
@@ -286,7 +278,7 @@
 class History(msgspec.Struct, frozen=True):
     """A whole history."""
 
-    bounds: Bounds
+    bounds: _history_head.Bounds
     """Bounds that hold in the run."""
 
     observations: tuple[Observation, ...]
--- a/soak/_history_file.py
+++ b/soak/_history_file.py
@@ -6,9 +6,9 @@
 
 import msgspec
 
-from soak import _history
+from soak import _history, _history_head
 
-_HEADER: Final = msgspec.json.Decoder(_history.Header)
+_HEADER: Final = msgspec.json.Decoder(_history_head.Header)
 _LINE: Final = msgspec.json.Decoder(_history.Line)
 
 
@@ -28,7 +28,7 @@
 
 def write(
     path: pathlib.Path,
-    header: _history.Header,
+    header: _history_head.Header,
     observations: list[_history.Observation],
 ) -> None:
     """Write a whole history."""
@@ -59,21 +59,25 @@
     return _whole(header, observations)
 
 
-def _header(line: bytes) -> _history.Header | HistoryError:
+def _header(line: bytes) -> _history_head.Header | HistoryError:
     try:
         header = _HEADER.decode(line)
     except msgspec.MsgspecError as error:
         return HistoryError(1, f'not the head of a history: {error}')
-    if (header.format, header.version) != (_history.FORMAT, _history.VERSION):
+    if (header.format, header.version) != (
+        _history_head.FORMAT,
+        _history_head.VERSION,
+    ):
         named = f'{header.format} {header.version}'
         return HistoryError(
-            1, f'expected {_history.FORMAT} {_history.VERSION}, found {named}'
+            1,
+            f'expected {_history_head.FORMAT} {_history_head.VERSION}, found {named}',
         )
     return header
 
 
 def _whole(
-    header: _history.Header, observations: list[_history.Observation]
+    header: _history_head.Header, observations: list[_history.Observation]
 ) -> _history.History | HistoryError:
     """Check that all lines are there, in order of time."""
     last_line = len(observations) + 1
--- a/soak/_recorder.py
+++ b/soak/_recorder.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from soak import _history, _history_file
+from soak import _history, _history_file, _history_head
 
 _DIGITS: Final = 16
 _PROMPT: Final = (b'model', b'token-counts', b'prompt-prefix')
@@ -50,5 +50,7 @@
 
     def write(self, path: pathlib.Path, seed: int) -> None:
         """Write the history of the run."""
-        header = _history.Header(_history.FORMAT, _history.VERSION, seed)
+        header = _history_head.Header(
+            _history_head.FORMAT, _history_head.VERSION, seed
+        )
         _history_file.write(path, header, self._observations)
--- a/soak/judges/_mixed.py
+++ b/soak/judges/_mixed.py
@@ -1,7 +1,8 @@
 """MIXED: answers are those of the endpoint that signed them.
 
-Judged for plain requests; ORDER judges the events of streams. That a request
-goes on from another's memory, and the inputs of pieces, are not judged.
+Judged for plain requests; ORDER judges the events of streams. Pieces and
+streams are given all results of their own stages. That a request goes on from
+another's memory is not judged.
 """
 
 from typing import Final
@@ -13,9 +14,10 @@
 
 
 def judge(history: _history.History) -> list[_finding.Finding]:
-    """Judge signatures, bodies and bytes that are no answer."""
-    found = []
-    for attempt in _attempts.Attempts(history).all:
+    """Judge signatures, bodies, bytes that are no answer, and inputs."""
+    attempts = _attempts.Attempts(history)
+    found = _inputs(history, attempts)
+    for attempt in attempts.all:
         clause = _clause(attempt)
         if clause and attempt.ended:
             request = attempt.sent.request
@@ -25,6 +27,43 @@
     return found
 
 
+def _inputs(
+    history: _history.History, attempts: _attempts.Attempts
+) -> list[_finding.Finding]:
+    """Find pieces and streams whose inputs are not those of their stage."""
+    sent = {one.sent.request: one.sent for one in attempts.all}
+    made: dict[str, _history.Piece] = {}
+    found = []
+    for seen in history.observations:
+        if not isinstance(seen, _history.Piece | _history.Ran):
+            continue
+        if isinstance(seen, _history.Piece):
+            made[seen.handle] = seen
+        if seen.request in sent and not _has_whole_inputs(
+            seen, sent[seen.request], made
+        ):
+            found.append(
+                _finding.Finding('MIXED', 'inputs', seen.at, (seen.request,))
+            )
+    return found
+
+
+def _has_whole_inputs(
+    seen: _history.Piece | _history.Ran,
+    sent: _history.Sent,
+    made: dict[str, _history.Piece],
+) -> bool:
+    """Whether the inputs are all results of the stage before, each once."""
+    stage = len(sent.pieces) - 1
+    if isinstance(seen, _history.Piece):
+        stage = seen.stage - 1
+    count = sent.pieces[stage] if 0 <= stage < len(sent.pieces) else 0
+    wanted = [(seen.request, stage, number) for number in range(count)]
+    given = [made[one] for one in seen.inputs if one in made]
+    found = sorted((one.request, one.stage, one.piece) for one in given)
+    return found == wanted and len(given) == len(seen.inputs)
+
+
 def _clause(attempt: _attempts.Attempt) -> str:
     """Return the clause that an attempt breaks; empty for none."""
     ended = attempt.ended
--- a/soak/tests/builders.py
+++ b/soak/tests/builders.py
@@ -4,7 +4,7 @@
 import itertools
 from collections.abc import Sequence
 
-from soak import _history, _terms
+from soak import _history, _history_head, _terms
 from soak.judges import _finding
 
 EVENTS = 4
@@ -16,7 +16,7 @@
     """Return the history of all lines, ordered by time."""
     lines = list(itertools.chain.from_iterable(parts))
     lines.sort(key=lambda one: one.at)
-    return _history.History(_history.Bounds(), tuple(lines))
+    return _history.History(_history_head.Bounds(), tuple(lines))
 
 
 def clauses(
--- a/soak/tests/test_history_file.py
+++ b/soak/tests/test_history_file.py
@@ -4,9 +4,11 @@
 
 import pytest
 
-from soak import _history, _history_file, _terms
+from soak import _history, _history_file, _history_head, _terms
 
-HEADER = _history.Header(_history.FORMAT, _history.VERSION, seed=3)
+HEADER = _history_head.Header(
+    _history_head.FORMAT, _history_head.VERSION, seed=3
+)
 SENT = _history.Sent(1.5, 'r', 'g0', 'once', _terms.Kind.unsafe, 4)
 OBSERVATIONS: list[_history.Observation] = [
     SENT,
--- a/soak/tests/test_judge_answers.py
+++ b/soak/tests/test_judge_answers.py
@@ -103,6 +103,85 @@
         assert not builders.clauses(_unasked.judge, [ran, SENT])
 
 
+def piece(
+    stage: int, number: int, inputs: tuple[str, ...] = (), key: str = ''
+) -> _history.Piece:
+    """Return a piece of a request, named by its stage and number."""
+    handle = f'{stage}/{number}'
+    return _history.Piece(2, 'req', 'e', stage, number, inputs, handle, key)
+
+
+STAGED = _history.Sent(
+    1, 'req', 'm', 'route', SAFE, 4, pieces=(1, 2), key='key'
+)
+FIRST = piece(0, 0, key='key')
+
+
+class TestPieces:
+    @pytest.mark.parametrize(
+        ('asked', 'broken'),
+        [
+            (FIRST, 0),
+            (piece(0, 0, key='other'), 1),
+            (piece(0, 1, key='key'), 1),
+            (piece(1, 1), 0),
+            (piece(1, 2), 1),
+            (piece(2, 0), 1),
+        ],
+        ids=['right', 'key', 'number', 'last', 'beyond the last', 'stage'],
+    )
+    def test_only_pieces_of_a_request_are_asked_for(
+        self, asked: _history.Piece, broken: int
+    ) -> None:
+        found = builders.clauses(_unasked.judge, [STAGED, asked])
+        assert len(found) == broken
+
+    def test_pieces_of_no_request_are_found(self) -> None:
+        found = builders.clauses(_unasked.judge, [FIRST])
+        assert found == [('piece', ('req',))]
+
+
+class TestInputs:
+    @pytest.mark.parametrize(
+        ('inputs', 'broken'),
+        [
+            (('0/0',), 0),
+            ((), 1),
+            (('0/0', '0/0'), 1),
+            (('1/0',), 1),
+            (('unknown',), 1),
+            (('0/0', 'unknown'), 1),
+        ],
+        ids=['right', 'none', 'twice', 'other stage', 'unknown', 'one more'],
+    )
+    def test_piece_is_given_all_results_of_the_stage_before(
+        self, inputs: tuple[str, ...], broken: int
+    ) -> None:
+        lines = [STAGED, FIRST, piece(1, 0, ('0/0',)), piece(1, 1, inputs)]
+        assert len(builders.clauses(_mixed.judge, lines)) == broken
+
+    @pytest.mark.parametrize(
+        ('inputs', 'broken'),
+        [(('1/0', '1/1'), 0), (('1/0',), 1), (('0/0',), 1), ((), 1)],
+    )
+    def test_stream_is_given_all_results_of_the_last_stage(
+        self, inputs: tuple[str, ...], broken: int
+    ) -> None:
+        lines = [
+            STAGED,
+            FIRST,
+            piece(1, 0, ('0/0',)),
+            piece(1, 1, ('0/0',)),
+            _history.Ran(3, 'req', 'e/1', 'e', inputs=inputs),
+        ]
+        assert len(builders.clauses(_mixed.judge, lines)) == broken
+
+    def test_inputs_of_another_request_are_found(self) -> None:
+        other = msgspec.structs.replace(FIRST, request='other', handle='o')
+        lines = [STAGED, FIRST, other, piece(1, 0, ('o',))]
+        assert len(builders.clauses(_mixed.judge, lines)) == 1
+
+
 def denied(
     count: int, status: int = 404, stamp: str = '', route: str = 'route'
 ) -> builders.Lines:
--- a/soak/tests/test_judge_command.py
+++ b/soak/tests/test_judge_command.py
@@ -6,10 +6,10 @@
 import pytest
 
 from soak import __main__ as soak_program
-from soak import _history, _history_file, _terms
+from soak import _history_file, _history_head, _terms
 from soak.tests import builders
 
-HEADER = _history.Header(_history.FORMAT, _history.VERSION)
+HEADER = _history_head.Header(_history_head.FORMAT, _history_head.VERSION)
 
 
 class TestJudgeCommand:
--- a/src/lentilspool/platform/tests/stand_ins.py
+++ b/src/lentilspool/platform/tests/stand_ins.py
@@ -170,12 +170,19 @@
     inputs: tuple[str, ...]
     """Handles of the results that it reads."""
 
+    key: str = ''
+    """Key of its content; empty if it reads results."""
+
 
 def decode_pieces(body: bytes) -> list[Piece]:
     """Decode the pieces of a stage call."""
     return [
         Piece(
-            one['id'], one['stage'], one['piece'], tuple(one.get('inputs', ()))
+            one['id'],
+            one['stage'],
+            one['piece'],
+            tuple(one.get('inputs', ())),
+            one.get('key', ''),
         )
         for one in msgspec.json.decode(body)['items']
     ]
