Judge added routes and keys; send requests with unknown keys

CONFIG: routes that are added later are served at least a quarter as often as the first ones. ROUTE: a run of a key that no version holds. Callers use a route that the second configuration adds, and 2 in 100 requests have a key that no team has.

--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -24,11 +24,14 @@
 _TOLD_S: Final = 4.5
 _BYTES: Final = 65536
 NOT_FOUND: Final = 404
+_DESK: Final = 'desk'
 _OK: Final = 200
 # Timeout of the routes, which is shorter than the deadline of callers.
 _TIME_S: Final = 4.0
 # Share of resumable streams, and of long requests, whose caller leaves.
 _BROKEN_SHARE: Final = 0.15
+# Share of requests with a key that no team has.
+_UNKNOWN_SHARE: Final = 0.02
 _MOST_TRIES: Final = 3
 # Pause in a resumable stream after which its caller goes elsewhere.
 _PAUSE_S: Final = 0.4
@@ -37,9 +40,10 @@
 _FIRST_PARTS: Final = 6
 _RETRY_S: Final = 0.1
 _KINDS: Final = (
-    ('once', 'desk', False, ()),
-    ('again', 'desk', True, ()),
-    ('moving', 'desk', True, ()),
+    ('once', _DESK, False, ()),
+    ('again', _DESK, True, ()),
+    ('moving', _DESK, True, ()),
+    ('new0', _DESK, True, ()),
     ('draft', 'model', False, (1, 3)),
     ('resume', 'model', True, (2, 8)),
 )
@@ -264,9 +268,10 @@
         self._count += 1
         name, service, repeatable, counts = self._rng.choice(_KINDS)
         request_id = f'{self._number}-{self._count}'
+        is_known = self._rng.random() >= _UNKNOWN_SHARE
         return _findings.Asked(
             request_id,
-            self._rng.choice(_published.TEAMS),
+            self._rng.choice(_published.TEAMS) if is_known else '',
             f'/{name}/{request_id}?q=1'.encode(),
             f'body of {request_id}'.encode(),
             service,
--- a/soak/_history.py
+++ b/soak/_history.py
@@ -53,7 +53,7 @@
     """Digest of method, path, query and body."""
 
     team: str = ''
-    """Team whose key it carries."""
+    """Team whose key it carries; empty for a key that no team has."""
 
     prompt: str = ''
     """Digest of its model, tokens and parts of the prompt."""
@@ -251,6 +251,9 @@
     services: dict[str, str] = {}
     """Service by route; empty in an acknowledgement."""
 
+    teams: tuple[str, ...] = ()
+    """Teams that have keys; empty in an acknowledgement."""
+
 
 class Closed(Observation, frozen=True, tag='closed'):
     """Last line of a history."""
--- a/soak/_published.py
+++ b/soak/_published.py
@@ -132,7 +132,7 @@
         routes = json.loads(self._document)['routes']
         services = {one['prefix'].strip('/'): one['service'] for one in routes}
         now = self.recorder.now()
-        sent = _history.Configured(now, version, services=services)
+        sent = _history.Configured(now, version, services=services, teams=TEAMS)
         self.recorder.note(sent)
         self.publish_again()
         self.recorder.note(_history.Configured(now, version, taken=True))
--- a/soak/judges/_config.py
+++ b/soak/judges/_config.py
@@ -1,7 +1,4 @@
-"""CONFIG: configurations come into force in time, and timeouts are kept.
-
-Routes that are added later are not judged.
-"""
+"""CONFIG: configurations come into force in time, and timeouts are kept."""
 
 import collections
 from typing import Final
@@ -22,6 +19,9 @@
 _LEAST_LATE: Final = 8
 _LATE_SHARE: Final = 0.25
 _SLOWED: Final = 8
+_LEAST_ADDED: Final = 20
+_ADDED_SHARE: Final = 0.25
+_SUCCESS: Final = range(200, 300)
 
 
 class _Config:
@@ -78,7 +78,11 @@
         if ended is None or ended.status not in _ACCESS or ended.stamp:
             return []
         known = self._configurations.since(newest, ended.at)
-        is_allowed = all(attempt.sent.route in one.services for one in known)
+        sent = attempt.sent
+        is_allowed = all(
+            sent.route in one.services and sent.team in one.teams
+            for one in known
+        )
         if newest and is_allowed:
             return [_finding_at('old denial', ended.at, attempt)]
         return []
@@ -110,7 +114,58 @@
     """Judge all clauses."""
     config = _Config(history)
     regressions = _Regressions(history).judge()
-    return [*config.old(), *config.timeouts(), *regressions]
+    added = _Added(history).judge()
+    return [*config.old(), *config.timeouts(), *regressions, *added]
+
+
+class _Added:
+    """Compares routes that were added later with the first ones."""
+
+    def __init__(self, history: _history.History) -> None:
+        self._bounds = history.bounds
+        self._disruptions = _disruptions.Disruptions(history)
+        self._configurations = _configurations.Configurations(history)
+        self._steady = [
+            attempt
+            for attempt in _attempts.Attempts(history).all
+            if self._is_steady(attempt.sent)
+        ]
+
+    def judge(self) -> list[_finding.Finding]:
+        """Compare the shares that are served."""
+        if not self._configurations.all:
+            return []
+        first = self._configurations.all[0].services
+        old = [one for one in self._steady if one.sent.route in first]
+        added = [one for one in self._steady if one.sent.route not in first]
+        if len(added) < _LEAST_ADDED:
+            return []
+        if _served(added) >= _ADDED_SHARE * _served(old):
+            return []
+        return [_found('added routes', added)]
+
+    def _is_steady(self, sent: _history.Sent) -> bool:
+        """Whether every version that may be in force has its route."""
+        version = self._configurations.in_force(
+            sent.at, self._bounds.config_apply_s
+        )
+        known = self._configurations.since(version, sent.at)
+        return (
+            bool(version)
+            and all(sent.route in one.services for one in known)
+            and self._disruptions.in_touch(sent.machine, sent.at)
+        )
+
+
+def _served(attempts: list[_attempts.Attempt]) -> float:
+    """Return the share of attempts that are served."""
+    ends = [one.ended for one in attempts if one.ended]
+    served = [
+        one
+        for one in ends
+        if one.how is _terms.End.whole and one.status in _SUCCESS
+    ]
+    return len(served) / max(len(ends), 1)
 
 
 class _Regressions:
--- a/soak/judges/_configurations.py
+++ b/soak/judges/_configurations.py
@@ -19,6 +19,9 @@
     services: dict[str, str]
     """Service by route."""
 
+    teams: tuple[str, ...]
+    """Teams that have keys."""
+
     taken_at: float = math.inf
     """Moment at which the store acknowledged it."""
 
@@ -57,7 +60,9 @@
             known = self._by_version[seen.version]
             known.taken_at = min(known.taken_at, seen.at)
         elif not seen.taken:
-            added = Configuration(seen.version, seen.at, seen.services)
+            added = Configuration(
+                seen.version, seen.at, seen.services, seen.teams
+            )
             self._by_version.setdefault(seen.version, added)
 
 
--- a/soak/judges/_denied.py
+++ b/soak/judges/_denied.py
@@ -20,10 +20,7 @@
     def __init__(self, history: _history.History) -> None:
         self._attempts = _attempts.Attempts(history)
         self._disruptions = _disruptions.Disruptions(history)
-        self._routes = [
-            set(one.services)
-            for one in _configurations.Configurations(history).all
-        ]
+        self._versions = _configurations.Configurations(history).all
         self._denied = [
             (one.sent, one.ended)
             for one in self._attempts.all
@@ -60,15 +57,20 @@
             ended.status in _DENIALS
             and ended.status not in _REFUSALS
             and not ended.stamp
-            and all(sent.route in routes for routes in self._routes)
+            and all(_allows(one, sent) for one in self._versions)
         )
 
 
 def judge(history: _history.History) -> list[_finding.Finding]:
-    """Judge both counts; all requests of a history are taken as proper."""
+    """Judge both counts."""
     return _Denied(history).judge()
 
 
+def _allows(one: _configurations.Configuration, sent: _history.Sent) -> bool:
+    """Whether a version has the route and the key of a request."""
+    return sent.route in one.services and sent.team in one.teams
+
+
 def _found(
     clause: str, denied: list[tuple[_history.Sent, _history.Ended]]
 ) -> _finding.Finding:
--- a/soak/tests/builders.py
+++ b/soak/tests/builders.py
@@ -51,11 +51,12 @@
             'route',
             self.kind,
             self.time_s,
+            team='team',
             kept=self.kept,
         )
         ended = _history.Ended(last, self.request, self.how)
         run = f'e/{self.request}'
-        ran = _history.Ran(self.at, self.request, run, 'e')
+        ran = _history.Ran(self.at, self.request, run, 'e', team='team')
         worked = _history.Worked(last, run, self.work)
         return [sent, ended, ran, worked] if self.passed_on else [sent, ended]
 
--- a/soak/tests/test_judge_answers.py
+++ b/soak/tests/test_judge_answers.py
@@ -183,22 +183,28 @@
 
 
 def denied(
-    count: int, status: int = 404, stamp: str = '', route: str = 'route'
+    count: int,
+    status: int = 404,
+    stamp: str = '',
+    route: str = 'route',
+    team: str = 'team',
 ) -> builders.Lines:
     """Return requests that are answered at once."""
     lines: builders.Lines = []
     for index in range(count):
         name = f'{status}{stamp}{index}'
         lines += [
-            _history.Sent(10, name, 'm', route, SAFE, 4),
+            _history.Sent(10, name, 'm', route, SAFE, 4, team=team),
             _history.Ended(10, name, END.whole, status, stamp),
         ]
     return lines
 
 
 CONFIGURED = (
-    _history.Configured(0, 1, services={'route': 'desk', 'old': 'desk'}),
-    _history.Configured(5, 2, services={'route': 'desk'}),
+    _history.Configured(
+        0, 1, services={'route': 'desk', 'old': 'desk'}, teams=('team',)
+    ),
+    _history.Configured(5, 2, services={'route': 'desk'}, teams=('team',)),
 )
 
 
@@ -215,6 +221,7 @@
             (denied(6, 503), []),
             (denied(6, 404, 'e'), []),
             (denied(6, route='old'), []),
+            (denied(6, team=''), []),
         ],
         ids=[
             'six',
@@ -226,6 +233,7 @@
             'unavailable',
             'of the endpoint',
             'not in every version',
+            'unknown key',
         ],
     )
     def test_more_than_five_and_one_in_500(
--- a/soak/tests/test_judge_changes.py
+++ b/soak/tests/test_judge_changes.py
@@ -19,10 +19,12 @@
     return _history.Listed(at, endpoint, service, '1', ready)
 
 
-def asked(at: float, endpoint: str, name: str = 'req') -> builders.Lines:
+def asked(
+    at: float, endpoint: str, name: str = 'req', team: str = 'team'
+) -> builders.Lines:
     """Return a request on the route 'moving' that runs at an endpoint."""
     return [
-        _history.Sent(at, name, 'm', 'moving', SAFE, 4),
+        _history.Sent(at, name, 'm', 'moving', SAFE, 4, team=team),
         _history.Ran(at, name, f'{endpoint}/{name}', endpoint),
     ]
 
@@ -31,7 +33,8 @@
     version: int, at: float, service: str, *, route: str = 'moving'
 ) -> builders.Lines:
     """Return a version that the store takes at once."""
-    sent = _history.Configured(at, version, services={route: service})
+    services = {route: service}
+    sent = _history.Configured(at, version, services=services, teams=('team',))
     return [sent, _history.Configured(at, version, taken=True)]
 
 
@@ -177,7 +180,7 @@
         self, at: float, status: int, stamp: str, broken: list[str]
     ) -> None:
         lines: builders.Lines = [
-            _history.Sent(at, 'req', 'm', 'added', SAFE, 4),
+            _history.Sent(at, 'req', 'm', 'added', SAFE, 4, team='team'),
             _history.Ended(at, 'req', _terms.End.whole, status, stamp),
         ]
         added = configured(2, 20, OLD, route='added')
@@ -292,3 +295,62 @@
     ) -> None:
         lines = [*asked(at, endpoint), entry('other', 'model')]
         assert len(builders.clauses(_route.judge, lines, MOVED)) == broken
+
+    @pytest.mark.parametrize(('team', 'broken'), [('team', 0), ('other', 1)])
+    def test_only_keys_that_a_version_holds(
+        self, team: str, broken: int
+    ) -> None:
+        lines = asked(30, 'new', team=team)
+        assert len(builders.clauses(_route.judge, lines, MOVED)) == broken
+
+
+class TestAddedRoutes:
+    """The route 'added' is in force from 22 on; 'first' always."""
+
+    def requests(
+        self, route: str, count: int, served: int, at: float = 30
+    ) -> builders.Lines:
+        lines: builders.Lines = []
+        for index in range(count):
+            name = f'{route}{index}'
+            status = 200 if index < served else 503
+            lines += [
+                _history.Sent(at, name, 'm', route, SAFE, 4, team='team'),
+                _history.Ended(at, name, _terms.End.whole, status, ''),
+            ]
+        return lines
+
+    @pytest.mark.parametrize(
+        ('count', 'served', 'at', 'broken'),
+        [
+            (20, 3, 30, 1),
+            (20, 4, 30, 0),
+            (19, 0, 30, 0),
+            (20, 3, 21.9, 0),
+        ],
+        ids=['under a quarter', 'a quarter', 'too few', 'not in force'],
+    )
+    def test_are_served_a_quarter_as_often(
+        self, count: int, served: int, at: float, broken: int
+    ) -> None:
+        both = {'first': OLD, 'added': OLD}
+        versions = [
+            *configured(1, 1, OLD, route='first'),
+            _history.Configured(20, 2, services=both, teams=('team',)),
+            _history.Configured(20, 2, taken=True),
+        ]
+        lines = [
+            *self.requests('first', 10, 8),
+            *self.requests('added', count, served, at),
+        ]
+        found = builders.clauses(_config.judge, lines, versions)
+        assert [one for one, _ in found].count('added routes') == broken
+
+    def test_machines_out_of_touch_are_left_out(self) -> None:
+        versions = [
+            *configured(1, 1, OLD, route='first'),
+            *configured(2, 20, OLD, route='added'),
+        ]
+        lines = self.requests('added', 20, 0)
+        hurt = silence('m', 28)
+        assert not builders.clauses(_config.judge, lines, versions, hurt)
--- a/soak/tests/test_judge_command.py
+++ b/soak/tests/test_judge_command.py
@@ -6,7 +6,7 @@
 import pytest
 
 from soak import __main__ as soak_program
-from soak import _history_file, _history_head, _terms
+from soak import _history, _history_file, _history_head, _terms
 from soak.tests import builders
 
 HEADER = _history_head.Header(_history_head.FORMAT, _history_head.VERSION)
@@ -19,6 +19,10 @@
         path = tmp_path / 'history.jsonl'
         lines = builders.Cut(held_s=1).lines
         lines += builders.signal(10, _terms.Change.terminated)
+        lines += [
+            _history.Configured(0, 1, teams=('team',)),
+            _history.Configured(0, 1, taken=True),
+        ]
         lines.sort(key=lambda one: one.at)
         _history_file.write(path, HEADER, lines)
         assert soak_program.main(['judge', str(path)]) == 1
