--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -80,7 +80,7 @@
 def _prompt_of(asked: _findings.Asked) -> bytes:
     """Return the parts of a prompt, which attempts of a stream share."""
     first = zlib.crc32(asked.target) % _FIRST_PARTS
-    last = asked.resumes or asked.request_id
+    last = asked.resumed_id or asked.request_id
     return f'aa{first}:400,{last}:100'.encode()
 
 
@@ -99,11 +99,8 @@
             *(one for one in headers if one[0].lower() != _PROMPT_PARTS),
             (_PROMPT_PARTS, _prompt_of(asked)),
         ]
-    if asked.resumes:
-        headers += [
-            (b'last-event-id', str(asked.after).encode()),
-            (b'resumes', asked.resumes.encode()),
-        ]
+    if asked.resumed_id:
+        headers += stand_ins.resume_headers(asked.resumed_id, asked.after)
     return [
         *headers,
         (b'host', _published.HOST.encode()),
@@ -131,7 +128,10 @@
     """Whether the gateway has ended the connection."""
 
     noted: int = 0
-    """Events of the latest answer."""
+    """Events of the latest answer that were noted."""
+
+    events: bytes = b''
+    """Whole events of the latest answer, without their marks."""
 
     last_event: int = 0
     """Number of the last event of all attempts."""
@@ -161,6 +161,7 @@
         self.whole = False
         self.at_end = False
         self.noted = 0
+        self.events = b''
 
     def add(self, number: int) -> None:
         """Add an event."""
@@ -233,7 +234,9 @@
             self._progress.leave_after = self._rng.randint(1, last)
         await self._ask(asked)
         first = asked.request_id
+        received = b''
         for _ in range(_MOST_TRIES):
+            received += self._progress.events
             if not self._progress.may_go_on:
                 return
             await self._close()
@@ -243,8 +246,8 @@
             again = dataclasses.replace(
                 asked,
                 request_id=f'{self._number}-{self._count}',
-                after=self._progress.last_event,
-                resumes=first,
+                resumed_id=first,
+                received=received,
             )
             await self._ask(again)
 
@@ -294,8 +297,10 @@
         self._note_end(asked, reason)
         if reason:
             # A caller that leaves on purpose does not miss its answer.
-            if reason != 'left':
-                self._findings.unanswered(asked, reason)
+            if reason == 'left':
+                self._findings.check_events(asked, self._progress.events)
+            else:
+                self._findings.unanswered(asked, reason, self._progress.events)
             await self._close()
 
     def _note_end(self, asked: _findings.Asked, reason: str) -> None:
@@ -332,7 +337,7 @@
             attempts=_published.attempts_of(repeatable=asked.repeatable),
             kept=self._used,
             after=asked.after,
-            resumes=asked.resumes,
+            resumes=asked.resumed_id,
         )
         recorder.note(sent)
 
@@ -383,6 +388,8 @@
         """Note the events that are whole and were not noted yet."""
         if not asked.counts or self._progress.status != _OK:
             return
+        events = _findings.whole_events(body)
+        self._progress.events = _findings.unmarked(events)
         recorder = self._findings.recorder
         for number, run in _findings.marks_of(body)[self._progress.noted :]:
             self._progress.add(number)
--- a/soak/_endpoints.py
+++ b/soak/_endpoints.py
@@ -189,12 +189,12 @@
             await self._whole(reply, headers, body)
             return
         self._findings.read(sent.request_id, sent.results)
+        stream = sent.resumed_id or sent.request_id
         await reply.write_head(200, headers, b'')
         for number in range(sent.last_event + 1, _findings.EVENTS + 1):
             await self._pause(_EVENT_S)
-            await reply.write_chunk(
-                _findings.event_of(sent.request_id, number, run)
-            )
+            event = _findings.event_of(stream, number, self.version, run)
+            await reply.write_chunk(event)
         await reply.write_end()
 
     async def _pause(self, seconds: float) -> None:
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -17,8 +17,6 @@
 )
 
 _SERVICES: Final = (('desk', 3), ('counter', 2), ('prepare', 3), ('model', 4))
-# Software versions that serve side by side.
-_VERSIONS: Final = ('1.4', '1.5')
 _MODES: Final = (
     _proxy.Mode.delayed,
     _proxy.Mode.reset,
@@ -50,9 +48,10 @@
     async def start(self) -> None:
         """Start store and endpoints, and publish the first configuration."""
         await self._nursery.start(self.store.server.serve)
+        versions = _findings.VERSIONS
         for service, count in _SERVICES:
             for index in range(count):
-                await self.add(service, _VERSIONS[index % len(_VERSIONS)])
+                await self.add(service, versions[index % len(versions)])
         self.store.publish(0)
 
     def write_again(self) -> None:
--- a/soak/_findings.py
+++ b/soak/_findings.py
@@ -21,8 +21,11 @@
 _MOST_LATE_RUNS: Final = 3
 # Events of each stream.
 EVENTS: Final = 8
-_MARK: Final = re.compile(rb'^(data: \S+) \S+$', re.MULTILINE)
-_MARKED: Final = re.compile(rb'id: (\d+)\ndata: \S+ (\S+)\n\n')
+EVENT_END: Final = b'\n\n'
+_MARK: Final = re.compile(rb'^(data: \S+ \S+) \S+$', re.MULTILINE)
+_MARKED: Final = re.compile(rb'id: (\d+)\ndata: \S+ \S+ (\S+)\n\n')
+# Software versions of endpoints that serve side by side.
+VERSIONS: Final = ('v1.1', 'v1.2')
 Content = tuple[str, bytes, bytes]
 
 
@@ -87,11 +90,21 @@
     moved_to: str = ''
     """Service to which its route may be moved."""
 
-    after: int = 0
-    """Number of the event after which its stream goes on; 0 for a new one."""
+    resumed_id: str = ''
+    """Request whose answer began the stream that it takes up."""
 
-    resumes: str = ''
-    """Request that brought the first event of the stream."""
+    received: bytes = b''
+    """Events of that stream that the caller has, without their marks."""
+
+    @property
+    def stream(self) -> str:
+        """Identity of its stream."""
+        return self.resumed_id or self.request_id
+
+    @property
+    def after(self) -> int:
+        """Number of the event after which its stream goes on."""
+        return self.received.count(EVENT_END)
 
     @property
     def content(self) -> Content:
@@ -104,10 +117,10 @@
     return f'answer to {request_id}'.encode() * 3
 
 
-def event_of(request_id: str, number: int, run: str = '') -> bytes:
-    """Return an event of the only right stream, marked by its run."""
+def event_of(stream: str, number: int, version: str, run: str = '') -> bytes:
+    """Return an event of the right stream of a version, marked by its run."""
     mark = f' {run}' if run else ''
-    return f'id: {number}\ndata: {request_id}{mark}\n\n'.encode()
+    return f'id: {number}\ndata: {stream} {version}{mark}\n\n'.encode()
 
 
 def marks_of(body: bytes) -> list[tuple[int, str]]:
@@ -117,6 +130,27 @@
     ]
 
 
+def unmarked(body: bytes) -> bytes:
+    """Return a stream without the runs that mark its events."""
+    return _MARK.sub(rb'\1', body)
+
+
+def streams_of(stream: str) -> list[bytes]:
+    """Return the right streams, one for each version."""
+    return [
+        b''.join(
+            event_of(stream, number, version) for number in range(1, EVENTS + 1)
+        )
+        for version in VERSIONS
+    ]
+
+
+def whole_events(received: bytes) -> bytes:
+    """Return the whole events of a stream that may have broken."""
+    events, end, _ = received.rpartition(EVENT_END)
+    return events + end
+
+
 class Findings:
     """Record of a soak; ``broken`` lists every promise that was broken."""
 
@@ -129,6 +163,7 @@
         self._late_runs: collections.Counter[Content] = collections.Counter()
         self.statuses: collections.Counter[str] = collections.Counter()
         self.status_of: dict[str, int] = {}
+        self.resumed: collections.Counter[str] = collections.Counter()
         self.restores = 0
         self.recorder = _recorder.Recorder()
         self.judged: list[_finding.Finding] = []
@@ -217,13 +252,24 @@
             self._refused.add(name)
             if self._runs[name] and not asked.repeatable:
                 self._break('refused', f'{name} got {status} and has run')
-        right = self._right(asked)
-        if status == 200 and (not stamp or _MARK.sub(rb'\1', body) != right):
+        if asked.resumed_id:
+            self.resumed[str(status)] += 1
+        if status == 200 and not (stamp and self._is_right(asked, body)):
             self._break('mixed', f'{name}: {len(body)} bytes, {stamp!r}')
 
-    def unanswered(self, asked: Asked, reason: str) -> None:
-        """Note that a caller got no whole answer."""
+    def unanswered(self, asked: Asked, reason: str, body: bytes = b'') -> None:
+        """Note that a caller got no whole answer, but perhaps events."""
         self.statuses[reason] += 1
+        if asked.resumed_id:
+            self.resumed[reason] += 1
+        self.check_events(asked, body)
+
+    def check_events(self, asked: Asked, body: bytes) -> None:
+        """Check the events of a stream that broke, without their marks."""
+        events = asked.received + body
+        streams = streams_of(asked.stream)
+        if not any(one.startswith(events) for one in streams):
+            self._break('order', f'{asked.request_id}: {events!r}')
 
     def report(self, seed: int, seconds: float) -> str:
         """Return the figures as one line of JSON."""
@@ -238,6 +284,7 @@
             'seconds': seconds,
             'requests': len(self._asked),
             'statuses': dict(sorted(self.statuses.items())),
+            'resumed': dict(sorted(self.resumed.items())),
             'restores': self.restores,
             'fatal': len(self._deaths),
             'deaths': self.deaths,
@@ -250,13 +297,10 @@
         }
         return json.dumps(figures)
 
-    def _right(self, asked: Asked) -> bytes:
+    def _is_right(self, asked: Asked, body: bytes) -> bool:
         if not asked.counts:
-            return body_of(asked.request_id)
-        return b''.join(
-            event_of(asked.request_id, number)
-            for number in range(asked.after + 1, EVENTS + 1)
-        )
+            return body == body_of(asked.request_id)
+        return asked.received + unmarked(body) in streams_of(asked.stream)
 
     def _whole_inputs(
         self, name: str, handles: tuple[str, ...], stage: int, asked: Asked
--- a/soak/_published.py
+++ b/soak/_published.py
@@ -180,9 +180,10 @@
             ready=endpoint.ready,
             sequence=endpoint.next_sequence(),
         )
-        versioned = {**json.loads(entry), 'version': endpoint.version}
-        key = f'{platform.ENDPOINT_PREFIX}{endpoint.name}'
-        self._put(key, json.dumps(versioned).encode())
+        self._put(
+            f'{platform.ENDPOINT_PREFIX}{endpoint.name}',
+            stand_ins.with_version(entry, endpoint.version),
+        )
         self._note_entry(endpoint, ready=endpoint.ready)
 
     def drop_endpoint(self, endpoint: _endpoints.Endpoint) -> None:
--- a/soak/tests/test_callers.py
+++ b/soak/tests/test_callers.py
@@ -12,6 +12,7 @@
 
 LIMITS = serving.CallLimits(65536, 65536, 5, 30)
 BREAK_AFTER = 2
+VERSION = _findings.VERSIONS[0]
 
 
 class Breaking:
@@ -32,7 +33,7 @@
         last = BREAK_AFTER if first else _findings.EVENTS
         for number in range(sent.last_event + 1, last + 1):
             run = f'model-1/{len(self.headers)}'
-            event = _findings.event_of(sent.request_id, number, run)
+            event = _findings.event_of('req', number, VERSION, run)
             await reply.write_chunk(event)
         if first:
             reply.abort()
@@ -89,6 +90,6 @@
         assert ends == [_terms.End.closed, _terms.End.whole]
 
     def test_foreign_event_is_still_found(self, tmp_path: pathlib.Path) -> None:
-        event = _findings.event_of('other', 1, 'model-1/1')
+        event = _findings.event_of('other', 1, VERSION, 'model-1/1')
         findings = trio.run(play, Breaking(inserted=event), tmp_path)
         assert [one[:5] for one in findings.broken] == ['mixed']
--- /dev/null
+++ b/src/lentilspool/gateway/tests/test_stream_versions.py
@@ -0,0 +1,212 @@
+"""Tests of streams while engines of two software versions serve.
+
+What two versions write does not fit together, and engines do not check it.
+"""
+
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from lentilspool.gateway.tests import stream_fleet
+
+# Events that the caller has when the stream breaks.
+BEGUN = 3
+# Streams from which on their share that goes on is judged.
+STREAMS = 12
+# Planners wait for an engine until half a second past the target.
+AT_ONCE_S = stream_fleet.TARGET_S
+Check = Callable[[stream_fleet.Fleet], Awaitable[None]]
+
+
+def run(check: Check) -> None:
+    async def run_fleet() -> None:
+        async with trio.open_nursery() as nursery:
+            await check(stream_fleet.Fleet(nursery))
+            nursery.cancel_scope.cancel()
+
+    trio.run(run_fleet)
+
+
+def engines(*versions: str) -> list[stream_fleet.Engine]:
+    """Return engines that are chosen in this order, all else being equal."""
+    return [
+        stream_fleet.Engine(f'e{index}', version)
+        for index, version in enumerate(versions)
+    ]
+
+
+class TestWithinOneAnswer:
+    def test_stream_goes_on_at_the_version_that_began_it(self) -> None:
+        async def check(fleet: stream_fleet.Fleet) -> None:
+            first, other, second = engines('v1.2', 'v1.1', 'v1.2')
+            first.last_event = BEGUN
+            await fleet.start(1, first, other, second)
+            caller = stream_fleet.Caller('r1')
+            await caller.read(fleet.nodes[0])
+            assert first.runs == [('r1', 0)]
+            assert not other.runs
+            assert second.runs == [('r1', BEGUN)]
+            assert caller.versions == {'v1.2'}
+            assert len(caller.events) == stream_fleet.EVENTS
+            assert caller.complete
+
+        run(check)
+
+    def test_answer_is_aborted_if_no_engine_of_its_version_is_left(
+        self,
+    ) -> None:
+        async def check(fleet: stream_fleet.Fleet) -> None:
+            first, other = engines('v1.2', 'v1.1')
+            first.last_event = BEGUN
+            await fleet.start(1, first, other)
+            caller = stream_fleet.Caller('r1')
+            with trio.fail_after(AT_ONCE_S):
+                await caller.read(fleet.nodes[0])
+            assert len(caller.events) == BEGUN
+            assert not caller.complete
+            assert not other.runs
+
+        run(check)
+
+    def test_stream_without_events_may_begin_at_any_version(self) -> None:
+        async def check(fleet: stream_fleet.Fleet) -> None:
+            first, other = engines('v1.2', 'v1.1')
+            await fleet.start(1, first, other)
+            first.scope.cancel()
+            caller = stream_fleet.Caller('r1')
+            await caller.read(fleet.nodes[0])
+            assert caller.versions == {'v1.1'}
+            assert caller.complete
+
+        run(check)
+
+
+class TestOverTries:
+    def test_stream_goes_on_at_its_version_after_its_gateway_died(self) -> None:
+        async def check(fleet: stream_fleet.Fleet) -> None:
+            first, other, second = engines('v1.2', 'v1.1', 'v1.2')
+            await fleet.start(3, first, other, second)
+            caller = stream_fleet.Caller('r1')
+            await caller.read(fleet.nodes[0], stop_after=BEGUN)
+            fleet.kill(fleet.nodes[0])
+            first.scope.cancel()
+            again = stream_fleet.Caller('r2')
+            await again.read(fleet.nodes[0], resumes='r1', last_event=BEGUN)
+            assert again.versions == {'v1.2'}
+            assert again.complete
+            assert not other.runs
+
+        run(check)
+
+    def test_most_streams_of_a_gateway_that_died_go_on(self) -> None:
+        async def check(fleet: stream_fleet.Fleet) -> None:
+            await fleet.start(4, *engines('v1.1', 'v1.2', 'v1.1', 'v1.2'))
+            begun = [
+                stream_fleet.Caller(f'r{number}') for number in range(STREAMS)
+            ]
+            async with trio.open_nursery() as nursery:
+                for caller in begun:
+                    nursery.start_soon(caller.read_some, fleet.nodes[0], BEGUN)
+            fleet.kill(fleet.nodes[0])
+            again = [
+                stream_fleet.Caller(f'{one.request_id}-2') for one in begun
+            ]
+            async with trio.open_nursery() as nursery:
+                for number, caller in enumerate(again):
+                    node = fleet.nodes[number % len(fleet.nodes)]
+                    nursery.start_soon(
+                        caller.take_up, node, begun[number].request_id, BEGUN
+                    )
+            went_on = [one for one in again if one.status == 200]
+            assert 2 * len(went_on) >= STREAMS
+            for first, second in zip(begun, again):
+                assert second.versions <= first.versions
+            assert len({one for caller in begun for one in caller.versions}) > 1
+
+        run(check)
+
+    def test_third_try_names_the_first(self) -> None:
+        async def check(fleet: stream_fleet.Fleet) -> None:
+            first, other, second = engines('v1.2', 'v1.1', 'v1.2')
+            await fleet.start(3, first, other, second)
+            last, *spare = reversed(fleet.nodes)
+            await stream_fleet.Caller('r1').read(spare[0], stop_after=2)
+            await stream_fleet.Caller('r2').read(
+                spare[1], stop_after=2, resumes='r1', last_event=2
+            )
+            for node in spare:
+                fleet.kill(node)
+            first.scope.cancel()
+            caller = stream_fleet.Caller('r3')
+            await caller.read(last, resumes='r1', last_event=4)
+            assert caller.versions == {'v1.2'}
+            assert not other.runs
+
+        run(check)
+
+    def test_stream_that_no_gateway_knows_is_refused(self) -> None:
+        async def check(fleet: stream_fleet.Fleet) -> None:
+            first, other = engines('v1.2', 'v1.1')
+            await fleet.start(2, first, other)
+            caller = stream_fleet.Caller('r2')
+            with trio.fail_after(AT_ONCE_S):
+                await caller.read(
+                    fleet.nodes[0], resumes='r1', last_event=BEGUN
+                )
+            assert caller.status == 503
+            assert b'retry-after' in caller.received.lower()
+            assert not first.runs and not other.runs
+
+        run(check)
+
+    def test_callers_without_an_id_do_not_share_a_record(self) -> None:
+        async def check(fleet: stream_fleet.Fleet) -> None:
+            first, other = engines('v1.2', 'v1.1')
+            await fleet.start(1, first, other)
+            await stream_fleet.Caller('').read(fleet.nodes[0], stop_after=BEGUN)
+            caller = stream_fleet.Caller('')
+            await caller.read(fleet.nodes[0], last_event=BEGUN)
+            assert caller.status == 503
+
+        run(check)
+
+    def test_stream_whose_version_has_left_is_refused(self) -> None:
+        async def check(fleet: stream_fleet.Fleet) -> None:
+            first, other = engines('v1.2', 'v1.1')
+            await fleet.start(2, first, other)
+            await stream_fleet.Caller('r1').read(
+                fleet.nodes[0], stop_after=BEGUN
+            )
+            fleet.delist(first)
+            await fleet.until_listed()
+            caller = stream_fleet.Caller('r2')
+            await caller.read(fleet.nodes[1], resumes='r1', last_event=BEGUN)
+            assert caller.status == 503
+            assert not other.runs
+
+        run(check)
+
+    def test_engine_that_starts_again_with_another_version_is_another(
+        self,
+    ) -> None:
+        async def check(fleet: stream_fleet.Fleet) -> None:
+            first, second = engines('v1.2', 'v1.2')
+            await fleet.start(2, first, second)
+            await stream_fleet.Caller('r1').read(
+                fleet.nodes[0], stop_after=BEGUN
+            )
+            # The engine that was listed first is chosen, all else being equal.
+            fleet.delist(first)
+            fleet.delist(second)
+            await fleet.until_listed()
+            again = stream_fleet.Engine(first.name, 'v1.1', 2)
+            await fleet.add(again)
+            await fleet.until_listed()
+            fleet.list_(second)
+            await fleet.until_listed()
+            caller = stream_fleet.Caller('r2')
+            await caller.read(fleet.nodes[1], resumes='r1', last_event=BEGUN)
+            assert caller.versions == {'v1.2'}
+            assert not again.runs
+
+        run(check)
