--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -399,7 +399,8 @@
         self, asked: _findings.Asked, stream: trio.SocketStream
     ) -> object | None:
         """Return the next part; None after too long a pause in a stream."""
-        may_leave = self._progress.may_go_on and asked.repeatable
+        has_begun = self._progress.noted > 0
+        may_leave = has_begun and self._progress.may_go_on and asked.repeatable
         with trio.move_on_after(_PAUSE_S if may_leave else _DEADLINE_S):
             return await self._event(stream)
         return None
--- a/soak/judges/_lost.py
+++ b/soak/judges/_lost.py
@@ -25,7 +25,6 @@
     """Judges one history."""
 
     def __init__(self, history: _history.History) -> None:
-        self._history = history
         self._bounds = history.bounds
         self._attempts = _attempts.Attempts(history)
         self._disruptions = _disruptions.Disruptions(history)
