--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,6 +1,7 @@
 """``python -m soak``: runs seeds one after another.
 
-Prints a line of JSON a seed; ends with 1 if a promise was broken.
+Prints a line of JSON a seed; ends with 1 if a promise or a rule was broken.
+``python -m soak judge HISTORY`` judges the history of a run instead.
 """
 
 import dataclasses
@@ -9,7 +10,7 @@
 import fire
 import trio
 
-from soak import _run
+from soak import _judge_command, _run
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -30,7 +31,7 @@
             findings, line = trio.run(_run.run, plan)
             sys.stdout.write(f'{line}\n')
             sys.stdout.flush()
-            broken += bool(findings.broken)
+            broken += bool(findings.broken or findings.judged)
         return int(broken > 0)
 
 
@@ -42,6 +43,7 @@
     callers: int = 12,
     plant: str = '',
     logs: str = '',
+    planned: bool = False,
 ) -> Soak:
     """Run gateways under faults and check what callers and endpoints see.
 
@@ -51,13 +53,27 @@
         seconds: Time with faults in each.
         gateways: Gateway processes.
         callers: Callers at the same time.
-        plant: Guard to switch off: resend, blind, era, fatal or version.
-        logs: Folder for the gateways' logs.
+        plant: Guard to switch off: resend, blind, era, fatal, version or
+            abrupt.
+        logs: Folder for the gateways' logs and the histories.
+        planned: Only planned work and endpoints that fall silent.
     """
-    plan = _run.Plan(seed, seconds, gateways, callers, plant, logs)
+    plan = _run.Plan(seed, seconds, gateways, callers, plant, logs, planned)
     return Soak(plan, seeds)
 
 
+def main(arguments: list[str]) -> int:
+    """Run the command that is named; return the exit status."""
+    if arguments[:1] == ['judge']:
+        chosen = fire.Fire(
+            _judge_command.command, arguments[1:], serialize=lambda _: ''
+        )
+    else:
+        chosen = fire.Fire(command, arguments, serialize=lambda _: '')
+    if isinstance(chosen, Soak | _judge_command.Judgement):
+        return chosen.run()
+    return 2
+
+
 if __name__ == '__main__':
-    chosen = fire.Fire(command, serialize=lambda _: '')
-    sys.exit(chosen.run() if isinstance(chosen, Soak) else 2)
+    sys.exit(main(sys.argv[1:]))
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -2,26 +2,61 @@
 
 import dataclasses
 import random
+import types
+import zlib
 from typing import Final
 
 import h11
 import trio
 
 from lentilspool.platform.tests import stand_ins
-from soak import _findings, _gateways, _published
+from soak import (
+    _findings,
+    _gateways,
+    _history,
+    _published,
+    _recorder,
+    _terms,
+)
 
 _DEADLINE_S: Final = 5.0
+# Deadline that requests state.
+_TOLD_S: Final = 4.5
 _BYTES: Final = 65536
 NOT_FOUND: Final = 404
+_DESK: Final = 'desk'
 _OK: Final = 200
-_MOST_RESUMED: Final = 3
-_RESUME_S: Final = 0.1
+# Timeout of the routes, which is shorter than the deadline of callers.
+_TIME_S: Final = 4.0
+# Share of resumable streams, and of long requests, whose caller leaves.
+_BROKEN_SHARE: Final = 0.15
+# Share of requests with a key that no team has.
+_UNKNOWN_SHARE: Final = 0.02
+_MOST_TRIES: Final = 3
+# Pause in a resumable stream after which its caller goes elsewhere.
+_PAUSE_S: Final = 0.4
+_PROMPT_PARTS: Final = b'prompt-prefix'
+# First parts of prompts, so that several endpoints hold some of them.
+_FIRST_PARTS: Final = 6
+_RETRY_S: Final = 0.1
 _KINDS: Final = (
-    ('once', 'desk', False, ()),
-    ('again', 'desk', True, ()),
+    ('once', _DESK, False, ()),
+    ('again', _DESK, True, ()),
+    ('moving', _DESK, True, ()),
+    ('new0', _DESK, True, ()),
     ('draft', 'model', False, (1, 3)),
     ('resume', 'model', True, (2, 8)),
 )
+_ENDS: Final = types.MappingProxyType(
+    {
+        '': _terms.End.whole,
+        'closed': _terms.End.closed,
+        'broken': _terms.End.closed,
+        'not whole': _terms.End.garbled,
+        'deadline': _terms.End.left,
+        'left': _terms.End.left,
+    }
+)
 # Route, service, whether it may repeat, pieces by stage, and what ends endpoints.
 Harmful = tuple[str, str, bool, tuple[int, ...], _findings.Harm]
 HARMFUL: Final[tuple[Harmful, ...]] = (
@@ -33,6 +68,107 @@
 )
 
 
+def _kind(asked: _findings.Asked) -> _terms.Kind:
+    """Return the kind of a request, as the routes of the soak declare it."""
+    if asked.counts:
+        kinds = (_terms.Kind.stream, _terms.Kind.resumable)
+    else:
+        kinds = (_terms.Kind.unsafe, _terms.Kind.safe)
+    return kinds[asked.repeatable]
+
+
+def _prompt_of(asked: _findings.Asked) -> bytes:
+    """Return the parts of a prompt, which attempts of a stream share."""
+    first = zlib.crc32(asked.target) % _FIRST_PARTS
+    last = asked.resumed_id or asked.request_id
+    return f'aa{first}:400,{last}:100'.encode()
+
+
+def _headers_of(asked: _findings.Asked) -> stand_ins.Headers:
+    """Return the headers of a request."""
+    pieces = ','.join(str(count) for count in asked.counts)
+    headers = stand_ins.caller_headers(
+        asked.request_id,
+        _published.key_of(asked.team),
+        _TOLD_S,
+        pieces,
+    )
+    length = str(len(asked.body)).encode()
+    if asked.counts:
+        headers = [
+            *(one for one in headers if one[0].lower() != _PROMPT_PARTS),
+            (_PROMPT_PARTS, _prompt_of(asked)),
+        ]
+    if asked.resumed_id:
+        headers += stand_ins.resume_headers(asked.resumed_id, asked.after)
+    return [
+        *headers,
+        (b'host', _published.HOST.encode()),
+        (b'content-length', length),
+    ]
+
+
+@dataclasses.dataclass(slots=True)
+class Progress:
+    """How much of an answer was read, and of the stream in all attempts."""
+
+    status: int = 0
+    """Status of the latest answer; 0 before its head was read."""
+
+    stamp: str = ''
+    """Signature of the latest answer."""
+
+    answer: str = ''
+    """Digest of the latest answer, if it is whole and no stream."""
+
+    whole: bool = False
+    """Whether the latest answer is a whole success."""
+
+    at_end: bool = False
+    """Whether the gateway has ended the connection."""
+
+    noted: int = 0
+    """Events of the latest answer that were noted."""
+
+    events: bytes = b''
+    """Whole events of the latest answer, without their marks."""
+
+    last_event: int = 0
+    """Number of the last event of all attempts."""
+
+    patience_s: float = _DEADLINE_S
+    """Time after which the caller leaves if no answer has begun."""
+
+    leave_after: int = 0
+    """Events after which the caller breaks its connection; 0 for never."""
+
+    @property
+    def leaves(self) -> bool:
+        """Whether the caller breaks its connection now."""
+        return 0 < self.leave_after <= self.noted
+
+    @property
+    def may_go_on(self) -> bool:
+        """Whether the stream can be taken up again."""
+        begun = 0 < self.last_event < _findings.EVENTS
+        return begun and not self.whole
+
+    def begin(self) -> None:
+        """Begin the next attempt."""
+        self.status = 0
+        self.stamp = ''
+        self.answer = ''
+        self.whole = False
+        self.at_end = False
+        self.noted = 0
+        self.events = b''
+
+    def add(self, number: int) -> None:
+        """Add an event."""
+        self.noted += 1
+        self.last_event = max(self.last_event, number)
+
+
 class Caller:
     """One caller; uses its connection again while it stays open."""
 
@@ -48,19 +184,24 @@
         self._findings = findings
         self._rng = rng
         self._count = 0
-        # What came of an answer to a request with stages.
-        self._partial = b''
         self._stream: trio.SocketStream | None = None
         self._http = h11.Connection(h11.CLIENT)
+        self._gateway = gateways[0]
+        self._used = False
+        self._progress = Progress()
 
     async def serve(self, pause_s: float) -> None:
         """Ask again and again until cancelled."""
         while True:
             await trio.sleep(self._rng.expovariate(1 / pause_s))
             asked = self._next()
-            await self._ask(asked)
-            if asked.repeatable and asked.counts:
-                await self._take_up(asked)
+            if asked.target.startswith(b'/resume/'):
+                await self.ask_stream(asked)
+            else:
+                self._progress = Progress()
+                if asked.moved_to and self._rng.random() < _BROKEN_SHARE:
+                    self._progress.patience_s = self._rng.uniform(0.05, 0.5)
+                await self._ask(asked)
 
     async def repeat(
         self, number: int, harmful: Harmful, pause_s: float
@@ -84,6 +225,32 @@
             await self._close()
             await trio.sleep(self._rng.uniform(0, 2 * pause_s))
 
+    async def ask_stream(self, asked: _findings.Asked) -> None:
+        """Ask for a stream, and take it up again at other gateways."""
+        self._progress = Progress()
+        breaks = self._rng.random() < _BROKEN_SHARE
+        if breaks:
+            last = _findings.EVENTS - 1
+            self._progress.leave_after = self._rng.randint(1, last)
+        await self._ask(asked)
+        first = asked.request_id
+        received = b''
+        for _ in range(_MOST_TRIES):
+            received += self._progress.events
+            if not self._progress.may_go_on:
+                return
+            await self._close()
+            await trio.sleep(_RETRY_S)
+            self._progress.leave_after = 0
+            self._count += 1
+            again = dataclasses.replace(
+                asked,
+                request_id=f'{self._number}-{self._count}',
+                resumed_id=first,
+                received=received,
+            )
+            await self._ask(again)
+
     async def status_of(self, route: str) -> int:
         """Ask for a route of the plain service; return the status, or 0."""
         self._count += 1
@@ -100,42 +267,25 @@
         await self._close()
         return self._findings.status_of.get(request_id, 0)
 
-    async def _take_up(self, first: _findings.Asked) -> None:
-        """Take up a stream that broke, at any gateway."""
-        received = b''
-        for attempt in range(_MOST_RESUMED):
-            received += self._partial
-            have = received.count(_findings.EVENT_END)
-            if not received or have == _findings.EVENTS:
-                return
-            await trio.sleep(_RESUME_S)
-            await self._close()
-            await self._ask(
-                dataclasses.replace(
-                    first,
-                    request_id=f'{first.request_id}-{attempt}',
-                    resumed_id=first.request_id,
-                    received=received,
-                )
-            )
-
     def _next(self) -> _findings.Asked:
         self._count += 1
         name, service, repeatable, counts = self._rng.choice(_KINDS)
         request_id = f'{self._number}-{self._count}'
+        is_known = self._rng.random() >= _UNKNOWN_SHARE
         return _findings.Asked(
             request_id,
-            self._rng.choice(_published.TEAMS),
+            self._rng.choice(_published.TEAMS) if is_known else '',
             f'/{name}/{request_id}?q=1'.encode(),
             f'body of {request_id}'.encode(),
             service,
             repeatable,
             counts,
+            moved_to='counter' if name == 'moving' else '',
         )
 
     async def _ask(self, asked: _findings.Asked) -> None:
+        self._progress.begin()
         self._findings.asks(asked)
-        self._partial = b''
         reason = 'deadline'
         with trio.move_on_after(_DEADLINE_S):
             try:
@@ -144,61 +294,137 @@
                 reason = 'broken'
             except h11.RemoteProtocolError:
                 reason = 'not whole'
+        self._note_end(asked, reason)
         if reason:
-            self._partial = _findings.whole_events(self._partial)
-            self._findings.unanswered(asked, reason, self._partial)
+            # A caller that leaves on purpose does not miss its answer.
+            if reason == 'left':
+                self._findings.check_events(asked, self._progress.events)
+            else:
+                self._findings.unanswered(asked, reason, self._progress.events)
             await self._close()
 
+    def _note_end(self, asked: _findings.Asked, reason: str) -> None:
+        how = _ENDS[reason]
+        if reason == 'not whole' and self._progress.at_end:
+            how = _terms.End.closed
+        recorder = self._findings.recorder
+        ended = _history.Ended(
+            recorder.now(),
+            asked.request_id,
+            how,
+            self._progress.status,
+            self._progress.stamp,
+            self._progress.answer,
+        )
+        recorder.note(ended)
+
+    def _note_sent(self, asked: _findings.Asked, prompt: str) -> None:
+        recorder = self._findings.recorder
+        sent = _history.Sent(
+            recorder.now(),
+            asked.request_id,
+            self._gateway.name,
+            asked.target.decode().split('/')[1],
+            _kind(asked),
+            _TIME_S,
+            deadline_s=_TOLD_S,
+            timeout_s=_TIME_S,
+            content=_recorder.digest(asked.target, asked.body),
+            team=asked.team,
+            prompt=prompt,
+            pieces=asked.counts,
+            key=asked.request_id if asked.counts else '',
+            attempts=_published.attempts_of(repeatable=asked.repeatable),
+            kept=self._used,
+            after=asked.after,
+            resumes=asked.resumed_id,
+        )
+        recorder.note(sent)
+
+    async def _connect(self) -> trio.SocketStream:
+        """Connect to a gateway, another one than before if there is one."""
+        others = [one for one in self._gateways if one is not self._gateway]
+        self._gateway = self._rng.choice(others or self._gateways)
+        self._http = h11.Connection(h11.CLIENT)
+        self._used = False
+        return await trio.open_tcp_stream('127.0.0.1', self._gateway.callers)
+
     async def _exchange(self, asked: _findings.Asked) -> str:
         """Return why there is no answer; empty if there is one."""
         if self._stream is None:
-            gateway = self._rng.choice(self._gateways)
-            self._http = h11.Connection(h11.CLIENT)
-            self._stream = await trio.open_tcp_stream(
-                '127.0.0.1', gateway.callers
-            )
-        await self._stream.send_all(self._request(asked))
-        head = await self._event(self._stream)
+            self._stream = await self._connect()
+        headers = _headers_of(asked)
+        request = self._encode(asked, headers)
+        await self._stream.send_all(request)
+        self._note_sent(asked, _recorder.prompt_digest(headers))
+        head = await self._head(self._stream)
+        if head is None:
+            return 'left'
         if not isinstance(head, h11.Response):
             return 'closed'
+        stamp = stand_ins.decode_signature(head.headers)
+        self._progress.status = head.status_code
+        self._progress.stamp = stamp
         body = b''
-        event = await self._event(self._stream)
+        event = await self._next_part(asked, self._stream)
         while isinstance(event, h11.Data):
             body += bytes(event.data)
-            if asked.counts and head.status_code == _OK:
-                self._partial = body
-            event = await self._event(self._stream)
+            self._note_events(asked, body)
+            if self._progress.leaves:
+                return 'left'
+            event = await self._next_part(asked, self._stream)
+        if event is None:
+            return 'left'
         if not isinstance(event, h11.EndOfMessage):
             return 'closed'
-        stamp = stand_ins.decode_signature(head.headers)
+        self._progress.whole = head.status_code == _OK
+        if not asked.counts:
+            self._progress.answer = _recorder.digest(body)
         self._findings.answered(asked, head.status_code, body, stamp)
         await self._keep()
         return ''
 
+    def _note_events(self, asked: _findings.Asked, body: bytes) -> None:
+        """Note the events that are whole and were not noted yet."""
+        if not asked.counts or self._progress.status != _OK:
+            return
+        events = _findings.whole_events(body)
+        self._progress.events = _findings.unmarked(events)
+        recorder = self._findings.recorder
+        for number, run in _findings.marks_of(body)[self._progress.noted :]:
+            self._progress.add(number)
+            got = _history.Got(recorder.now(), asked.request_id, number, run)
+            recorder.note(got)
+
+    async def _head(self, stream: trio.SocketStream) -> object | None:
+        """Return the begin of an answer; None if the caller has left."""
+        with trio.move_on_after(self._progress.patience_s):
+            return await self._event(stream)
+        return None
+
+    async def _next_part(
+        self, asked: _findings.Asked, stream: trio.SocketStream
+    ) -> object | None:
+        """Return the next part; None after too long a pause in a stream."""
+        has_begun = self._progress.noted > 0
+        may_leave = has_begun and self._progress.may_go_on and asked.repeatable
+        with trio.move_on_after(_PAUSE_S if may_leave else _DEADLINE_S):
+            return await self._event(stream)
+        return None
+
     async def _event(self, stream: trio.SocketStream) -> object:
         """Return the next part of an answer."""
         event: object = self._http.next_event()
         while event is h11.NEED_DATA:
-            self._http.receive_data(await stream.receive_some(_BYTES))
+            received = await stream.receive_some(_BYTES)
+            self._progress.at_end = not received
+            self._http.receive_data(received)
             event = self._http.next_event()
         return event
 
-    def _request(self, asked: _findings.Asked) -> bytes:
-        pieces = ','.join(str(count) for count in asked.counts)
-        headers = stand_ins.caller_headers(
-            asked.request_id,
-            _published.key_of(asked.team),
-            _DEADLINE_S - 0.5,
-            pieces,
-        )
-        if asked.resumed_id:
-            have = asked.received.count(_findings.EVENT_END)
-            headers += stand_ins.resume_headers(asked.resumed_id, have)
-        length = str(len(asked.body)).encode()
-        headers += [
-            (b'host', _published.HOST.encode()),
-            (b'content-length', length),
-        ]
+    def _encode(
+        self, asked: _findings.Asked, headers: stand_ins.Headers
+    ) -> bytes:
         events = (
             h11.Request(method='POST', target=asked.target, headers=headers),
             h11.Data(data=asked.body),
@@ -211,6 +437,7 @@
         states = {self._http.our_state, self._http.their_state}
         if states == {h11.DONE}:
             self._http.start_next_cycle()
+            self._used = True
         else:
             await self._close()
 
--- a/soak/_endpoints.py
+++ b/soak/_endpoints.py
@@ -1,6 +1,7 @@
 """Endpoints that keep a record of everything they were asked."""
 
 import itertools
+import random
 from collections.abc import Callable
 from typing import Final
 
@@ -9,14 +10,30 @@
 from lentilspool import serving
 from lentilspool.gateway import _http_server
 from lentilspool.platform.tests import stand_ins
-from soak import _findings, _proxy
+from soak import _findings, _history, _proxy, _recorder, _terms
 
 _LIMITS: Final = serving.CallLimits(65536, 1_000_000, 5, 30)
 _WORK_S: Final = 0.03
-_EVENT_S: Final = 0.02
+_EVENT_S: Final = 0.06
+_LONG_WORK_S: Final = 1.2
 _names = itertools.count(1)
 
 
+def _left_s(request: _http_server.Request) -> float | None:
+    """Return the time until the deadline that a request states."""
+    for name, stated in request.headers:
+        if name.lower() == b'deadline-ms' and stated.isdigit():
+            return int(stated) / 1000
+    return None
+
+
+def pick(endpoints: list['Endpoint'], rng: random.Random) -> 'Endpoint':
+    """Draw an endpoint; half of the time it is an engine."""
+    service = rng.choice(('model', ''))
+    engines = [one for one in endpoints if one.service == service]
+    return rng.choice(engines or endpoints)
+
+
 class Endpoint:
     """One start of an endpoint: plain, stage or engine, as it is asked."""
 
@@ -25,17 +42,21 @@
         service: str,
         findings: _findings.Findings,
         ended: Callable[['Endpoint'], None],
+        version: str = '',
     ) -> None:
         number = next(_names)
         self.name = f'{service}-{number}'
         self.service = service
+        self.version = version
         self.born_ms = number
-        self.version = _findings.VERSIONS[number % len(_findings.VERSIONS)]
         self.ready = True
         # Whether it rejects everything, as if it were full.
         self.rejects = False
         self.work_s = _WORK_S
         self._sequence = 0
+        self._silent_until = 0.0
+        self._crashed_by = ''
+        self._runs = itertools.count(1)
         self._findings = findings
         self._ended = ended
         self._server = _http_server.Server(
@@ -57,6 +78,20 @@
         """Address that it publishes."""
         return f'127.0.0.1:{self.proxy.port}'
 
+    def crash(self) -> None:
+        """End with all results."""
+        recorder = self._findings.recorder
+        ended = _history.Disrupted(recorder.now(), self.name, 'crashed')
+        recorder.note(ended)
+        self.scope.cancel()
+
+    def fall_silent(self, seconds: float) -> None:
+        """Write nothing for a time, and go on."""
+        self._silent_until = trio.current_time() + seconds
+        now = self._findings.recorder.now()
+        quiet = _history.Disrupted(now, self.name, _terms.QUIET)
+        self._findings.recorder.note(quiet)
+
     def next_sequence(self) -> int:
         """Return the number of the next write of its entry."""
         self._sequence += 1
@@ -98,13 +133,56 @@
         request: _http_server.Request,
         sent: stand_ins.EndpointRequest,
         reply: _http_server.Reply,
+    ) -> None:
+        """Work on a request, and record the run."""
+        run = f'{self.name}/{next(self._runs)}'
+        recorder = self._findings.recorder
+        is_stream = sent.results is not None
+        ran = _history.Ran(
+            recorder.now(),
+            sent.request_id,
+            run,
+            self.name,
+            sent.last_event,
+            _findings.EVENTS if is_stream else 0,
+            _left_s(request),
+            content=_recorder.digest(request.target, request.body),
+            team=sent.team,
+            has_key=bool(sent.api_key),
+            prompt=_recorder.prompt_digest(request.headers),
+            answer=(
+                ''
+                if is_stream
+                else _recorder.digest(_findings.body_of(sent.request_id))
+            ),
+            inputs=sent.results or (),
+            lasts_s=self._lasts_s(request, sent),
+        )
+        recorder.note(ran)
+        how = _terms.Work.dropped
+        try:
+            await self._work(request, sent, reply, run)
+            how = _terms.Work.whole
+        finally:
+            if self.scope.cancel_called:
+                is_cause = self._crashed_by == sent.request_id
+                how = _terms.Work.crashed if is_cause else _terms.Work.broken
+            recorder.note(_history.Worked(recorder.now(), run, how))
+
+    async def _work(
+        self,
+        request: _http_server.Request,
+        sent: stand_ins.EndpointRequest,
+        reply: _http_server.Reply,
+        run: str,
     ) -> None:
         self._findings.ran(self, sent, request)
         if self._findings.harms(sent.request_id, _findings.Harm.request):
+            self._crashed_by = sent.request_id
             await self._crash()
         headers = stand_ins.answer_headers(sent.request_id, self.name)
         if sent.results is None:
-            await trio.sleep(self.work_s)
+            await self._pause(self._lasts_s(request, sent))
             body = _findings.body_of(sent.request_id)
             await self._whole(reply, headers, body)
             return
@@ -112,15 +190,30 @@
         stream = sent.resumed_id or sent.request_id
         await reply.write_head(200, headers, b'')
         for number in range(sent.last_event + 1, _findings.EVENTS + 1):
-            await trio.sleep(_EVENT_S)
-            event = _findings.event_of(stream, number, self.version)
+            await self._pause(_EVENT_S)
+            event = _findings.event_of(stream, number, self.version, run)
             await reply.write_chunk(event)
         await reply.write_end()
 
+    def _lasts_s(
+        self, request: _http_server.Request, sent: stand_ins.EndpointRequest
+    ) -> float:
+        """Return how long the work on a request lasts."""
+        if sent.results is not None:
+            return _EVENT_S * (_findings.EVENTS - sent.last_event)
+        long = request.target.startswith(b'/moving/')
+        return _LONG_WORK_S if long else self.work_s
+
+    async def _pause(self, seconds: float) -> None:
+        await trio.sleep(seconds)
+        await trio.sleep_until(self._silent_until)
+
     async def _run_pieces(self, body: bytes, reply: _http_server.Reply) -> None:
         pieces = stand_ins.decode_pieces(body)
-        for piece in pieces:
+        handles = [f'{self.address}/{next(self._handles)}' for _ in pieces]
+        for piece, handle in zip(pieces, handles, strict=True):
             self._findings.piece(piece)
+            self._note_piece(piece, handle)
         requests = {one.request_id for one in pieces}
         harmful = [
             request_id
@@ -130,17 +223,28 @@
         if harmful:
             await self._crash()
         await trio.sleep(self.work_s)
-        handles = []
-        for piece in pieces:
-            handle = f'{self.address}/{next(self._handles)}'
+        for piece, handle in zip(pieces, handles, strict=True):
             self._findings.made(handle, piece)
-            handles.append(handle)
         await self._whole(reply, [], stand_ins.encode_stage_answer(handles))
 
+    def _note_piece(self, piece: stand_ins.Piece, handle: str) -> None:
+        recorder = self._findings.recorder
+        asked = _history.Piece(
+            recorder.now(),
+            piece.request_id,
+            self.name,
+            piece.stage,
+            piece.piece,
+            piece.inputs,
+            handle,
+            piece.key,
+        )
+        recorder.note(asked)
+
     async def _crash(self) -> None:
         """End as a crashed process does: its connections are reset."""
         self.proxy.set_mode(_proxy.Mode.reset)
-        self.scope.cancel()
+        self.crash()
         self._ended(self)
         await trio.sleep_forever()
 
--- a/soak/_findings.py
+++ b/soak/_findings.py
@@ -4,12 +4,14 @@
 import dataclasses
 import enum
 import json
+import re
 from typing import Final, Protocol
 
 import trio
 
 from lentilspool.platform.tests import stand_ins
-from soak import _budget_rule
+from soak import _budget_rule, _recorder
+from soak.judges import _finding
 
 # Statuses that promise: it has not run, and never will.
 _NOT_RUN: Final = frozenset((408, 421, 429, 503))
@@ -20,6 +22,8 @@
 # Events of each stream.
 EVENTS: Final = 8
 EVENT_END: Final = b'\n\n'
+_MARK: Final = re.compile(rb'^(data: \S+ \S+) \S+$', re.MULTILINE)
+_MARKED: Final = re.compile(rb'id: (\d+)\ndata: \S+ \S+ (\S+)\n\n')
 # Software versions of endpoints that serve side by side.
 VERSIONS: Final = ('v1.1', 'v1.2')
 # Service of all stages.
@@ -85,17 +89,25 @@
     harm: Harm = Harm.none
     """Which part of it ends endpoints."""
 
+    moved_to: str = ''
+    """Service to which its route may be moved."""
+
     resumed_id: str = ''
     """Request whose answer began the stream that it takes up."""
 
     received: bytes = b''
-    """Events of that stream that the caller has."""
+    """Events of that stream that the caller has, without their marks."""
 
     @property
     def stream(self) -> str:
         """Identity of its stream."""
         return self.resumed_id or self.request_id
 
+    @property
+    def after(self) -> int:
+        """Number of the event after which its stream goes on."""
+        return self.received.count(EVENT_END)
+
     @property
     def content(self) -> Content:
         """What repeats of the request have in common."""
@@ -107,9 +119,22 @@
     return f'answer to {request_id}'.encode() * 3
 
 
-def event_of(stream: str, number: int, version: str) -> bytes:
-    """Return an event of the only right stream of a version."""
-    return f'id: {number}\ndata: {stream} {version}\n\n'.encode()
+def event_of(stream: str, number: int, version: str, run: str = '') -> bytes:
+    """Return an event of the right stream of a version, marked by its run."""
+    mark = f' {run}' if run else ''
+    return f'id: {number}\ndata: {stream} {version}{mark}\n\n'.encode()
+
+
+def marks_of(body: bytes) -> list[tuple[int, str]]:
+    """Return the number and the run of each whole event of a stream."""
+    return [
+        (int(number), run.decode()) for number, run in _MARKED.findall(body)
+    ]
+
+
+def unmarked(body: bytes) -> bytes:
+    """Return a stream without the runs that mark its events."""
+    return _MARK.sub(rb'\1', body)
 
 
 def streams_of(stream: str) -> list[bytes]:
@@ -143,6 +168,8 @@
         self.resumed: collections.Counter[str] = collections.Counter()
         self.budget_rule = _budget_rule.BudgetRule(_budget_rule.Allowance())
         self.restores = 0
+        self.recorder = _recorder.Recorder()
+        self.judged: list[_finding.Finding] = []
         self.last_run_at: dict[str, float] = {}
         self.broken: list[str] = []
 
@@ -195,7 +222,7 @@
             self._break('unasked', f'{name} with another target or body')
         if sent.team != asked.team or sent.api_key:
             self._break('unasked', f'{name} for team {sent.team!r}')
-        if endpoint.service != asked.service:
+        if endpoint.service not in {asked.service, asked.moved_to}:
             self._break('route', f'{name} at {endpoint.name}')
 
     def piece(self, piece: stand_ins.Piece) -> None:
@@ -244,6 +271,10 @@
         self.statuses[reason] += 1
         if asked.resumed_id:
             self.resumed[reason] += 1
+        self.check_events(asked, body)
+
+    def check_events(self, asked: Asked, body: bytes) -> None:
+        """Check the events of a stream that broke, without their marks."""
         events = asked.received + body
         streams = streams_of(asked.stream)
         if not any(one.startswith(events) for one in streams):
@@ -262,6 +293,9 @@
         kinds = collections.Counter(
             one.partition(':')[0] for one in self.broken
         )
+        rules = collections.Counter(
+            f'{one.rule} {one.clause}' for one in self.judged
+        )
         figures = {
             'seed': seed,
             'seconds': seconds,
@@ -273,13 +307,17 @@
             'deaths': self.deaths,
             'broken': dict(kinds),
             'first': self.broken[:_MOST_SHOWN],
+            'rules': dict(rules),
+            'judged': [
+                dataclasses.asdict(one) for one in self.judged[:_MOST_SHOWN]
+            ],
         }
         return json.dumps(figures)
 
     def _is_right(self, asked: Asked, body: bytes) -> bool:
         if not asked.counts:
             return body == body_of(asked.request_id)
-        return asked.received + body in streams_of(asked.stream)
+        return asked.received + unmarked(body) in streams_of(asked.stream)
 
     def _whole_inputs(
         self, name: str, handles: tuple[str, ...], stage: int, asked: Asked
