Add the failing test of streams that a planned stop cuts off

A stopping gateway takes streams that cannot end before the process does. Four cases fail on: the caller gets a head, some events and the end of the connection (status 200, not whole) where 503 is due. Three cases of streams that do end in time pass, as a guard against refusing too much.

--- /dev/null
+++ b/src/lentilspool/gateway/tests/test_late_stop.py
@@ -0,0 +1,128 @@
+"""Tests of streams that a planned stop would cut off.
+
+A stopping gateway must refuse a stream that cannot end before the process
+does, as long as no engine has it, and serve one that can.
+"""
+
+import dataclasses
+from collections.abc import Callable, Iterator
+from typing import Any, Final
+
+import pytest
+import trio
+
+from lentilspool import settings
+from lentilspool.gateway.tests import builders, works
+
+STOP: Final = settings.StopSettings(limit_s=2.2)
+EVENT_S: Final = 0.25
+SLOW_STREAM: Final = works.streaming(
+    {number: EVENT_S for number in range(1, works.EVENTS + 1)}
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Case:
+    """A request beside a stop."""
+
+    stages_s: tuple[float, ...]
+    """Durations of its stage, the first for the request before the stop."""
+
+    sent_after_s: float
+    """Seconds from the beginning of the stop to the request."""
+
+
+def draft(*, staged: bool) -> dict[str, Any]:
+    """Return a route of streams, with a stage or without."""
+    stages = [{'service': builders.STAGE, 'bytes': 100}] if staged else []
+    return builders.route(
+        'draft',
+        'streaming',
+        builders.ENGINE,
+        stages=stages,
+        target_latency_ms=1000,
+        max_gap_ms=1000,
+    )
+
+
+async def stop_after(gateway: builders.Gateway, seconds: float) -> None:
+    """Stop the gateway as a process does, which cuts off what is open."""
+    await trio.sleep(seconds)
+    stop = gateway.context.stop
+    stop.begin()
+    while not stop.time_is_up:
+        await trio.sleep(0.01)
+
+
+def run_beside_stop(
+    case: Case,
+    work: works.Work,
+    check: Callable[[builders.Received, builders.Endpoint], None],
+) -> None:
+    """Serve one request, then send another beside a stop and check it."""
+
+    async def scenario(gateway: builders.Gateway) -> None:
+        engine = builders.Endpoint('e', builders.ENGINE, work)
+        pauses_s: Iterator[float] = iter(case.stages_s)
+        stage = builders.Endpoint(
+            's', builders.STAGE, works.staging_each(pauses_s)
+        )
+        staged = bool(case.stages_s)
+        await gateway.start([engine, stage], [draft(staged=staged)])
+        before = await gateway.request('/draft/', '1')
+        assert before.whole
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(stop_after, gateway, max(-case.sent_after_s, 0))
+            await trio.sleep(max(case.sent_after_s, 0))
+            received = await gateway.request('/draft/', '1')
+            nursery.cancel_scope.cancel()
+        check(received, engine)
+
+    builders.run(scenario, stop=STOP)
+
+
+def assert_refused(
+    received: builders.Received, engine: builders.Endpoint
+) -> None:
+    """Check that the caller was told that its request has not run."""
+    assert (received.status, received.whole) == (503, True)
+    assert len(engine.received) == 1
+
+
+def assert_served(
+    received: builders.Received, engine: builders.Endpoint
+) -> None:
+    """Check that the caller got the whole stream."""
+    assert (received.status, received.whole) == (200, True)
+    assert len(engine.received) == 2
+
+
+class TestStreamThatCannotEndBeforeTheProcess:
+    @pytest.mark.known_red
+    @pytest.mark.parametrize(
+        'case',
+        [
+            Case((), 1.1),
+            Case((0.3, 0.3), 0.8),
+            Case((0.1, 0.9), 0.3),
+            Case((0.1, 1.5), -0.1),
+        ],
+        ids=[
+            'long-at-the-engine',
+            'long-with-its-stage',
+            'stage-slower-than-before',
+            'planned-when-the-stop-begins',
+        ],
+    )
+    def test_is_refused_before_an_engine_has_it(self, case: Case) -> None:
+        run_beside_stop(case, SLOW_STREAM, assert_refused)
+
+
+class TestStreamThatEndsBeforeTheProcess:
+    @pytest.mark.parametrize(
+        'case',
+        [Case((), 0.5), Case((0.1, 0.1), 0.3), Case((0.3, 0.3), -0.1)],
+        ids=['short', 'short-with-a-stage', 'planned-when-the-stop-begins'],
+    )
+    def test_is_served(self, case: Case) -> None:
+        run_beside_stop(case, works.streaming({}), assert_served)
