Tell callers to come back at once when a stop leaves no time

A planner that refuses because the stop shortens the deadline named its own expected time as the time after which to come back, though another gateway is free at once.

Cause: the refusal's reason and delay were those of an overloaded planner. Change: if the stop, and no deadline of the caller, limits the wait, the refusal has the reason 'stopping' and the default delay. Not shown by a test of its own.

--- a/src/lentilspool/gateway/_stop_check.py
+++ b/src/lentilspool/gateway/_stop_check.py
@@ -44,6 +44,14 @@
     return _needed_s(in_flight, _expected(in_flight, None))
 
 
+def limits_planning(in_flight: _in_flight.InFlightRequest) -> bool:
+    """Whether the stop, and no deadline, limits the wait for the first event."""
+    caller_limit_s = min(
+        in_flight.time_left_s, in_flight.next_event_time_left_s
+    )
+    return first_event_limit_s(in_flight) < caller_limit_s
+
+
 def first_event_limit_s(in_flight: _in_flight.InFlightRequest) -> float:
     """Return the seconds until a stream must have its first event.
 
--- a/src/lentilspool/gateway/_streams.py
+++ b/src/lentilspool/gateway/_streams.py
@@ -27,6 +27,9 @@
 _MIN_ATTEMPT_S: Final = 0.05
 _UNKNOWN_RETRY_AFTER_S: Final = 0.5
 _PLAN_AGAIN_S: Final = 0.2
+# Reasons of a planner to which more time would be the remedy.
+_TIME_REFUSALS: Final = frozenset(('no_time', 'deadline'))
+_STOP_REFUSAL: Final = serving.Refuse('', _stop_check.REASON, None)
 # Reasons for which a planner will not plan a request in the next seconds.
 _FINAL_REFUSALS: Final = frozenset(('quarantined', 'no_engine_of_version'))
 
@@ -124,9 +127,16 @@
         needed_s = _stop_check.needed_s(in_flight)
         waiting = trio.CancelScope()
         with waiting, in_flight.context.stop.shortening(waiting, needed_s):
-            return await plan.wait_for_decision()
+            decision = await plan.wait_for_decision()
+            if (
+                isinstance(decision, serving.Refuse)
+                and decision.reason in _TIME_REFUSALS
+                and _stop_check.limits_planning(in_flight)
+            ):
+                return _STOP_REFUSAL
+            return decision
         plan.report_event('cancelled')
-        return serving.Refuse('', _stop_check.REASON, None)
+        return _STOP_REFUSAL
 
     async def _plan_again(self, refusal: serving.Refuse) -> bool:
         """Return whether a refused request is planned again; if not, end it."""
