Keep requests just sent from lowering the foreseen first event

What callers saw: nothing yet; found in review, shown by tests only. During a stop, a stream may be admitted that cannot end in time, and is cut off.

Cause: a run without an event counted with the time that it had waited so far among runs that had begun. Runs just sent lower the estimate, most of all in a burst; a single one replaced the route's target latency.

Evidence: the new tests failed before. One run sent 10 ms ago: 0.01 s foreseen, with a target of 1 s. Three streams that began after 1.5 s beside 30 runs sent 50 ms ago: 0.05 s foreseen.

Ruled out: leaving open runs out, which would hide an engine that has fallen silent (test_open_run_without_an_event_counts_its_wait).

Change: a wait that is not over counts only if it is longer than the estimate from runs that have begun, or than the target latency if there are none.

After: 1 s and 1.5 s; tests of run times and of late stops pass.

--- a/src/lentilspool/serving/_run_times.py
+++ b/src/lentilspool/serving/_run_times.py
@@ -42,8 +42,11 @@
     incarnation: str
     """Incarnation of the endpoint."""
 
-    first_event_s: float
-    """Seconds from sending to the first event, or so far without one."""
+    first_event_s: float | None
+    """Seconds from sending to the first event; None if it has not come."""
+
+    first_wait_s: float
+    """Seconds from sending without an event, as far as was seen."""
 
     event_s: float | None = None
     """Mean seconds from one event to the next; None if unknown."""
@@ -86,13 +89,17 @@
 
     def observe(self, now: float, *, complete: bool) -> _Observation:
         """Return what the run has shown so far."""
-        first_event_at = self._first_event_at
+        waited_until = now
+        if self._first_event_at is not None:
+            waited_until = self._first_event_at
+        wait_s = waited_until - self._sent_at
         return _Observation(
             now,
             self._route,
             self._endpoint.service,
             self._endpoint.incarnation,
-            (now if first_event_at is None else first_event_at) - self._sent_at,
+            wait_s if complete or self.has_begun else None,
+            wait_s,
             self._event_s(now, complete=complete),
             self._events / self._output_tokens if complete else None,
         )
@@ -158,11 +165,8 @@
         recent = list(self._recent(now))
         of_service = [one for one in recent if one.service == service]
         of_route = [one for one in of_service if one.route == route.name]
-        first_event_s = _upper(one.first_event_s for one in of_route)
-        if first_event_s is None:
-            first_event_s = route.target_s
         return ExpectedRun(
-            first_event_s,
+            _first_event_s(of_route, route.target_s),
             _rest_s(
                 of_service,
                 _upper(one.events_per_token for one in of_route),
@@ -178,6 +182,16 @@
         yield from (one.observe(now, complete=False) for one in self._open)
 
 
+def _first_event_s(of_route: list[_Observation], unknown_s: float) -> float:
+    known = [
+        one.first_event_s for one in of_route if one.first_event_s is not None
+    ]
+    return _upper_with_waits(
+        known or [unknown_s],
+        [one.first_wait_s for one in of_route if one.first_event_s is None],
+    )
+
+
 def _rest_s(
     of_service: list[_Observation],
     events_per_token: float | None,
@@ -199,6 +213,16 @@
     return events * max(event_s, slowest_s)
 
 
+def _upper_with_waits(known: list[float], waits: list[float]) -> float:
+    """Return an upper estimate from durations and waits that are not over.
+
+    Such a wait shows a lower bound only, so it cannot make the estimate less.
+    """
+    known_upper = _upper(known) or 0
+    longer = [one for one in waits if one > known_upper]
+    return _upper([*known, *longer]) or 0
+
+
 def _upper(observed: Iterable[float | None]) -> float | None:
     known = sorted(one for one in observed if one is not None)
     if not known:
--- a/src/lentilspool/serving/tests/test_run_times.py
+++ b/src/lentilspool/serving/tests/test_run_times.py
@@ -97,6 +97,21 @@
         expected = times.expected(route(), 'model', TOKENS, 3)
         assert expected.first_event_s == 3
 
+    def test_open_run_that_was_just_sent_shows_nothing(self) -> None:
+        times = serving.RunTimes()
+        times.begin('draft', endpoint('e'), TOKENS, 0)
+        expected = times.expected(route(), 'model', TOKENS, 0.01)
+        assert expected.first_event_s == 1
+
+    def test_open_runs_that_were_just_sent_hide_no_slow_begin(self) -> None:
+        times = serving.RunTimes()
+        for _ in range(3):
+            now = stream(times, endpoint('e'), 0, first_s=1.5)
+        for _ in range(30):
+            times.begin('draft', endpoint('e'), TOKENS, now - 0.05)
+        expected = times.expected(route(), 'model', TOKENS, now)
+        assert expected.first_event_s == pytest.approx(1.5)
+
     def test_run_that_never_began_shows_nothing(self) -> None:
         times = serving.RunTimes()
         run = times.begin('draft', endpoint('e'), TOKENS, 0)
