Count the pace that open streams have shown in full

What callers saw: nothing yet; found in review, shown by tests only. During a stop, a stream may be admitted at an engine that has turned slow.

Cause: the pace of an open stream was its time since the first event through the number of events, which is less than the pace that it has shown: half of it at its second event. A stream that fell silent after one event showed nothing.

Evidence: two of the new tests failed before: a stream with 200 ms between its two events counted as 100 ms, one that waited 2 s for its second event not at all. The third passed before and holds a stream that has just begun harmless.

Change: the larger of the mean so far and the bound from the next event that is due; a wait for the second event counts if it is longer than the estimate.

--- a/src/lentilspool/serving/_run_times.py
+++ b/src/lentilspool/serving/_run_times.py
@@ -51,6 +51,9 @@
     event_s: float | None = None
     """Mean seconds from one event to the next; None if unknown."""
 
+    event_wait_s: float = 0
+    """Seconds for which the second event is awaited."""
+
     events_per_token: float | None = None
     """Events of a complete stream for each token that was asked for."""
 
@@ -101,17 +104,24 @@
             wait_s if complete or self.has_begun else None,
             wait_s,
             self._event_s(now, complete=complete),
+            self._event_wait_s(now, complete=complete),
             self._events / self._output_tokens if complete else None,
         )
 
     def _event_s(self, now: float, *, complete: bool) -> float | None:
         if self._first_event_at is None or self._events < 2:
             return None
+        streamed_s = self._last_event_at - self._first_event_at
+        event_s = streamed_s / (self._events - 1)
         if complete:
-            streamed_s = self._last_event_at - self._first_event_at
-            return streamed_s / (self._events - 1)
+            return event_s
         # The next event is due but has not come.
-        return (now - self._first_event_at) / self._events
+        return max(event_s, (now - self._first_event_at) / self._events)
+
+    def _event_wait_s(self, now: float, *, complete: bool) -> float:
+        if self._first_event_at is None or self._events > 1 or complete:
+            return 0
+        return now - self._first_event_at
 
 
 class RunTimes:
@@ -198,14 +208,15 @@
     output_tokens: int,
     incarnation: str,
 ) -> float:
-    event_s = _upper(one.event_s for one in of_service)
-    if event_s is None or events_per_token is None:
+    known = [one.event_s for one in of_service if one.event_s is not None]
+    if not known or events_per_token is None:
         return output_tokens * _UNKNOWN_TOKEN_S
+    event_s = _upper_with_waits(known, [one.event_wait_s for one in of_service])
     slowest_s = max(
         (
-            one.event_s
+            max(one.event_s or 0, one.event_wait_s)
             for one in of_service
-            if one.incarnation == incarnation and one.event_s is not None
+            if one.incarnation == incarnation
         ),
         default=0,
     )
--- a/src/lentilspool/serving/tests/test_run_times.py
+++ b/src/lentilspool/serving/tests/test_run_times.py
@@ -90,6 +90,32 @@
         expected = times.expected(route(), 'model', TOKENS, 1.1)
         assert expected.rest_s == pytest.approx(EVENTS * 0.5)
 
+    def test_open_stream_has_the_pace_of_its_events(self) -> None:
+        times = serving.RunTimes()
+        stream(times, endpoint('e'), 0)
+        run = times.begin('draft', endpoint('e'), TOKENS, 0)
+        run.add_events(1, 0.1)
+        run.add_events(1, 0.3)
+        expected = times.expected(route(), 'model', TOKENS, 0.3)
+        assert expected.rest_s == pytest.approx(EVENTS * 0.2)
+
+    def test_open_stream_counts_the_wait_for_its_second_event(self) -> None:
+        times = serving.RunTimes()
+        stream(times, endpoint('e'), 0)
+        run = times.begin('draft', endpoint('e'), TOKENS, 0)
+        run.add_events(1, 0.1)
+        expected = times.expected(route(), 'model', TOKENS, 2.1)
+        assert expected.rest_s == pytest.approx(EVENTS * 2)
+
+    def test_open_stream_that_has_just_begun_shows_no_pace(self) -> None:
+        times = serving.RunTimes()
+        stream(times, endpoint('e'), 0)
+        for _ in range(20):
+            run = times.begin('draft', endpoint('e'), TOKENS, 0)
+            run.add_events(1, 0.1)
+        expected = times.expected(route(), 'model', TOKENS, 0.101)
+        assert expected.rest_s == pytest.approx(EVENTS * PACE_S)
+
     def test_open_run_without_an_event_counts_its_wait(self) -> None:
         times = serving.RunTimes()
         stream(times, endpoint('e'), 0)
