Count slow first events of the chosen engine before a stop

What callers saw: nothing yet; found in review, shown by a test only. During a stop, a stream may be admitted at an engine that begins late, and is cut off.

Cause: RunTimes.expected promises an estimate that all recent runs at the given endpoint have kept. It did so for the pace of events, not for the first event.

Evidence: the new test failed before: 20 streams that began after 0.1 s and one at the chosen engine that began after 1.5 s gave 0.1 s.

Change: the longest time to a first event of the route at the endpoint counts, also one that is not over.

After: 1.5 s there, 0.1 s anywhere; tests of run times and late stops pass.

--- a/src/lentilspool/serving/_run_times.py
+++ b/src/lentilspool/serving/_run_times.py
@@ -176,7 +176,7 @@
         of_service = [one for one in recent if one.service == service]
         of_route = [one for one in of_service if one.route == route.name]
         return ExpectedRun(
-            _first_event_s(of_route, route.target_s),
+            _first_event_s(of_route, route.target_s, incarnation),
             _rest_s(
                 of_service,
                 _upper(one.events_per_token for one in of_route),
@@ -192,14 +192,20 @@
         yield from (one.observe(now, complete=False) for one in self._open)
 
 
-def _first_event_s(of_route: list[_Observation], unknown_s: float) -> float:
+def _first_event_s(
+    of_route: list[_Observation], unknown_s: float, incarnation: str
+) -> float:
     known = [
         one.first_event_s for one in of_route if one.first_event_s is not None
     ]
-    return _upper_with_waits(
+    anywhere_s = _upper_with_waits(
         known or [unknown_s],
         [one.first_wait_s for one in of_route if one.first_event_s is None],
     )
+    there = [
+        one.first_wait_s for one in of_route if one.incarnation == incarnation
+    ]
+    return max([anywhere_s, *there])
 
 
 def _rest_s(
--- a/src/lentilspool/serving/tests/test_run_times.py
+++ b/src/lentilspool/serving/tests/test_run_times.py
@@ -90,6 +90,17 @@
         expected = times.expected(route(), 'model', TOKENS, 1.1)
         assert expected.rest_s == pytest.approx(EVENTS * 0.5)
 
+    def test_late_begin_at_one_engine_counts_where_it_is_chosen(self) -> None:
+        times = serving.RunTimes()
+        for _ in range(20):
+            stream(times, endpoint('e'), 0)
+        now = stream(times, endpoint('slow'), 0, first_s=1.5)
+        anywhere = times.expected(route(), 'model', TOKENS, now)
+        slow = endpoint('slow').incarnation
+        there = times.expected(route(), 'model', TOKENS, now, slow)
+        assert anywhere.first_event_s == pytest.approx(0.1)
+        assert there.first_event_s == pytest.approx(1.5)
+
     def test_open_stream_has_the_pace_of_its_events(self) -> None:
         times = serving.RunTimes()
         stream(times, endpoint('e'), 0)
