Foresee streams without a prompt by the time limit of their route

What callers saw: nothing yet; found in review, shown by a test only. A process that stops before it has served such a route admits its streams until the target latency and the reserve no longer fit, whatever their length.

Cause: the length of a stream that no recent one shows was taken from its token count, which is 0 for a request without a prompt.

Evidence: the new test failed before: 0 s foreseen after the first event.

Change: without a token count and without recent streams, a stream may last as long as its route allows.

After: 9 s, the timeout; a second test shows that recent streams decide as soon as there are some (it passed before).

--- a/src/lentilspool/serving/_run_times.py
+++ b/src/lentilspool/serving/_run_times.py
@@ -182,6 +182,7 @@
                 _upper(one.events_per_token for one in of_route),
                 output_tokens,
                 incarnation,
+                _unknown_rest_s(route, output_tokens),
             )
             if route.kind is _configuration.RouteKind.streaming
             else 0,
@@ -213,10 +214,11 @@
     events_per_token: float | None,
     output_tokens: int,
     incarnation: str,
+    unknown_s: float,
 ) -> float:
     known = [one.event_s for one in of_service if one.event_s is not None]
     if not known or events_per_token is None:
-        return output_tokens * _UNKNOWN_TOKEN_S
+        return unknown_s
     event_s = _upper_with_waits(known, [one.event_wait_s for one in of_service])
     slowest_s = max(
         (
@@ -230,6 +232,14 @@
     return events * max(event_s, slowest_s)
 
 
+def _unknown_rest_s(route: _configuration.Route, output_tokens: int) -> float:
+    """Return the rest of a stream if no recent one shows it."""
+    if output_tokens:
+        return output_tokens * _UNKNOWN_TOKEN_S
+    # Nothing bounds the length of a stream without a prompt but its time limit.
+    return route.timeout_s
+
+
 def _upper_with_waits(known: list[float], waits: list[float]) -> float:
     """Return an upper estimate from durations and waits that are not over.
 
--- a/src/lentilspool/serving/tests/test_run_times.py
+++ b/src/lentilspool/serving/tests/test_run_times.py
@@ -52,6 +52,19 @@
         assert expected.first_event_s == 1
         assert expected.rest_s == pytest.approx(2.5)
 
+    def test_unknown_stream_without_a_prompt_may_last_its_timeout(self) -> None:
+        expected = serving.RunTimes().expected(route(), 'model', 0, 0)
+        assert expected.rest_s == route().timeout_s
+
+    def test_stream_without_a_prompt_follows_recent_ones(self) -> None:
+        times = serving.RunTimes()
+        run = times.begin('draft', endpoint('e'), 0, 0)
+        for number in range(EVENTS):
+            run.add_events(1, number * PACE_S)
+        times.end(run, EVENTS * PACE_S, complete=True)
+        expected = times.expected(route(), 'model', 0, EVENTS * PACE_S)
+        assert expected.rest_s == pytest.approx(EVENTS * PACE_S)
+
     def test_follows_recent_streams(self) -> None:
         times = serving.RunTimes()
         now = stream(times, endpoint('e'), 0)
