--- a/src/lentilspool/serving/_run_times.py
+++ b/src/lentilspool/serving/_run_times.py
@@ -42,12 +42,18 @@
     incarnation: str
     """Incarnation of the endpoint."""
 
-    first_event_s: float
-    """Seconds from sending to the first event, or so far without one."""
+    first_event_s: float | None
+    """Seconds from sending to the first event; None if it has not come."""
+
+    first_wait_s: float
+    """Seconds from sending without an event, as far as was seen."""
 
     event_s: float | None = None
     """Mean seconds from one event to the next; None if unknown."""
 
+    event_wait_s: float = 0
+    """Seconds for which the second event is awaited."""
+
     events_per_token: float | None = None
     """Events of a complete stream for each token that was asked for."""
 
@@ -86,25 +92,36 @@
 
     def observe(self, now: float, *, complete: bool) -> _Observation:
         """Return what the run has shown so far."""
-        first_event_at = self._first_event_at
+        waited_until = now
+        if self._first_event_at is not None:
+            waited_until = self._first_event_at
+        wait_s = waited_until - self._sent_at
         return _Observation(
             now,
             self._route,
             self._endpoint.service,
             self._endpoint.incarnation,
-            (now if first_event_at is None else first_event_at) - self._sent_at,
+            wait_s if complete or self.has_begun else None,
+            wait_s,
             self._event_s(now, complete=complete),
+            self._event_wait_s(now, complete=complete),
             self._events / self._output_tokens if complete else None,
         )
 
     def _event_s(self, now: float, *, complete: bool) -> float | None:
         if self._first_event_at is None or self._events < 2:
             return None
+        streamed_s = self._last_event_at - self._first_event_at
+        event_s = streamed_s / (self._events - 1)
         if complete:
-            streamed_s = self._last_event_at - self._first_event_at
-            return streamed_s / (self._events - 1)
+            return event_s
         # The next event is due but has not come.
-        return (now - self._first_event_at) / self._events
+        return max(event_s, (now - self._first_event_at) / self._events)
+
+    def _event_wait_s(self, now: float, *, complete: bool) -> float:
+        if self._first_event_at is None or self._events > 1 or complete:
+            return 0
+        return now - self._first_event_at
 
 
 class RunTimes:
@@ -158,16 +175,14 @@
         recent = list(self._recent(now))
         of_service = [one for one in recent if one.service == service]
         of_route = [one for one in of_service if one.route == route.name]
-        first_event_s = _upper(one.first_event_s for one in of_route)
-        if first_event_s is None:
-            first_event_s = route.target_s
         return ExpectedRun(
-            first_event_s,
+            _first_event_s(of_route, route.target_s, incarnation),
             _rest_s(
                 of_service,
                 _upper(one.events_per_token for one in of_route),
                 output_tokens,
                 incarnation,
+                _unknown_rest_s(route, output_tokens),
             )
             if route.kind is _configuration.RouteKind.streaming
             else 0,
@@ -178,20 +193,38 @@
         yield from (one.observe(now, complete=False) for one in self._open)
 
 
+def _first_event_s(
+    of_route: list[_Observation], unknown_s: float, incarnation: str
+) -> float:
+    known = [
+        one.first_event_s for one in of_route if one.first_event_s is not None
+    ]
+    anywhere_s = _upper_with_waits(
+        known or [unknown_s],
+        [one.first_wait_s for one in of_route if one.first_event_s is None],
+    )
+    there = [
+        one.first_wait_s for one in of_route if one.incarnation == incarnation
+    ]
+    return max([anywhere_s, *there])
+
+
 def _rest_s(
     of_service: list[_Observation],
     events_per_token: float | None,
     output_tokens: int,
     incarnation: str,
+    unknown_s: float,
 ) -> float:
-    event_s = _upper(one.event_s for one in of_service)
-    if event_s is None or events_per_token is None:
-        return output_tokens * _UNKNOWN_TOKEN_S
+    known = [one.event_s for one in of_service if one.event_s is not None]
+    if not known or events_per_token is None:
+        return unknown_s
+    event_s = _upper_with_waits(known, [one.event_wait_s for one in of_service])
     slowest_s = max(
         (
-            one.event_s
+            max(one.event_s or 0, one.event_wait_s)
             for one in of_service
-            if one.incarnation == incarnation and one.event_s is not None
+            if one.incarnation == incarnation
         ),
         default=0,
     )
@@ -199,6 +232,24 @@
     return events * max(event_s, slowest_s)
 
 
+def _unknown_rest_s(route: _configuration.Route, output_tokens: int) -> float:
+    """Return the rest of a stream if no recent one shows it."""
+    if output_tokens:
+        return output_tokens * _UNKNOWN_TOKEN_S
+    # Nothing bounds the length of a stream without a prompt but its time limit.
+    return route.timeout_s
+
+
+def _upper_with_waits(known: list[float], waits: list[float]) -> float:
+    """Return an upper estimate from durations and waits that are not over.
+
+    Such a wait shows a lower bound only, so it cannot make the estimate less.
+    """
+    known_upper = _upper(known) or 0
+    longer = [one for one in waits if one > known_upper]
+    return _upper([*known, *longer]) or 0
+
+
 def _upper(observed: Iterable[float | None]) -> float | None:
     known = sorted(one for one in observed if one is not None)
     if not known:
--- a/src/lentilspool/serving/tests/test_run_times.py
+++ b/src/lentilspool/serving/tests/test_run_times.py
@@ -52,6 +52,19 @@
         assert expected.first_event_s == 1
         assert expected.rest_s == pytest.approx(2.5)
 
+    def test_unknown_stream_without_a_prompt_may_last_its_timeout(self) -> None:
+        expected = serving.RunTimes().expected(route(), 'model', 0, 0)
+        assert expected.rest_s == route().timeout_s
+
+    def test_stream_without_a_prompt_follows_recent_ones(self) -> None:
+        times = serving.RunTimes()
+        run = times.begin('draft', endpoint('e'), 0, 0)
+        for number in range(EVENTS):
+            run.add_events(1, number * PACE_S)
+        times.end(run, EVENTS * PACE_S, complete=True)
+        expected = times.expected(route(), 'model', 0, EVENTS * PACE_S)
+        assert expected.rest_s == pytest.approx(EVENTS * PACE_S)
+
     def test_follows_recent_streams(self) -> None:
         times = serving.RunTimes()
         now = stream(times, endpoint('e'), 0)
@@ -90,6 +103,43 @@
         expected = times.expected(route(), 'model', TOKENS, 1.1)
         assert expected.rest_s == pytest.approx(EVENTS * 0.5)
 
+    def test_late_begin_at_one_engine_counts_where_it_is_chosen(self) -> None:
+        times = serving.RunTimes()
+        for _ in range(20):
+            stream(times, endpoint('e'), 0)
+        now = stream(times, endpoint('slow'), 0, first_s=1.5)
+        anywhere = times.expected(route(), 'model', TOKENS, now)
+        slow = endpoint('slow').incarnation
+        there = times.expected(route(), 'model', TOKENS, now, slow)
+        assert anywhere.first_event_s == pytest.approx(0.1)
+        assert there.first_event_s == pytest.approx(1.5)
+
+    def test_open_stream_has_the_pace_of_its_events(self) -> None:
+        times = serving.RunTimes()
+        stream(times, endpoint('e'), 0)
+        run = times.begin('draft', endpoint('e'), TOKENS, 0)
+        run.add_events(1, 0.1)
+        run.add_events(1, 0.3)
+        expected = times.expected(route(), 'model', TOKENS, 0.3)
+        assert expected.rest_s == pytest.approx(EVENTS * 0.2)
+
+    def test_open_stream_counts_the_wait_for_its_second_event(self) -> None:
+        times = serving.RunTimes()
+        stream(times, endpoint('e'), 0)
+        run = times.begin('draft', endpoint('e'), TOKENS, 0)
+        run.add_events(1, 0.1)
+        expected = times.expected(route(), 'model', TOKENS, 2.1)
+        assert expected.rest_s == pytest.approx(EVENTS * 2)
+
+    def test_open_stream_that_has_just_begun_shows_no_pace(self) -> None:
+        times = serving.RunTimes()
+        stream(times, endpoint('e'), 0)
+        for _ in range(20):
+            run = times.begin('draft', endpoint('e'), TOKENS, 0)
+            run.add_events(1, 0.1)
+        expected = times.expected(route(), 'model', TOKENS, 0.101)
+        assert expected.rest_s == pytest.approx(EVENTS * PACE_S)
+
     def test_open_run_without_an_event_counts_its_wait(self) -> None:
         times = serving.RunTimes()
         stream(times, endpoint('e'), 0)
@@ -97,6 +147,21 @@
         expected = times.expected(route(), 'model', TOKENS, 3)
         assert expected.first_event_s == 3
 
+    def test_open_run_that_was_just_sent_shows_nothing(self) -> None:
+        times = serving.RunTimes()
+        times.begin('draft', endpoint('e'), TOKENS, 0)
+        expected = times.expected(route(), 'model', TOKENS, 0.01)
+        assert expected.first_event_s == 1
+
+    def test_open_runs_that_were_just_sent_hide_no_slow_begin(self) -> None:
+        times = serving.RunTimes()
+        for _ in range(3):
+            now = stream(times, endpoint('e'), 0, first_s=1.5)
+        for _ in range(30):
+            times.begin('draft', endpoint('e'), TOKENS, now - 0.05)
+        expected = times.expected(route(), 'model', TOKENS, now)
+        assert expected.first_event_s == pytest.approx(1.5)
+
     def test_run_that_never_began_shows_nothing(self) -> None:
         times = serving.RunTimes()
         run = times.begin('draft', endpoint('e'), TOKENS, 0)
