Admit early requests of a stop by a usual estimate, late ones by a careful one

Cause: every admission used the upper estimate, that is a slow pace times many events, before the engine is known. Four in ten engines were slow, so the pace of a slow one stood for all.

Ruled out: wrong observations (the durations in the log agree with the paces).

Change: a request that comes within the time in which balancers may not know of the stop (lame_s) is admitted if it probably ends in time; the engine that was chosen counts with its own pace. Later ones are admitted as before, by the upper estimate and a reserve for a silence. Observations and estimates have modules of their own.

--- a/src/lentilspool/gateway/_stop.py
+++ b/src/lentilspool/gateway/_stop.py
@@ -42,6 +42,12 @@
             return math.inf
         return self._settings.limit_s - _ANSWER_S - self.elapsed_s
 
+    def is_late(self, arrived_at: float) -> bool:
+        """Whether a request came when balancers should know of the stop."""
+        if self._began_at is None:
+            return False
+        return arrived_at > self._began_at + self._settings.lame_s
+
     @property
     def time_is_up(self) -> bool:
         """Whether the process must end, even with requests in flight."""
--- a/src/lentilspool/gateway/_stop_check.py
+++ b/src/lentilspool/gateway/_stop_check.py
@@ -60,29 +60,36 @@
     stop = in_flight.context.stop
     if not stop.begun or in_flight.reply.begun:
         return float('inf')
-    rest_s = serving.needed_after_first_event_s(
+    rest_s = _admission(in_flight).needed_after_first_event_s(
         _expected(in_flight, None), streaming=True
     )
     return max(stop.left_s - rest_s, 0)
 
 
+def _admission(
+    in_flight: _in_flight.InFlightRequest,
+) -> serving.StopAdmission:
+    late = in_flight.context.stop.is_late(in_flight.arrived_at)
+    return serving.CAREFUL if late else serving.USUAL
+
+
 def _expected(
     in_flight: _in_flight.InFlightRequest, endpoint: serving.Endpoint | None
 ) -> serving.ExpectedRun:
-    services = (
-        [endpoint.service]
+    quantile = _admission(in_flight).quantile
+    estimates = (
+        [serving.Estimate(endpoint.service, quantile, endpoint.incarnation)]
         if endpoint
-        else [share.service for share in in_flight.route.shares]
+        else [
+            serving.Estimate(share.service, quantile)
+            for share in in_flight.route.shares
+        ]
     )
     runs = [
         in_flight.context.run_times.expected(
-            in_flight.route,
-            service,
-            in_flight.output_tokens,
-            _clock.now(),
-            endpoint.incarnation if endpoint else '',
+            in_flight.route, in_flight.output_tokens, _clock.now(), estimate
         )
-        for service in services
+        for estimate in estimates
     ]
     return max(runs, key=lambda run: run.first_event_s + run.rest_s)
 
@@ -91,6 +98,6 @@
     in_flight: _in_flight.InFlightRequest, expected: serving.ExpectedRun
 ) -> float:
     streaming = in_flight.route.kind is serving.RouteKind.streaming
-    needed_s = serving.needed_s(expected, streaming=streaming)
+    needed_s = _admission(in_flight).needed_s(expected, streaming=streaming)
     # Beyond its deadline no request is served in any case.
     return min(needed_s, max(in_flight.time_left_s, 0))
--- a/src/lentilspool/gateway/tests/test_stop.py
+++ b/src/lentilspool/gateway/tests/test_stop.py
@@ -4,7 +4,7 @@
 import trio
 
 from lentilspool import settings
-from lentilspool.gateway import _stop
+from lentilspool.gateway import _clock, _stop
 from lentilspool.gateway.tests import builders, works
 
 STOP = settings.StopSettings(lame_s=0.1, grace_s=1.2, exit_s=0.2)
@@ -59,3 +59,11 @@
                 assert scope.deadline == deadline
 
         trio.run(check)
+
+    def test_requests_after_the_lame_time_are_late(self) -> None:
+        stop = _stop.PlannedStop(STOP)
+        assert not stop.is_late(_clock.now() + 1)
+        stop.begin()
+        now = _clock.now()
+        assert not stop.is_late(now + 0.05)
+        assert stop.is_late(now + 0.15)
--- a/src/lentilspool/serving/__init__.py
+++ b/src/lentilspool/serving/__init__.py
@@ -60,13 +60,13 @@
 from lentilspool.serving._route_table import RouteTable as RouteTable
 from lentilspool.serving._route_table import UnknownKey as UnknownKey
 from lentilspool.serving._route_table import pick_service as pick_service
+from lentilspool.serving._run_observations import Run as Run
+from lentilspool.serving._run_times import Estimate as Estimate
 from lentilspool.serving._run_times import ExpectedRun as ExpectedRun
-from lentilspool.serving._run_times import Run as Run
 from lentilspool.serving._run_times import RunTimes as RunTimes
-from lentilspool.serving._stop_admission import (
-    needed_after_first_event_s as needed_after_first_event_s,
-)
-from lentilspool.serving._stop_admission import needed_s as needed_s
+from lentilspool.serving._stop_admission import CAREFUL as CAREFUL
+from lentilspool.serving._stop_admission import USUAL as USUAL
+from lentilspool.serving._stop_admission import StopAdmission as StopAdmission
 from lentilspool.serving._stream_versions import StreamVersion as StreamVersion
 from lentilspool.serving._stream_versions import (
     StreamVersions as StreamVersions,
--- a/src/lentilspool/serving/_run_times.py
+++ b/src/lentilspool/serving/_run_times.py
@@ -3,14 +3,17 @@
 import collections
 import dataclasses
 import math
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Sequence
 from typing import Final
 
-from lentilspool.serving import _configuration, _endpoints
+from lentilspool.serving import (
+    _configuration,
+    _endpoints,
+    _run_observations,
+)
 
 _WINDOW_S: Final = 10.0
 _MAX_OBSERVATIONS: Final = 1024
-_QUANTILE: Final = 0.9
 # Pace of an engine that has not been observed.
 _UNKNOWN_TOKEN_S: Final = 0.025
 
@@ -27,101 +30,21 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Observation:
-    """What a run has shown."""
-
-    at: float
-    """When it was seen."""
-
-    route: str
-    """Name of the route."""
+class Estimate:
+    """Which runs an estimate follows, and how careful it is."""
 
     service: str
-    """Name of the endpoint's service."""
-
-    incarnation: str
-    """Incarnation of the endpoint."""
-
-    first_event_s: float | None
-    """Seconds from sending to the first event; None if it has not come."""
-
-    first_wait_s: float
-    """Seconds from sending without an event, as far as was seen."""
-
-    event_s: float | None = None
-    """Mean seconds from one event to the next; None if unknown."""
-
-    event_wait_s: float = 0
-    """Seconds for which the second event is awaited."""
-
-    events_per_token: float | None = None
-    """Events of a complete stream for each token that was asked for."""
+    """Name of the service."""
 
+    quantile: float
+    """Share of the recent runs that took at most as long."""
 
-class Run:
-    """A request that is at an endpoint; report its progress here."""
-
-    def __init__(
-        self,
-        route: str,
-        endpoint: _endpoints.Endpoint,
-        output_tokens: int,
-        now: float,
-    ) -> None:
-        self._route = route
-        self._endpoint = endpoint
-        self._output_tokens = max(output_tokens, 1)
-        self._sent_at = now
-        self._first_event_at: float | None = None
-        self._last_event_at = now
-        self._events = 0
-
-    @property
-    def has_begun(self) -> bool:
-        """Whether an event was received."""
-        return self._events > 0
-
-    def add_events(self, count: int, now: float) -> None:
-        """Record events that were received, if there were any."""
-        if not count:
-            return
-        if self._first_event_at is None:
-            self._first_event_at = now
-        self._last_event_at = now
-        self._events += count
-
-    def observe(self, now: float, *, complete: bool) -> _Observation:
-        """Return what the run has shown so far."""
-        waited_until = now
-        if self._first_event_at is not None:
-            waited_until = self._first_event_at
-        wait_s = waited_until - self._sent_at
-        return _Observation(
-            now,
-            self._route,
-            self._endpoint.service,
-            self._endpoint.incarnation,
-            wait_s if complete or self.has_begun else None,
-            wait_s,
-            self._event_s(now, complete=complete),
-            self._event_wait_s(now, complete=complete),
-            self._events / self._output_tokens if complete else None,
-        )
-
-    def _event_s(self, now: float, *, complete: bool) -> float | None:
-        if self._first_event_at is None or self._events < 2:
-            return None
-        streamed_s = self._last_event_at - self._first_event_at
-        event_s = streamed_s / (self._events - 1)
-        if complete:
-            return event_s
-        # The next event is due but has not come.
-        return max(event_s, (now - self._first_event_at) / self._events)
+    incarnation: str = ''
+    """Incarnation of the endpoint; empty if none is chosen."""
 
-    def _event_wait_s(self, now: float, *, complete: bool) -> float:
-        if self._first_event_at is None or self._events > 1 or complete:
-            return 0
-        return now - self._first_event_at
+    def is_at(self, observation: _run_observations.RunObservation) -> bool:
+        """Whether a run was at the chosen endpoint."""
+        return observation.incarnation == self.incarnation
 
 
 class RunTimes:
@@ -133,10 +56,10 @@
     """
 
     def __init__(self) -> None:
-        self._ended: collections.deque[_Observation] = collections.deque(
-            maxlen=_MAX_OBSERVATIONS
+        self._ended: collections.deque[_run_observations.RunObservation] = (
+            collections.deque(maxlen=_MAX_OBSERVATIONS)
         )
-        self._open: set[Run] = set()
+        self._open: set[_run_observations.Run] = set()
 
     def begin(
         self,
@@ -144,13 +67,15 @@
         endpoint: _endpoints.Endpoint,
         output_tokens: int,
         now: float,
-    ) -> Run:
+    ) -> _run_observations.Run:
         """Record that a request was sent; 0 tokens if none are asked for."""
-        run = Run(route, endpoint, output_tokens, now)
+        run = _run_observations.Run(route, endpoint, output_tokens, now)
         self._open.add(run)
         return run
 
-    def end(self, run: Run, now: float, *, complete: bool) -> None:
+    def end(
+        self, run: _run_observations.Run, now: float, *, complete: bool
+    ) -> None:
         """Record that a request is no longer at its endpoint.
 
         One that ended without an event or a whole answer shows nothing.
@@ -162,74 +87,71 @@
     def expected(
         self,
         route: _configuration.Route,
-        service: str,
         output_tokens: int,
         now: float,
-        incarnation: str = '',
+        estimate: Estimate,
     ) -> ExpectedRun:
-        """Return how long a run takes at an endpoint, or at any of a service.
-
-        It is an upper estimate: nine of ten recent runs took less, and all
-        those at the given endpoint.
-        """
-        recent = list(self._recent(now))
-        of_service = [one for one in recent if one.service == service]
-        of_route = [one for one in of_service if one.route == route.name]
-        return ExpectedRun(
-            _first_event_s(of_route, route.target_s, incarnation),
-            _rest_s(
-                of_service,
-                _upper(one.events_per_token for one in of_route),
-                output_tokens,
-                incarnation,
-                _unknown_rest_s(route, output_tokens),
-            )
-            if route.kind is _configuration.RouteKind.streaming
-            else 0,
+        """Return how long a run takes."""
+        recent = [
+            one for one in self._recent(now) if one.service == estimate.service
+        ]
+        of_route = [one for one in recent if one.route == route.name]
+        first_event_s = _first_event_s(of_route, route.target_s, estimate)
+        if route.kind is not _configuration.RouteKind.streaming:
+            return ExpectedRun(first_event_s, 0)
+        event_s = _event_s(recent, estimate)
+        events_per_token = _quantile(
+            (one.events_per_token for one in of_route), estimate.quantile
         )
+        if event_s is None or events_per_token is None:
+            return ExpectedRun(
+                first_event_s, _unknown_rest_s(route, output_tokens)
+            )
+        events = events_per_token * max(output_tokens, 1)
+        return ExpectedRun(first_event_s, events * event_s)
 
-    def _recent(self, now: float) -> Iterator[_Observation]:
+    def _recent(self, now: float) -> Iterator[_run_observations.RunObservation]:
         yield from (one for one in self._ended if now - one.at <= _WINDOW_S)
         yield from (one.observe(now, complete=False) for one in self._open)
 
 
 def _first_event_s(
-    of_route: list[_Observation], unknown_s: float, incarnation: str
+    of_route: Sequence[_run_observations.RunObservation],
+    unknown_s: float,
+    estimate: Estimate,
 ) -> float:
     known = [
         one.first_event_s for one in of_route if one.first_event_s is not None
     ]
-    anywhere_s = _upper_with_waits(
+    anywhere_s = _with_waits(
         known or [unknown_s],
         [one.first_wait_s for one in of_route if one.first_event_s is None],
+        estimate.quantile,
     )
-    there = [
-        one.first_wait_s for one in of_route if one.incarnation == incarnation
-    ]
-    return max([anywhere_s, *there])
+    there_s = _quantile(
+        (one.first_wait_s for one in of_route if estimate.is_at(one)),
+        estimate.quantile,
+    )
+    return max(anywhere_s, there_s or 0)
 
 
-def _rest_s(
-    of_service: list[_Observation],
-    events_per_token: float | None,
-    output_tokens: int,
-    incarnation: str,
-    unknown_s: float,
-) -> float:
+def _event_s(
+    of_service: Sequence[_run_observations.RunObservation], estimate: Estimate
+) -> float | None:
     known = [one.event_s for one in of_service if one.event_s is not None]
-    if not known or events_per_token is None:
-        return unknown_s
-    event_s = _upper_with_waits(known, [one.event_wait_s for one in of_service])
-    slowest_s = max(
+    if not known:
+        return None
+    waits = [one.event_wait_s for one in of_service]
+    anywhere_s = _with_waits(known, waits, estimate.quantile)
+    there_s = _quantile(
         (
-            max(one.event_s or 0, one.event_wait_s)
+            one.event_wait_s if one.event_s is None else one.event_s
             for one in of_service
-            if one.incarnation == incarnation
+            if estimate.is_at(one)
         ),
-        default=0,
+        estimate.quantile,
     )
-    events = events_per_token * max(output_tokens, 1)
-    return events * max(event_s, slowest_s)
+    return max(anywhere_s, there_s or 0)
 
 
 def _unknown_rest_s(route: _configuration.Route, output_tokens: int) -> float:
@@ -240,18 +162,20 @@
     return route.timeout_s
 
 
-def _upper_with_waits(known: list[float], waits: list[float]) -> float:
-    """Return an upper estimate from durations and waits that are not over.
+def _with_waits(
+    known: Sequence[float], waits: Iterable[float], share: float
+) -> float:
+    """Return a quantile of durations and of waits that are not over.
 
     Such a wait shows a lower bound only, so it cannot make the estimate less.
     """
-    known_upper = _upper(known) or 0
-    longer = [one for one in waits if one > known_upper]
-    return _upper([*known, *longer]) or 0
+    without_waits_s = _quantile(known, share) or 0
+    longer = [one for one in waits if one > without_waits_s]
+    return _quantile([*known, *longer], share) or 0
 
 
-def _upper(observed: Iterable[float | None]) -> float | None:
+def _quantile(observed: Iterable[float | None], share: float) -> float | None:
     known = sorted(one for one in observed if one is not None)
     if not known:
         return None
-    return known[math.ceil(len(known) * _QUANTILE) - 1]
+    return known[max(math.ceil(len(known) * share), 1) - 1]
--- a/src/lentilspool/settings/_gateway.py
+++ b/src/lentilspool/settings/_gateway.py
@@ -117,7 +117,8 @@
     """Time limits of a graceful stop."""
 
     lame_s: float = 3.0
-    """Minimum seconds for which new connections are still accepted."""
+    """Minimum seconds for which new connections are still accepted; a request
+    that comes later is only admitted if it almost certainly ends in time."""
 
     grace_s: float = 8.0
     """Seconds after the signal at which the platform kills the process."""
