Leave a silent engine during a stop only for one that has the time

What callers saw: nothing yet; found in review. During a stop, a stream without an event whose engine was silent for a while got 502, though that engine went on and could have ended in time.

Cause: the search for a replacement asked whether the new engine may take the stream by its version alone, and cancelled the attempt at the silent one. Only then the stop was asked, and it refused the new engine.

The deadline that the planner gets does not cover it, as the planner's own estimate may be shorter.

Ruled out: serving the replacement in any case, which may cut it off.

Change: the replacement is granted only if the stop leaves the new engine the time; once granted it is not asked again.

--- a/src/lentilspool/gateway/_streams.py
+++ b/src/lentilspool/gateway/_streams.py
@@ -48,7 +48,10 @@
             )
         )
         self._search = _replacement.ReplacementSearch(
-            in_flight, self._watch, self._plan_request, self._origin.allows
+            in_flight,
+            self._watch,
+            self._plan_request,
+            lambda endpoint: not self._problem(endpoint),
         )
         # Endpoints that may be sound but were silent for too long.
         self._left_silent: set[str] = set()
@@ -76,9 +79,7 @@
         replacement = self._search.take()
         if replacement:
             self._plan = replacement.plan
-            return await self._send_if_allowed(
-                replacement.decision, replacement.plan
-            )
+            return await self._send(replacement.decision, replacement.plan)
         obstacle = _next_attempt.obstacle(in_flight)
         if self._origin.is_removed:
             obstacle = 'route_removed'
@@ -103,17 +104,21 @@
         self, decision: serving.RunAt, plan: _planning.Plan
     ) -> bool:
         """Send the request to the chosen engine unless it must not get it."""
-        problem = ''
-        if not self._origin.allows(decision.endpoint):
-            problem = 'other_version'
-        elif not _stop_check.admits(self._in_flight, decision.endpoint):
-            problem = _stop_check.REASON
+        problem = self._problem(decision.endpoint)
         if not problem:
             return await self._send(decision, plan)
         plan.report_event('cancelled')
         await self._fail(problem)
         return False
 
+    def _problem(self, endpoint: serving.Endpoint) -> str:
+        """Return why an engine must not get the request; empty if it may."""
+        if not self._origin.allows(endpoint):
+            return 'other_version'
+        if not _stop_check.admits(self._in_flight, endpoint):
+            return _stop_check.REASON
+        return ''
+
     async def _wait_for_decision(
         self, plan: _planning.Plan
     ) -> serving.RunAt | serving.Refuse:
--- a/src/lentilspool/gateway/tests/test_late_stop.py
+++ b/src/lentilspool/gateway/tests/test_late_stop.py
@@ -134,3 +134,30 @@
     )
     def test_is_served(self, case: Case) -> None:
         run_beside_stop(case, works.streaming({}), assert_served)
+
+
+class TestSilentEngineBesideStop:
+    def test_keeps_the_stream_if_its_replacement_comes_too_late(self) -> None:
+        async def scenario(gateway: builders.Gateway) -> None:
+            pauses_s = iter(({0: 0.3}, {0: 0.7}, {}))
+            engines = [
+                builders.Endpoint(
+                    f'e{number}',
+                    builders.ENGINE,
+                    works.in_turn(map(works.streaming, pauses_s)),
+                )
+                for number in range(2)
+            ]
+            route = {**draft(staged=False), 'resumable': True, 'attempts': 2}
+            await gateway.start(engines, [{**route, 'target_latency_ms': 100}])
+            assert (await gateway.request('/draft/')).whole
+            gateway.context.stop.begin()
+            received = await gateway.request('/draft/')
+            assert (received.status, received.whole) == (200, True)
+            assert sum(len(one.received) for one in engines) == 2
+
+        builders.run(
+            scenario,
+            settings.SendSettings(silent_s=0.4),
+            settings.StopSettings(grace_s=2.1, exit_s=0.2),
+        )
