Wait at a stop for requests that have arrived but are not read yet

What callers saw: nothing yet; found in review. A caller whose request was on its way when a stopping gateway ended got no answer, and cannot know whether its request has run.

Cause: a stopping process ends after lame_s when no request is open, and a request counted as open only once its body was read. The rest of one that was being read was received and dropped while the connection was closed.

Evidence: two of the new tests failed before.

Change: a request counts as open from its first byte, also if that waits unread in the socket. Connections that only linger for their caller's close do not count, as a further test shows (it passed before). The limit of the stop stays. The start of a head's time limit moves to its only use, with the same condition.

--- a/src/lentilspool/gateway/_http_server.py
+++ b/src/lentilspool/gateway/_http_server.py
@@ -172,8 +172,8 @@
 
     @property
     def open_requests(self) -> int:
-        """Requests that have no final answer."""
-        return sum(one.busy for one in self._connections)
+        """Requests that have no final answer, also those not read to the end."""
+        return sum(one.has_request for one in self._connections)
 
     async def serve(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
@@ -217,9 +217,17 @@
         self._parser = _parser.Parser(self._http)
         self._read_scope = trio.CancelScope()
         self._close_announced = False
+        self._reading = False
         self.busy = False
         self.broken = False
 
+    @property
+    def has_request(self) -> bool:
+        """Whether a request is served, or a part of one has arrived."""
+        if self._reading:
+            return not self._is_idle or _sockets.has_input(self._stream)
+        return self.busy
+
     async def run(self) -> None:
         """Serve requests until either end closes."""
         try:
@@ -266,7 +274,11 @@
         return event
 
     async def _serve_one(self) -> bool:
-        request = await self._read_with_timeout()
+        self._reading = True
+        try:
+            request = await self._read_with_timeout()
+        finally:
+            self._reading = False
         if request is None:
             return False
         if isinstance(request, _RequestError):
@@ -397,8 +409,11 @@
         event = await self._parse_event()
         while event is h11.NEED_DATA:
             received = await self._stream.receive_some(_RECEIVE_BYTES)
-            if received and self._http.their_state is h11.IDLE:
-                self._start_head_timeout(limits.header_timeout_s)
+            if received and self._is_idle:
+                # The first byte of a head starts its time limit.
+                self._read_scope.deadline = (
+                    trio.current_time() + limits.header_timeout_s
+                )
             self._parser.receive(received)
             event = await self._parse_event()
         if isinstance(event, h11.ConnectionClosed):
@@ -413,11 +428,6 @@
             _events.CALLER_BROKEN.log(_logger, problem=problem)
             return _RequestError(error.error_status_hint)
 
-    def _start_head_timeout(self, limit_s: float) -> None:
-        """Start the time limit of a head at its first byte."""
-        if self._is_idle:
-            self._read_scope.deadline = trio.current_time() + limit_s
-
     async def _refuse(self, error: _RequestError) -> None:
         if error.status is None or self._http.our_state not in {
             h11.IDLE,
--- a/src/lentilspool/gateway/tests/test_http_server.py
+++ b/src/lentilspool/gateway/tests/test_http_server.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import logging
+import os
 import time
 import tracemalloc
 from collections.abc import AsyncIterator
@@ -277,6 +278,40 @@
 
         trio.run(check)
 
+    @pytest.mark.parametrize(
+        ('arrived', 'pause_s', 'open_requests'),
+        [(b'', 0.05, 0), (REQUEST[:-1], 0.05, 1), (REQUEST, 0, 1)],
+        ids=['idle', 'half-read', 'unread'],
+    )
+    def test_requests_that_have_arrived_are_open(
+        self, arrived: bytes, pause_s: float, open_requests: int
+    ) -> None:
+        async def check() -> None:
+            async with serving_harness() as harness:
+                stream = await harness.open()
+                await stream.send_all(REQUEST)
+                assert b'200' in await stream.receive_some(1000)
+                await trio.sleep(0.05)
+                # Leaves the server no turn to read it.
+                os.write(stream.socket.fileno(), arrived)
+                if pause_s:
+                    await trio.sleep(pause_s)
+                assert harness.server.open_requests == open_requests
+
+        trio.run(check)
+
+    def test_answered_request_is_not_open_until_its_caller_closes(self) -> None:
+        async def check() -> None:
+            async with serving_harness() as harness:
+                stream = await harness.open()
+                harness.server.close_idle()
+                await stream.send_all(REQUEST)
+                assert b'200' in await stream.receive_some(1000)
+                await trio.sleep(0.05)
+                assert harness.server.open_requests == 0
+
+        trio.run(check)
+
 
 CHUNKED = b'POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n'
 WIDE_LIMITS = serving.CallLimits(16_384, 100_000, 5, 5)
