Leave time to answer at a stop with a short grace period

What callers saw: nothing; found in review, no known deployment has such a grace period. With one of up to 0.7 s a process ended at once, without answers to the requests that it had.

Cause: the time kept for the exit did not depend on the grace period.

Evidence: the new test failed before for 0.4 s (1.0 s passed).

Change: at most half of the grace period is kept for the exit.

--- a/src/lentilspool/gateway/tests/test_stop.py
+++ b/src/lentilspool/gateway/tests/test_stop.py
@@ -59,3 +59,12 @@
                 assert scope.deadline == deadline
 
         trio.run(check)
+
+    @pytest.mark.parametrize('grace_s', [0.4, 1.0])
+    def test_short_grace_period_leaves_time_to_answer(
+        self, grace_s: float
+    ) -> None:
+        stop = _stop.PlannedStop(settings.StopSettings(grace_s=grace_s))
+        stop.begin()
+        assert not stop.time_is_up
+        assert stop.left_s < grace_s / 2
--- a/src/lentilspool/settings/_gateway.py
+++ b/src/lentilspool/settings/_gateway.py
@@ -124,12 +124,12 @@
 
     exit_s: float = 0.7
     """Seconds of these in which the process exits even with requests in
-    flight; a signal may be handled late."""
+    flight; a signal may be handled late. At most half of ``grace_s``."""
 
     @property
     def limit_s(self) -> float:
         """Seconds after which the process exits."""
-        return self.grace_s - self.exit_s
+        return self.grace_s - min(self.exit_s, self.grace_s / 2)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
