Keep resumed streams from lowering the foreseen length

What callers saw: nothing yet; found in review, shown by a test only. In a process that has mostly resumed streams lately, a stop may admit a whole stream that it then cuts off.

Cause: the events of a resumed stream are the rest of it, but were divided by the tokens of the whole stream.

Evidence: the new test failed before: one whole stream and 20 resumed ones gave 0.04 s for the rest of a stream of 0.4 s.

Change: runs that resume a stream show their begin and pace, not a length.

After: 0.4 s; tests of run times, late stops, silent endpoints and exchanges pass.

--- a/src/lentilspool/gateway/_attempt_run.py
+++ b/src/lentilspool/gateway/_attempt_run.py
@@ -15,9 +15,15 @@
         self._run: serving.Run | None = None
 
     def begin(
-        self, route: str, endpoint: serving.Endpoint, output_tokens: int
+        self,
+        route: str,
+        endpoint: serving.Endpoint,
+        output_tokens: int | None,
     ) -> None:
-        """Record that the request is sent to an endpoint."""
+        """Record that the request is sent to an endpoint.
+
+        ``output_tokens`` is None if it resumes a stream.
+        """
         self._run = self._run_times.begin(
             route, endpoint, output_tokens, _clock.now()
         )
--- a/src/lentilspool/gateway/_in_flight.py
+++ b/src/lentilspool/gateway/_in_flight.py
@@ -196,7 +196,12 @@
         self, endpoint: serving.Endpoint, time_left_s: float
     ) -> None:
         """Log that an attempt starts at an endpoint."""
-        self._run.begin(self.route.name, endpoint, self.output_tokens)
+        resumes = self.reply.begun or self.call.last_event is not None
+        self._run.begin(
+            self.route.name,
+            endpoint,
+            None if resumes else self.output_tokens,
+        )
         # While an attempt is open, the request may have run.
         self.attempt_open = True
         _events.SENT.log(
--- a/src/lentilspool/serving/_run_times.py
+++ b/src/lentilspool/serving/_run_times.py
@@ -65,12 +65,12 @@
         self,
         route: str,
         endpoint: _endpoints.Endpoint,
-        output_tokens: int,
+        output_tokens: int | None,
         now: float,
     ) -> None:
         self._route = route
         self._endpoint = endpoint
-        self._output_tokens = max(output_tokens, 1)
+        self._output_tokens = output_tokens
         self._sent_at = now
         self._first_event_at: float | None = None
         self._last_event_at = now
@@ -81,6 +81,12 @@
         """Whether an event was received."""
         return self._events > 0
 
+    @property
+    def _events_per_token(self) -> float | None:
+        if self._output_tokens is None:
+            return None
+        return self._events / max(self._output_tokens, 1)
+
     def add_events(self, count: int, now: float) -> None:
         """Record events that were received, if there were any."""
         if not count:
@@ -105,7 +111,7 @@
             wait_s,
             self._event_s(now, complete=complete),
             self._event_wait_s(now, complete=complete),
-            self._events / self._output_tokens if complete else None,
+            self._events_per_token if complete else None,
         )
 
     def _event_s(self, now: float, *, complete: bool) -> float | None:
@@ -142,10 +148,14 @@
         self,
         route: str,
         endpoint: _endpoints.Endpoint,
-        output_tokens: int,
+        output_tokens: int | None,
         now: float,
     ) -> Run:
-        """Record that a request was sent; 0 tokens if none are asked for."""
+        """Record that a request was sent.
+
+        ``output_tokens`` is 0 if none are asked for, and None if the request
+        resumes a stream, which shows no length of a whole one.
+        """
         run = Run(route, endpoint, output_tokens, now)
         self._open.add(run)
         return run
--- a/src/lentilspool/serving/tests/test_run_times.py
+++ b/src/lentilspool/serving/tests/test_run_times.py
@@ -72,6 +72,17 @@
         assert expected.first_event_s == pytest.approx(0.1)
         assert expected.rest_s == pytest.approx(EVENTS * PACE_S)
 
+    def test_resumed_streams_show_no_length(self) -> None:
+        times = serving.RunTimes()
+        now = stream(times, endpoint('e'), 0)
+        for _ in range(20):
+            run = times.begin('draft', endpoint('e'), None, now)
+            run.add_events(1, now + 0.1)
+            run.add_events(1, now + 0.1 + PACE_S)
+            times.end(run, now + 0.1 + PACE_S, complete=True)
+        expected = times.expected(route(), 'model', TOKENS, now + 0.2)
+        assert expected.rest_s == pytest.approx(EVENTS * PACE_S)
+
     def test_grows_with_the_tokens(self) -> None:
         times = serving.RunTimes()
         now = stream(times, endpoint('e'), 0)
