--- a/src/lentilspool/serving/_run_times.py
+++ b/src/lentilspool/serving/_run_times.py
@@ -81,12 +81,6 @@
         """Whether an event was received."""
         return self._events > 0
 
-    @property
-    def _events_per_token(self) -> float | None:
-        if self._output_tokens is None:
-            return None
-        return self._events / max(self._output_tokens, 1)
-
     def add_events(self, count: int, now: float) -> None:
         """Record events that were received, if there were any."""
         if not count:
@@ -114,6 +108,12 @@
             self._events_per_token if complete else None,
         )
 
+    @property
+    def _events_per_token(self) -> float | None:
+        if self._output_tokens is None:
+            return None
+        return self._events / max(self._output_tokens, 1)
+
     def _event_s(self, now: float, *, complete: bool) -> float | None:
         if self._first_event_at is None or self._events < 2:
             return None
