Judge a split route at a stop by its quickest service until one is chosen

What callers saw: nothing yet; found in review. While a route is split, a stopping process that had not served one of its services in the last 10 s refused all requests of the route at once, also those for the other service.

Cause: without a chosen endpoint the slowest service of the route counted, whatever its weight, and one without observations counts as very slow.

Evidence: the new test failed before: 503 for a quick stream, with a second service of one millionth of the weight that was never used.

Ruled out: admitting what cannot end. The service that is chosen is asked about again before its endpoint gets the request (test_late_stop.py, all cases pass).

Change: without an endpoint the quickest service counts.

After: 200 and whole; tests of late stops and stops pass.

--- a/src/lentilspool/gateway/_stop_check.py
+++ b/src/lentilspool/gateway/_stop_check.py
@@ -18,7 +18,8 @@
     """Whether a request can be answered completely before the process ends.
 
     Ask on arrival, and again before it is sent to an endpoint: until then its
-    refusal is true. A stream that has begun goes on in any case.
+    refusal is true. Without an endpoint, the quickest service of its route
+    counts. A stream that has begun goes on in any case.
     """
     stop = in_flight.context.stop
     if not stop.begun or in_flight.reply.begun:
@@ -76,7 +77,8 @@
         )
         for service in services
     ]
-    return max(runs, key=lambda run: run.first_event_s + run.rest_s)
+    # The service that is chosen is asked about again.
+    return min(runs, key=lambda run: run.first_event_s + run.rest_s)
 
 
 def _needed_s(
--- a/src/lentilspool/gateway/tests/test_late_stop.py
+++ b/src/lentilspool/gateway/tests/test_late_stop.py
@@ -135,6 +135,25 @@
     def test_is_served(self, case: Case) -> None:
         run_beside_stop(case, works.streaming({}), assert_served)
 
+    def test_is_served_if_another_share_of_its_route_is_unknown(self) -> None:
+        async def scenario(gateway: builders.Gateway) -> None:
+            engines = [
+                builders.Endpoint(service, service, works.streaming({}))
+                for service in (builders.ENGINE, builders.OTHER_ENGINE)
+            ]
+            shares = [
+                {'service': builders.ENGINE, 'weight': 1_000_000},
+                {'service': builders.OTHER_ENGINE, 'weight': 1},
+            ]
+            route = {**draft(staged=False), 'traffic_split': shares}
+            await gateway.start(engines, [route])
+            assert (await gateway.request('/draft/')).whole
+            gateway.context.stop.begin()
+            received = await gateway.request('/draft/')
+            assert_served(received, engines[0])
+
+        builders.run(scenario, stop=STOP)
+
 
 class TestSilentEngineBesideStop:
     def test_keeps_the_stream_if_its_replacement_comes_too_late(self) -> None:
