--- a/src/lentilspool/serving/_run_times.py
+++ b/src/lentilspool/serving/_run_times.py
@@ -65,10 +65,14 @@
         self,
         route: str,
         endpoint: _endpoints.Endpoint,
-        output_tokens: int,
+        output_tokens: int | None,
         now: float,
     ) -> _run_observations.Run:
-        """Record that a request was sent; 0 tokens if none are asked for."""
+        """Record that a request was sent.
+
+        ``output_tokens`` is 0 if none are asked for, and None if the request
+        resumes a stream, which shows no length of a whole one.
+        """
         run = _run_observations.Run(route, endpoint, output_tokens, now)
         self._open.add(run)
         return run
