Reset the connection of an HTTP/1.0 caller whose answer is incomplete

Callers saw: a stream that was cut off looked complete to a caller on HTTP/1.0. Such an answer has no chunks and ends with its connection, and the gateway closed that in the same way at the end and when it broke off.

Ruled out: the reading of the endpoint's answer (an HTTP/1.1 caller saw the cut in every case), and answers with a length.

Change: while such an answer is incomplete, SO_LINGER makes any close a reset, also that of a process that ends; _close doesn't end it first.

--- a/src/lentilspool/gateway/_http_server.py
+++ b/src/lentilspool/gateway/_http_server.py
@@ -27,6 +27,7 @@
 _SEND_TIMEOUT_S: Final = 10.0
 _CLOSE_TIMEOUT_S: Final = 0.5
 _LAST_REQUEST_WAIT_S: Final = 1.0
+_FIRST_CHUNKED_VERSION: Final = b'1.1'
 Headers = Sequence[tuple[bytes, bytes]]
 
 
@@ -217,6 +218,7 @@
         self._parser = _parser.Parser(self._http)
         self._read_scope = trio.CancelScope()
         self._close_announced = False
+        self._reset_on_close = False
         self.busy = False
         self.broken = False
 
@@ -247,6 +249,9 @@
             for event in events
             if event is not None
         )
+        if _ends_with_connection(self._http):
+            self._reset_on_close = self._http.our_state is h11.SEND_BODY
+            _sockets.reset_on_close(self._stream, enabled=self._reset_on_close)
         if not out:
             return
         deadline = trio.current_time() + _SEND_TIMEOUT_S
@@ -433,11 +438,17 @@
     async def _close(self) -> None:
         with trio.CancelScope(shield=True) as scope:
             scope.deadline = trio.current_time() + _CLOSE_TIMEOUT_S
-            if not self.broken:
+            if not (self.broken or self._reset_on_close):
                 await _finish_sending(self._stream)
             await trio.aclose_forcefully(self._stream)
 
 
+def _ends_with_connection(connection: h11.Connection) -> bool:
+    """Whether an answer ends with its connection, unless it has a length."""
+    version = connection.their_http_version
+    return version is not None and version < _FIRST_CHUNKED_VERSION
+
+
 async def _finish_sending(stream: trio.SocketStream) -> None:
     """Close our side and read until the caller closes its own.
 
--- a/src/lentilspool/gateway/_sockets.py
+++ b/src/lentilspool/gateway/_sockets.py
@@ -3,6 +3,7 @@
 import enum
 import logging
 import socket
+import struct
 from typing import Final
 
 import trio
@@ -14,6 +15,8 @@
 # Bytes that stay unacknowledged for this long break the connection.
 _USER_TIMEOUT_MS: Final = 2500
 _ACCEPT_BACKLOG: Final = 1024
+# struct linger: whether it is set, and its time in seconds.
+_LINGER: Final = struct.Struct('ii')
 
 
 class Unreachable(enum.Enum):
@@ -76,6 +79,16 @@
     return stream
 
 
+def reset_on_close(stream: trio.SocketStream, *, enabled: bool) -> None:
+    """Choose whether a close resets the connection.
+
+    It does so also when the process ends.
+    """
+    stream.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, _LINGER.pack(int(enabled), 0)
+    )
+
+
 def has_input(stream: trio.SocketStream) -> bool:
     """Whether bytes or the end of the stream can be read now.
 
--- a/src/lentilspool/gateway/tests/test_http_server.py
+++ b/src/lentilspool/gateway/tests/test_http_server.py
@@ -337,3 +337,59 @@
                 return scope.cancelled_caught
 
         assert trio.run(check)
+
+
+async def serve_in_parts(
+    request: _http_server.Request, reply: _http_server.Reply
+) -> None:
+    """Answer in two parts, or stop after the first as the target says."""
+    await reply.write_head(200, [], b'first')
+    if request.target == b'/hang':
+        await trio.sleep_forever()
+    if request.target == b'/abort':
+        reply.abort()
+    if request.target == b'/error':
+        raise RuntimeError('a fault of the program')
+    await reply.write_chunk(b' and second')
+    await reply.write_end()
+
+
+async def serve_until_cancelled(
+    server: _http_server.Server,
+    task_status: trio.TaskStatus[trio.CancelScope],
+) -> None:
+    """Run a server in a scope that is passed on."""
+    async with trio.open_nursery() as nursery:
+        await nursery.start(server.serve)
+        task_status.started(nursery.cancel_scope)
+
+
+class TestCallerWithoutChunks:
+    """The end of the connection ends an answer to an HTTP/1.0 caller."""
+
+    async def receive(self, target: bytes) -> bytes:
+        """Return what arrives, from a server that stops after some time."""
+        harness = Harness()
+        harness.server.handler = serve_in_parts
+        received = bytearray()
+        with trio.fail_after(5):
+            async with trio.open_nursery() as nursery:
+                scope = await nursery.start(
+                    serve_until_cancelled, harness.server
+                )
+                scope.deadline = trio.current_time() + 0.2
+                stream = await harness.open()
+                await stream.send_all(b'GET %b HTTP/1.0\r\n\r\n' % target)
+                async for part in stream:
+                    received.extend(part)
+        return bytes(received)
+
+    def test_gets_a_whole_answer(self) -> None:
+        answer = trio.run(self.receive, b'/whole')
+        assert answer.endswith(b'\r\n\r\nfirst and second')
+        assert b'chunked' not in answer
+
+    @pytest.mark.parametrize('target', [b'/abort', b'/error', b'/hang'])
+    def test_sees_that_an_answer_is_incomplete(self, target: bytes) -> None:
+        with pytest.RaisesGroup(trio.BrokenResourceError):
+            trio.run(self.receive, target)
--- a/src/lentilspool/gateway/tests/test_unframed_answers.py
+++ b/src/lentilspool/gateway/tests/test_unframed_answers.py
@@ -203,9 +203,10 @@
 
 class TestStreamThatEndsInsideAnEvent:
     @pytest.mark.parametrize('part', CUT_STREAMS.values(), ids=CUT_STREAMS)
-    def test_does_not_look_complete(self, part: bytes) -> None:
+    @pytest.mark.parametrize('version', ['1.1', '1.0'])
+    def test_does_not_look_complete(self, part: bytes, version: str) -> None:
         endpoint = UnframedEndpoint(HEAD + part)
-        answer = trio.run(answer_of, endpoint, '/stream-both')
+        answer = trio.run(answer_of, endpoint, '/stream-both', version)
         assert not answer.whole
         assert b'id: 2' not in answer.body
 
@@ -236,11 +237,12 @@
 
     @pytest.mark.parametrize('head', HEADS.values(), ids=HEADS)
     @pytest.mark.parametrize('events', [EVENTS, CRLF_EVENTS])
+    @pytest.mark.parametrize('version', ['1.1', '1.0'])
     def test_stream_does_not_look_complete(
-        self, head: bytes, events: bytes
+        self, head: bytes, events: bytes, version: str
     ) -> None:
         endpoint = UnframedEndpoint(head + events, reset=True)
-        answer = trio.run(answer_of, endpoint, '/stream-both')
+        answer = trio.run(answer_of, endpoint, '/stream-both', version)
         assert not answer.whole
 
     @pytest.mark.parametrize('events', [b'', EVENTS[:FIRST_END], EVENTS])
