Deliver 204 and 304 answers without a length

Callers saw: a 204 or 304 of an endpoint came with Content-Length: 0. A 204 must not have one (RFC 9110, section 8.6), and that of a 304 is the length of the representation.

Cause: InFlightRequest.deliver added the length of the body to each answer.

Change: it adds none to these two.

Before: the 4 new cases failed (204, 304; HTTP/1.0, 1.1). After: they pass.

--- a/src/lentilspool/gateway/_in_flight.py
+++ b/src/lentilspool/gateway/_in_flight.py
@@ -26,6 +26,7 @@
 _ANSWER_TRANSIT_S: Final = 0.02
 _DEFAULT_RETRY_AFTER_S: Final = 0.1
 _FIRST_SERVER_ERROR: Final = 500
+_STATUSES_WITHOUT_BODY: Final = frozenset((204, 304))
 _DELIVERED: Final = 'delivered'
 # Share of the slack that requests may use for retries. The rest is for pieces
 # that planners resend, and for gateways that are not known here yet.
@@ -221,7 +222,9 @@
 
     async def deliver(self, head: serving.AnswerHead, body: bytes) -> None:
         """Send the caller the complete answer of an endpoint."""
-        headers = [*head.headers, (b'content-length', str(len(body)).encode())]
+        headers = list(head.headers)
+        if head.status not in _STATUSES_WITHOUT_BODY:
+            headers.append((b'content-length', str(len(body)).encode()))
         await self.reply.write_complete(head.status, headers, body)
         self.record_final_answer(head.status, _DELIVERED)
 
--- a/src/lentilspool/gateway/tests/test_unframed_answers.py
+++ b/src/lentilspool/gateway/tests/test_unframed_answers.py
@@ -172,6 +172,17 @@
         assert (answer.status, answer.body) == (status, BODY)
         assert b'server-stamp: 3e1b.07' in answer.headers
 
+    @pytest.mark.parametrize('status', [204, 304])
+    def test_without_a_body_is_delivered_without_a_length(
+        self, status: int, version: str
+    ) -> None:
+        head = HEAD.replace(b'200', b'%d' % status)
+        endpoint = UnframedEndpoint(head)
+        answer = trio.run(answer_of, endpoint, '/unsafe-both', version)
+        assert (answer.status, answer.body) == (status, b'')
+        assert b'content-length' not in answer.headers
+        assert b'transfer-encoding' not in answer.headers
+
     @pytest.mark.parametrize('head', HEADS.values(), ids=HEADS)
     @pytest.mark.parametrize('events', [EVENTS, CRLF_EVENTS])
     @pytest.mark.parametrize('path', ['/resumable-both', '/stream-both'])
