Don't regard a connection that has ended as reusable

What happened: after an answer without a length, the connection that ended it went back to the pool (or stayed with the store reader) as idle. The pool found its end at the next use and opened another, so callers saw nothing; the socket stayed open until then.

Cause: h11 reports an HTTP/1.1 answer that its connection ended as DONE, as if another could follow.

Change: Connection.reusable is false once the end was received.

Before: 2 of 3 new cases failed (HTTP/1.1, with and without Keep-Alive). After: they pass.

--- a/src/lentilspool/gateway/_connection.py
+++ b/src/lentilspool/gateway/_connection.py
@@ -134,10 +134,14 @@
     @property
     def reusable(self) -> bool:
         """Whether another request may be sent on the connection."""
+        http_states = {
+            self._parser.http.our_state,
+            self._parser.http.their_state,
+        }
         return (
             self._answer_complete
-            and self._parser.http.our_state is h11.DONE
-            and self._parser.http.their_state is h11.DONE
+            and http_states == {h11.DONE}
+            and not self._parser.ended
             and not self._parser.rest_size
         )
 
--- a/src/lentilspool/gateway/_parser.py
+++ b/src/lentilspool/gateway/_parser.py
@@ -35,6 +35,11 @@
         """Number of received bytes that belong to no event so far."""
         return len(self.http.trailing_data[0]) + len(self._received)
 
+    @property
+    def ended(self) -> bool:
+        """Whether the end of the connection was received."""
+        return self._ended
+
     def receive(self, received: bytes) -> None:
         """Add received bytes; no bytes are the end of the connection."""
         self._received += received
--- a/src/lentilspool/gateway/tests/application.py
+++ b/src/lentilspool/gateway/tests/application.py
@@ -22,6 +22,7 @@
     _planning,
     _pool,
     _published,
+    _sockets,
     _stop,
     _stream_records,
 )
@@ -91,6 +92,12 @@
     return request
 
 
+def reset(stream: trio.SocketStream) -> None:
+    """Reset a connection, with all of its bytes that were not sent."""
+    _sockets.reset_on_close(stream, enabled=True)
+    stream.socket.close()
+
+
 async def serve_sound(stream: trio.SocketStream) -> None:
     """Answer each request with two bytes, or with the events due."""
     request = await read_request(stream)
--- a/src/lentilspool/gateway/tests/test_connection.py
+++ b/src/lentilspool/gateway/tests/test_connection.py
@@ -132,6 +132,26 @@
 
         trio.run(check)
 
+    @pytest.mark.parametrize(
+        'head',
+        [
+            b'HTTP/1.1 200 OK\r\nRequest-Id: ours\r\n\r\nok',
+            b'HTTP/1.0 200 OK\r\nRequest-Id: ours\r\n\r\nok',
+            b'HTTP/1.1 200 OK\r\nRequest-Id: ours\r\n'
+            b'Connection: keep-alive\r\nKeep-Alive: timeout=9\r\n\r\nok',
+        ],
+    )
+    def test_connection_that_ended_an_answer_is_not_reused(
+        self, head: bytes
+    ) -> None:
+        async def check() -> None:
+            async with connected(head, 'close') as connection:
+                _, body = await exchange(connection)
+                assert body == b'ok'
+                assert not connection.reusable
+
+        trio.run(check)
+
     def test_closed_connection_is_stale(self) -> None:
         async def check() -> None:
             async with connected(OURS, 'close') as connection:
--- a/src/lentilspool/gateway/tests/test_unframed_answers.py
+++ b/src/lentilspool/gateway/tests/test_unframed_answers.py
@@ -11,8 +11,6 @@
 from lentilspool.gateway.tests import application
 
 RECEIVE_BYTES: Final = 65536
-# SO_LINGER with a time of 0 turns the close into a reset.
-RESET: Final = (1, 13, b'\x01\x00\x00\x00\x00\x00\x00\x00')
 BODY: Final = b'the whole body'
 EVENTS: Final = application.events(0)
 CRLF_EVENTS: Final = EVENTS.replace(b'\n', b'\r\n')
@@ -72,7 +70,7 @@
         if self._reset:
             # The bytes before a reset are read first.
             await trio.sleep(0.05)
-            stream.setsockopt(*RESET)
+            application.reset(stream)
         await stream.aclose()
         if served:
             self.on_connections.append(served)
