Read the store again at once after a connection that it closed

What happened: when the store ended its connection after an answer (one without a length, or one with a length and a close), the reader sent the next read on that connection, took the failure as a lost store, logged 222, paused for retry_s, read once with a watch of 0 s and kept entries that had lapsed. So every second read failed while the store answered each one.

Cause: the reader kept the connection as long as it was reusable, without the staleness check of the pool, and a failure on a kept connection counted as an outage.

Ruled out: answers that are reset (never used, one loss is logged).

Change: a read that fails within 0.2 s on a kept connection is sent once more on a new one. A watch that is cut later still counts as before, since a second one would not end within the time limit of the first.

--- a/src/lentilspool/gateway/_store.py
+++ b/src/lentilspool/gateway/_store.py
@@ -23,6 +23,10 @@
 _ITEM_BYTES: Final = 512
 _CONNECT_TIMEOUT_S: Final = 0.5
 _WATCH_MARGIN_S: Final = 1.0
+# A connection that the store closed after an answer breaks the next read
+# within this time; a watch that is cut later has been waiting.
+_CLOSED_WITHIN_S: Final = 0.2
+_NO_ANSWER: Final = (0, b'')
 
 
 class StoreReader:
@@ -227,10 +231,7 @@
         timeout_s = wait_s + self._patience.factor * limit_s
         scope = trio.CancelScope(deadline=trio.current_time() + timeout_s)
         with scope:
-            connection = self._connection or await self._connect()
-            self._connection = connection
-            if connection:
-                status, body = await self._send_and_receive(connection, target)
+            status, body = await self._exchange(target)
         late_s = _clock.now() - due_at
         ended = not scope.cancelled_caught
         self._patience.record(late_s, limit_s, ended=ended)
@@ -248,9 +249,25 @@
             )
             return 0
 
+    async def _exchange(self, target: str) -> tuple[int, bytes]:
+        """Return a status and body; status 0 if there is no whole answer."""
+        kept = self._connection
+        if kept:
+            began_at = _clock.now()
+            answer = await self._send_and_receive(kept, target)
+            if answer or _clock.now() - began_at > _CLOSED_WITHIN_S:
+                return answer or _NO_ANSWER
+            await kept.close()
+        self._connection = await _connect(self._settings.address)
+        if self._connection is None:
+            return _NO_ANSWER
+        answer = await self._send_and_receive(self._connection, target)
+        return answer or _NO_ANSWER
+
     async def _send_and_receive(
         self, connection: _connection.Connection, target: str
-    ) -> tuple[int, bytes]:
+    ) -> tuple[int, bytes] | None:
+        """Return a status and body; None if no answer has begun."""
         if connection.reusable:
             connection.next_request()
         failure = await connection.send(
@@ -258,12 +275,12 @@
         )
         head = failure or await connection.receive_head()
         if not isinstance(head, serving.AnswerHead):
-            return 0, b''
+            return None
         if self._order_of(head) is serving.EraOrder.older:
-            return 0, b''
+            return _NO_ANSWER
         body = await connection.receive_body(_MAX_ANSWER_BYTES)
         if isinstance(body, _connection.ExchangeFailure):
-            return 0, b''
+            return _NO_ANSWER
         return head.status, body
 
     def _order_of(self, head: serving.AnswerHead) -> serving.EraOrder:
@@ -287,14 +304,15 @@
         self._answered_era = self._published.store_era.number
         return order
 
-    async def _connect(self) -> _connection.Connection | None:
-        host, port = _sockets.split_address(self._settings.address)
-        stream = await _sockets.connect(host, port, _CONNECT_TIMEOUT_S)
-        return _connection.Connection(stream) if stream else None
-
 
 _HEADERS: Final = ((b'host', b'store'),)
 
 
 def _stored_item(item: platform.Item, era: int) -> _published.StoredItem:
     return _published.StoredItem(item.key, item.payload, item.revision, era)
+
+
+async def _connect(address: str) -> _connection.Connection | None:
+    host, port = _sockets.split_address(address)
+    stream = await _sockets.connect(host, port, _CONNECT_TIMEOUT_S)
+    return _connection.Connection(stream) if stream else None
