Name the prompt parts of requests under which an endpoint ended

Event 823 named only contents. When an engine ends under a new request each time, it showed neither which of the broken streams had begun to deliver, nor what their prompts had in common.

* Event 823 names the parts (all but the last) of requests that had no event, or only the first within 0.25 s, less those of streams that had older events from the same endpoint.
* Event 520 names the parts of a prompt, at most 8.
* At most 16 parts of a prompt are examined; keys over 64 characters are replaced by a digest.

The stand-in of test_exchange.py has the parts too, and checks that they are passed on.

--- a/src/lentilspool/gateway/_endpoint_checks.py
+++ b/src/lentilspool/gateway/_endpoint_checks.py
@@ -21,6 +21,21 @@
 # A sound endpoint may be silent for a second or two and then go on.
 _MAX_SILENCE_S: Final = 2.0
 _RECONNECT_S: Final = 0.1
+_MAX_LOGGED_PARTS: Final = 32
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PromptParts:
+    """Prompt parts of requests that ran at an endpoint."""
+
+    suspects: frozenset[str] = frozenset()
+    """Parts of requests that had no event, or only just the first."""
+
+    proved: frozenset[str] = frozenset()
+    """Parts of requests whose answer the endpoint was writing."""
+
+
+_NO_PARTS: Final = PromptParts()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -30,6 +45,12 @@
     contents: set[str]
     """Contents that ran at the endpoint without an answer."""
 
+    suspects: set[str]
+    """Prompt parts of requests whose answer had not begun."""
+
+    proved: set[str]
+    """Prompt parts of requests whose answer the endpoint was writing."""
+
     ended: trio.Event
     """Set when the check has ended."""
 
@@ -66,21 +87,37 @@
         self._last_answer_at = _clock.now()
 
     def check(
-        self, endpoint: serving.Endpoint, contents: Iterable[str]
+        self,
+        endpoint: serving.Endpoint,
+        contents: Iterable[str],
+        parts: PromptParts = _NO_PARTS,
     ) -> None:
         """Check an endpoint in the background."""
-        self._nursery.start_soon(self.wait, endpoint, frozenset(contents))
+        self._nursery.start_soon(
+            self.wait, endpoint, frozenset(contents), parts
+        )
 
     async def wait(
-        self, endpoint: serving.Endpoint, contents: frozenset[str]
+        self,
+        endpoint: serving.Endpoint,
+        contents: frozenset[str],
+        parts: PromptParts = _NO_PARTS,
     ) -> None:
         """Check an endpoint, or wait for the check that others began."""
         check = self._checks.get(endpoint.incarnation)
         if check:
             check.contents.update(contents)
+            check.suspects.update(parts.suspects)
+            check.proved.update(parts.proved)
             await check.ended.wait()
             return
-        check = _Check(set(contents), trio.Event(), _clock.now())
+        check = _Check(
+            set(contents),
+            set(parts.suspects),
+            set(parts.proved),
+            trio.Event(),
+            _clock.now(),
+        )
         self._checks[endpoint.incarnation] = check
         try:
             connected = await self._connect(endpoint)
@@ -91,7 +128,7 @@
         if isinstance(connected, trio.SocketStream):
             await trio.aclose_forcefully(connected)
         elif self._has_ended(connected, check.began_at):
-            self._record_death(endpoint, connected, check.contents)
+            self._record_death(endpoint, connected, check)
 
     async def _connect(
         self, endpoint: serving.Endpoint
@@ -125,7 +162,7 @@
         self,
         endpoint: serving.Endpoint,
         failure: _sockets.Unreachable,
-        contents: set[str],
+        check: _Check,
     ) -> None:
         self._metrics.record_endpoint_death(endpoint.service)
         _events.ENDPOINT_DIED.log(
@@ -134,8 +171,9 @@
             incarnation=endpoint.incarnation,
             service=endpoint.service,
             cause=failure.value,
-            contents=sorted(contents),
+            contents=sorted(check.contents),
+            suspects=sorted(check.suspects - check.proved)[:_MAX_LOGGED_PARTS],
         )
         self.quarantine.record_death(
-            endpoint.service, endpoint.incarnation, contents
+            endpoint.service, endpoint.incarnation, check.contents
         )
--- a/src/lentilspool/gateway/_exchange.py
+++ b/src/lentilspool/gateway/_exchange.py
@@ -49,7 +49,9 @@
     finally:
         silent_s = _clock.now() - connection.last_active_at
         if cancelled and silent_s > _SILENT_S:
-            in_flight.context.checks.check(endpoint, (in_flight.content,))
+            in_flight.context.checks.check(
+                endpoint, (in_flight.content,), in_flight.parts_at_endpoint
+            )
         with trio.CancelScope(shield=True):
             await pool.release(endpoint, connection)
 
--- a/src/lentilspool/gateway/_in_flight.py
+++ b/src/lentilspool/gateway/_in_flight.py
@@ -1,6 +1,7 @@
 """A caller's request in flight, and what all requests share."""
 
 import dataclasses
+import functools
 import logging
 from collections.abc import Callable
 from typing import Final
@@ -27,6 +28,9 @@
 _DEFAULT_RETRY_AFTER_S: Final = 0.1
 _FIRST_SERVER_ERROR: Final = 500
 _DELIVERED: Final = 'delivered'
+# An endpoint that lives so long after the first event of an answer does not end
+# because of that request's prompt.
+_PROOF_S: Final = 0.25
 # Share of the slack that requests may use for retries. The rest is for pieces
 # that planners resend, and for gateways that are not known here yet.
 _RETRY_SLACK_SHARE: Final = 0.7
@@ -125,6 +129,8 @@
         self.arrived_at = _clock.now()
         # When the caller got the last event of its stream.
         self.last_event_at = self.arrived_at
+        # When it got the first event of the attempt; None before.
+        self._first_event_at: float | None = None
         self.attempt_counts = serving.AttemptCounts()
         self.tried_incarnations: set[str] = set()
         self.attempt_open = False
@@ -134,6 +140,11 @@
                 matched.route.name, call.deadline_s
             )
 
+    @functools.cached_property
+    def prompt_parts(self) -> tuple[str, ...]:
+        """Parts of the prompt that other requests may have."""
+        return serving.shared_parts(self.call.prompt)
+
     @property
     def route(self) -> serving.Route:
         """Route of the request."""
@@ -177,12 +188,28 @@
         """Seconds for which the content is refused; None if it may run."""
         return self.context.quarantine.refusal_s(self.content)
 
+    @property
+    def parts_at_endpoint(self) -> _endpoint_checks.PromptParts:
+        """Prompt parts by what the attempt has shown of them."""
+        parts = frozenset(self.prompt_parts)
+        first_at = self._first_event_at
+        if first_at is None or self.last_event_at - first_at < _PROOF_S:
+            return _endpoint_checks.PromptParts(suspects=parts)
+        return _endpoint_checks.PromptParts(proved=parts)
+
+    def record_event(self) -> None:
+        """Record that the caller gets events of its stream."""
+        self.last_event_at = _clock.now()
+        if self._first_event_at is None:
+            self._first_event_at = self.last_event_at
+
     def record_sent(
         self, endpoint: serving.Endpoint, time_left_s: float
     ) -> None:
         """Log that an attempt starts at an endpoint."""
         # While an attempt is open, the request may have run.
         self.attempt_open = True
+        self._first_event_at = None
         _events.SENT.log(
             _logger,
             request_id=self.call.request_id,
@@ -207,7 +234,9 @@
         if outcome is not serving.AttemptOutcome.answered:
             self.tried_incarnations.add(endpoint.incarnation)
         if outcome is serving.AttemptOutcome.unknown:
-            self.context.checks.check(endpoint, (self.content,))
+            self.context.checks.check(
+                endpoint, (self.content,), self.parts_at_endpoint
+            )
         elif outcome is not serving.AttemptOutcome.unsent:
             self.context.checks.record_answer()
         _events.ATTEMPT_ENDED.log(
--- a/src/lentilspool/gateway/_ingress.py
+++ b/src/lentilspool/gateway/_ingress.py
@@ -21,6 +21,7 @@
 _NOT_FOUND: Final = 404
 _NOT_CONFIGURED_RETRY_AFTER_S: Final = 0.3
 _MS_PER_S: Final = 1000
+_MAX_LOGGED_PARTS: Final = 8
 
 
 class Ingress:
@@ -68,6 +69,7 @@
             route=in_flight.route.name,
             team=in_flight.team,
             content=in_flight.content,
+            parts=in_flight.prompt_parts[:_MAX_LOGGED_PARTS],
             left_ms=round(in_flight.time_left_s * _MS_PER_S),
             spent_ms=round(in_flight.prior_wait_s * _MS_PER_S),
             configuration=self._context.published.version,
--- a/src/lentilspool/gateway/_streams.py
+++ b/src/lentilspool/gateway/_streams.py
@@ -257,7 +257,7 @@
 
     async def _write(self, head: serving.AnswerHead, events: bytes) -> None:
         reply = self._in_flight.reply
-        self._in_flight.last_event_at = _clock.now()
+        self._in_flight.record_event()
         if reply.begun:
             await reply.write_chunk(events)
         else:
--- a/src/lentilspool/gateway/tests/test_endpoint_checks.py
+++ b/src/lentilspool/gateway/tests/test_endpoint_checks.py
@@ -17,6 +17,11 @@
 )
 
 CONTENTS = ('one', 'two')
+PARTS = (
+    _endpoint_checks.PromptParts(suspects=frozenset(('shared', 'fatal'))),
+    _endpoint_checks.PromptParts(proved=frozenset(('shared',))),
+    _endpoint_checks.PromptParts(suspects=frozenset(('shared', 'rare'))),
+)
 
 
 def endpoint_at(port: int) -> serving.Endpoint:
@@ -90,6 +95,33 @@
             trio.run(check, port)
         assert self.deaths(caplog) == [list(CONTENTS)]
 
+    def test_death_names_parts_that_no_other_request_has_proved(
+        self, caplog: pytest.LogCaptureFixture
+    ) -> None:
+        async def check_parts() -> None:
+            async with trio.open_nursery() as nursery:
+                checks = _endpoint_checks.EndpointChecks(
+                    settings.SendSettings(),
+                    _metrics.GatewayMetrics(),
+                    _content_quarantine.ContentQuarantine(
+                        settings.QuarantineSettings()
+                    ),
+                    nursery,
+                )
+                for parts in PARTS:
+                    checks.check(endpoint_at(port), CONTENTS, parts)
+
+        with socket.create_server(('127.0.0.1', 0)) as closed:
+            port = closed.getsockname()[1]
+        with caplog.at_level(logging.WARNING):
+            trio.run(check_parts)
+        suspects = [
+            record.__dict__['fields']['suspects']
+            for record in caplog.records
+            if record.__dict__.get('event') == _events.ENDPOINT_DIED.number
+        ]
+        assert suspects == [['fatal', 'rare']]
+
     def test_endpoint_that_accepts_connections_has_not_ended(
         self, caplog: pytest.LogCaptureFixture
     ) -> None:
--- a/src/lentilspool/gateway/tests/test_exchange.py
+++ b/src/lentilspool/gateway/tests/test_exchange.py
@@ -11,12 +11,14 @@
 from lentilspool.gateway import (
     _clock,
     _connection,
+    _endpoint_checks,
     _exchange,
     _in_flight,
 )
 
 ENDPOINT = serving.Endpoint('e', 'model', '127.0.0.1', 9, 'a', 1, True, 1)
 CALL = serving.Call('r', 'POST', '/x', 'h', '/x', (), '', None)
+PARTS = _endpoint_checks.PromptParts(suspects=frozenset(('part',)))
 
 
 class RecordedChecks:
@@ -26,8 +28,12 @@
         self.contents: list[tuple[str, ...]] = []
 
     def check(
-        self, endpoint: serving.Endpoint, contents: tuple[str, ...]
+        self,
+        endpoint: serving.Endpoint,
+        contents: tuple[str, ...],
+        parts: _endpoint_checks.PromptParts,
     ) -> None:
+        assert parts == PARTS
         self.contents.append(contents)
 
 
@@ -42,6 +48,7 @@
         self.call = CALL
         self.body = b''
         self.content = 'content'
+        self.parts_at_endpoint = PARTS
         self.route = self
         self.repeatable = False
 
--- a/src/lentilspool/serving/__init__.py
+++ b/src/lentilspool/serving/__init__.py
@@ -26,6 +26,7 @@
 from lentilspool.serving._configuration import Stage as Stage
 from lentilspool.serving._configuration import Team as Team
 from lentilspool.serving._contents import content_digest as content_digest
+from lentilspool.serving._contents import shared_parts as shared_parts
 from lentilspool.serving._endpoint_loads import EndpointLoads as EndpointLoads
 from lentilspool.serving._endpoints import Endpoint as Endpoint
 from lentilspool.serving._endpoints import EndpointIndex as EndpointIndex
--- a/src/lentilspool/serving/_contents.py
+++ b/src/lentilspool/serving/_contents.py
@@ -1,4 +1,4 @@
-"""Identity of a request's content, the same each time the caller repeats it."""
+"""Identity of a request's content and of the parts of its prompt."""
 
 import hashlib
 from typing import Final
@@ -7,6 +7,10 @@
 
 _DIGEST_BYTES: Final = 16
 _LENGTH_BYTES: Final = 8
+# Parts after these are not examined.
+_MAX_PARTS: Final = 16
+# Longer keys are replaced by their digest.
+_MAX_KEY_CHARACTERS: Final = 64
 
 
 def content_digest(call: _calls.Call, team: str, body: bytes) -> str:
@@ -21,3 +25,20 @@
         digest.update(len(part).to_bytes(_LENGTH_BYTES))
         digest.update(part)
     return digest.hexdigest()
+
+
+def shared_parts(prompt: _calls.Prompt | None) -> tuple[str, ...]:
+    """Return the identities of the parts that other prompts may share.
+
+    These are all but the last one. Their number and length are bounded.
+    """
+    parts = prompt.parts[:-1] if prompt else ()
+    names = [_part_name(part.key) for part in parts[:_MAX_PARTS]]
+    return tuple(dict.fromkeys(names))
+
+
+def _part_name(key: str) -> str:
+    if len(key) <= _MAX_KEY_CHARACTERS:
+        return key
+    digest = hashlib.blake2b(key.encode(), digest_size=_DIGEST_BYTES)
+    return digest.hexdigest()
