Add the failing test of prompts with a part that ends each engine

Three gateway processes, four engines that end 0.1 s after they began to run a prompt with one part and are back after 0.2 to 2 s. Fatal requests are all new and come to any gateway; sound ones of the same caller and with the same other parts come beside them.

It must hold that at most three fatal requests run later than 1 s after the fifth end (the target allows 3 s), and that sound ones begin at least half as often as before. Six cases: the part in the middle, first, with a companion that sound requests have too, with a gateway replaced midway, on a resumable route, and with many fatal requests.

--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -81,7 +81,8 @@
     """Return the parts of a prompt, which attempts of a stream share."""
     first = zlib.crc32(asked.target) % _FIRST_PARTS
     last = asked.resumed_id or asked.request_id
-    return f'aa{first}:400,{last}:100'.encode()
+    shared = ','.join(f'{part}:400' for part in asked.parts or (f'aa{first}',))
+    return f'{shared},{last}:100'.encode()
 
 
 def _headers_of(asked: _findings.Asked) -> stand_ins.Headers:
--- a/soak/_endpoints.py
+++ b/soak/_endpoints.py
@@ -10,7 +10,14 @@
 from lentilspool import serving
 from lentilspool.gateway import _http_server
 from lentilspool.platform.tests import stand_ins
-from soak import _findings, _history, _proxy, _recorder, _terms
+from soak import (
+    _fatal_parts,
+    _findings,
+    _history,
+    _proxy,
+    _recorder,
+    _terms,
+)
 
 _LIMITS: Final = serving.CallLimits(65536, 1_000_000, 5, 30)
 _WORK_S: Final = 0.03
@@ -177,9 +184,7 @@
         run: str,
     ) -> None:
         self._findings.ran(self, sent, request)
-        if self._findings.harms(sent.request_id, _findings.Harm.request):
-            self._crashed_by = sent.request_id
-            await self._crash()
+        await self._end_if_harmful(request, sent.request_id)
         headers = stand_ins.answer_headers(sent.request_id, self.name)
         if sent.results is None:
             await self._pause(self._lasts_s(request, sent))
@@ -195,6 +200,20 @@
             await reply.write_chunk(event)
         await reply.write_end()
 
+    async def _end_if_harmful(
+        self, request: _http_server.Request, request_id: str
+    ) -> None:
+        """End, a little later if it is because of a part of the prompt."""
+        if self._findings.harms(request_id, _findings.Harm.request):
+            self._crashed_by = request_id
+            await self._crash()
+        fatal_parts = self._findings.fatal_parts
+        if fatal_parts.runs(request.headers):
+            await trio.sleep(_fatal_parts.END_S)
+            self._crashed_by = request_id
+            fatal_parts.ends(self.name)
+            await self._crash()
+
     def _lasts_s(
         self, request: _http_server.Request, sent: stand_ins.EndpointRequest
     ) -> float:
--- a/soak/_findings.py
+++ b/soak/_findings.py
@@ -10,7 +10,7 @@
 import trio
 
 from lentilspool.platform.tests import stand_ins
-from soak import _budget_rule, _recorder
+from soak import _budget_rule, _fatal_parts, _recorder
 from soak.judges import _finding
 
 # Statuses that promise: it has not run, and never will.
@@ -92,6 +92,9 @@
     moved_to: str = ''
     """Service to which its route may be moved."""
 
+    parts: tuple[str, ...] = ()
+    """Parts of its prompt but the last; drawn by its target if empty."""
+
     resumed_id: str = ''
     """Request whose answer began the stream that it takes up."""
 
@@ -170,6 +173,7 @@
         self.restores = 0
         self.recorder = _recorder.Recorder()
         self.judged: list[_finding.Finding] = []
+        self.fatal_parts = _fatal_parts.FatalParts()
         self.last_run_at: dict[str, float] = {}
         self.broken: list[str] = []
 
--- a/src/lentilspool/platform/tests/stand_ins.py
+++ b/src/lentilspool/platform/tests/stand_ins.py
@@ -57,6 +57,15 @@
     )
 
 
+def decode_prompt_parts(
+    headers: Iterable[tuple[bytes, bytes]],
+) -> tuple[str, ...]:
+    """Return the keys of the parts of a prompt."""
+    by_name = {name.lower(): content.decode() for name, content in headers}
+    entries = by_name.get(_names.PROMPT_PARTS, '').split(',')
+    return tuple(entry.strip().partition(':')[0] for entry in entries)
+
+
 def answer_headers(request_id: str, signature: str) -> Headers:
     """Return the headers that an endpoint adds to its answer."""
     return [
