--- a/src/lentilspool/gateway/tests/test_prompt_parts.py
+++ b/src/lentilspool/gateway/tests/test_prompt_parts.py
@@ -1,13 +1,14 @@
 """Tests of the prompt parts that an endpoint's end is attributed to."""
 
 from collections.abc import Iterable
+from typing import cast
 
 import pytest
 import trio
 
 from lentilspool import serving
 from lentilspool.gateway import _endpoint_checks, _http_server, _in_flight
-from lentilspool.gateway.tests import builders, works
+from lentilspool.gateway.tests import application, builders, works
 
 SHARED = frozenset(('aa',))
 SUSPECT = _endpoint_checks.PromptParts(suspects=SHARED)
@@ -149,3 +150,54 @@
             assert sum(len(engine.received) for engine in engines) == 1
 
         builders.run(scenario)
+
+
+class UnframedServer:
+    """Answers with neither a length nor chunks, and closes."""
+
+    def __init__(self, body: bytes) -> None:
+        self.port = 0
+        self._body = body
+
+    async def serve(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
+        self.port = listeners[0].socket.getsockname()[1]
+        task_status.started()
+        await trio.serve_listeners(self._answer, listeners)
+
+    async def _answer(self, stream: trio.SocketStream) -> None:
+        await application.read_request(stream)
+        head = b'HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\n'
+        await stream.send_all(head + self._body)
+        await stream.aclose()
+
+
+class TestClearing:
+    @pytest.mark.parametrize(
+        ('body', 'cleared'),
+        [(b'', False), (works.event(1), True)],
+        ids=['no event', 'an event'],
+    )
+    def test_stream_without_an_event_clears_nothing(
+        self, body: bytes, cleared: bool
+    ) -> None:
+        """An engine that ends may close its connections as a whole answer."""
+
+        async def scenario(gateway: builders.Gateway) -> None:
+            engine = builders.Endpoint(
+                'e', builders.ENGINE, works.streaming({})
+            )
+            server = UnframedServer(body)
+            engine.server = cast(_http_server.Server, server)
+            route = builders.route('draft', 'streaming', builders.ENGINE)
+            await gateway.start([engine], [route])
+            await gateway.request('/draft/', '1')
+            await condemn(gateway)
+            refusal_s = gateway.context.quarantine.prompt_refusal_s(
+                tuple(SHARED)
+            )
+            assert (refusal_s is None) is cleared
+
+        builders.run(scenario)
