Refuse a part that has completed lately only for seconds at first

Engines that fall silent at the same time are found to have ended over a second or two. If nothing can complete meanwhile, a first part that most requests share counted several deaths, and was refused for a minute after five; nothing could then complete with it.

For a part with which a request has completed lately, deaths within 1 s count once, and the refusal lasts 5 s at first, twice as long after each further death.

Only parts with enough deaths are judged, not all.

--- a/src/lentilspool/admission/_part_evidence.py
+++ b/src/lentilspool/admission/_part_evidence.py
@@ -1,7 +1,7 @@
 """Which prompt parts may have caused which endpoint deaths."""
 
 import itertools
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 from typing import Final
 
 from lentilspool.admission import _part_quarantine_types as types
@@ -24,6 +24,7 @@
         self._times: dict[str, float] = {}
         self._deaths: dict[str, set[str]] = {}
         self._parts: dict[str, set[str]] = {}
+        self._often: dict[str, None] = {}
         self._version = 0
 
     @property
@@ -36,6 +37,11 @@
         """Number of pairs on record."""
         return len(self._changes)
 
+    @property
+    def often(self) -> Iterable[str]:
+        """Return the parts with as many deaths as a refusal needs."""
+        return self._often.keys()
+
     def deaths(self, part: str) -> Iterable[str]:
         """Return the deaths that count against a part."""
         return self._deaths.get(part, _NO_DEATHS)
@@ -49,12 +55,6 @@
         shared = [self._parts[death] for death in self.deaths(part)]
         return frozenset(set.intersection(*shared) - {part})
 
-    def parts_with(self, deaths: int) -> Iterator[str]:
-        """Return the parts with a number of deaths or more."""
-        return (
-            part for part, found in self._deaths.items() if len(found) >= deaths
-        )
-
     def date(self, death: str, at: float) -> None:
         """Note when a death was; the earliest report holds."""
         self._times[death] = min(self._times.get(death, at), at)
@@ -64,7 +64,10 @@
         pair = (death, part)
         if pair in self._changes:
             return False
-        self._deaths.setdefault(part, set()).add(death)
+        found = self._deaths.setdefault(part, set())
+        found.add(death)
+        if len(found) >= self._limits.deaths:
+            self._often[part] = None
         self._parts.setdefault(death, set()).add(part)
         self._change(pair)
         return True
@@ -131,3 +134,5 @@
                 found.discard(other)
                 if not found:
                     table.pop(key)
+        if len(self._deaths.get(part, _NO_DEATHS)) < self._limits.deaths:
+            self._often.pop(part, None)
--- a/src/lentilspool/admission/_part_quarantine.py
+++ b/src/lentilspool/admission/_part_quarantine.py
@@ -159,7 +159,7 @@
         self._judged_version = self._evidence.version
         refusals = {
             part: refusal
-            for part in self._evidence.parts_with(self._limits.deaths)
+            for part in self._evidence.often
             if (refusal := self._refusal(part))
         }
         if refusals == self._refusals:
@@ -179,21 +179,29 @@
 
     def _refusal(self, part: str) -> _Refusal | None:
         limits = self._limits
+        deaths, together_s, refusal_s = (
+            (
+                limits.sound_deaths,
+                limits.sound_together_s,
+                limits.sound_refusal_s,
+            )
+            if part in self._sound
+            else (limits.deaths, limits.together_s, limits.refusal_s)
+        )
         times = self._evidence.times(part)
-        count = self._count(times)
-        known = part in self._sound
-        excess = count - (limits.sound_deaths if known else limits.deaths)
+        excess = _count(times, together_s) - deaths
         if excess < 0:
             return None
-        refusal_s = min(limits.refusal_s * 2**excess, limits.lifetime_s)
+        refusal_s = min(refusal_s * 2**excess, limits.lifetime_s)
         return _Refusal(times[-1] + refusal_s, self._evidence.companions(part))
 
-    def _count(self, times: Iterable[float]) -> int:
-        """Return the number of deaths, those at about one time as one."""
-        count = 0
-        counted_at = -math.inf
-        for at in times:
-            if at - counted_at > self._limits.together_s:
-                count += 1
-                counted_at = at
-        return count
+
+def _count(times: Iterable[float], together_s: float) -> int:
+    """Return the number of deaths, those at about one time as one."""
+    count = 0
+    counted_at = -math.inf
+    for at in times:
+        if at - counted_at > together_s:
+            count += 1
+            counted_at = at
+    return count
--- a/src/lentilspool/admission/_part_quarantine_types.py
+++ b/src/lentilspool/admission/_part_quarantine_types.py
@@ -16,9 +16,6 @@
     deaths: int = 3
     """Number of endpoint deaths from which a part is refused."""
 
-    sound_deaths: int = 5
-    """The same for a part with which a request has completed lately."""
-
     together_s: float = 0.25
     """Seconds within which deaths count once; they may have another cause."""
 
@@ -26,6 +23,16 @@
     """Seconds for which a part is refused at first, from the last death; each
     further death doubles them."""
 
+    sound_deaths: int = 5
+    """Number of deaths for a part with which a request has completed lately."""
+
+    sound_together_s: float = 1.0
+    """Time within which deaths count once for such a part; endpoints that
+    fall silent at the same time are found to have ended over a second or two."""
+
+    sound_refusal_s: float = 5.0
+    """Seconds for which such a part is refused at first."""
+
     lifetime_s: float = 600.0
     """Seconds for which a death is remembered."""
 
--- a/src/lentilspool/gateway/_content_quarantine.py
+++ b/src/lentilspool/gateway/_content_quarantine.py
@@ -39,8 +39,8 @@
         )
         self._parts = admission.PartQuarantine(
             admission.PartLimits(
-                limits.part_deaths,
-                limits.sound_part_deaths,
+                deaths=limits.part_deaths,
+                sound_deaths=limits.sound_part_deaths,
                 refusal_s=limits.part_refusal_s,
                 lifetime_s=limits.refusal_s,
                 max_entries=limits.max_part_deaths,
--- a/src/lentilspool/gateway/_in_flight.py
+++ b/src/lentilspool/gateway/_in_flight.py
@@ -274,7 +274,10 @@
         """Log and count the final answer."""
         if reason == _DELIVERED and status < _FIRST_SERVER_ERROR:
             self.context.quarantine.record_completion(self.content)
-            if status == _OK and self._was_written and self.prompt_parts:
+            # A stream without an event may be that of an endpoint that ended.
+            is_stream = self.route.kind is serving.RouteKind.streaming
+            was_written = self._first_event_at is not None or not is_stream
+            if status == _OK and was_written and self.prompt_parts:
                 self.context.quarantine.record_completed_prompt(
                     self.prompt_parts
                 )
@@ -290,15 +293,6 @@
             after_ms=round(seconds * _MS_PER_S),
         )
 
-    @property
-    def _was_written(self) -> bool:
-        """Whether the endpoint wrote on the prompt.
-
-        A stream without an event may be that of an endpoint that ended.
-        """
-        is_stream = self.route.kind is serving.RouteKind.streaming
-        return not is_stream or self._first_event_at is not None
-
     async def _answer(
         self, status: int, reason: str, retry_after_s: float | None
     ) -> None:
