--- a/src/lentilspool/gateway/_exchange.py
+++ b/src/lentilspool/gateway/_exchange.py
@@ -50,7 +50,11 @@
         in_flight.run.end(complete=False)
         silent_s = _clock.now() - connection.last_active_at
         if cancelled and silent_s > _SILENT_S:
-            in_flight.context.checks.check(endpoint, (in_flight.content,))
+            in_flight.context.checks.check(
+                endpoint,
+                (in_flight.content,),
+                in_flight.prompt_progress.at_endpoint,
+            )
         with trio.CancelScope(shield=True):
             await pool.release(endpoint, connection)
 
--- a/src/lentilspool/gateway/_in_flight.py
+++ b/src/lentilspool/gateway/_in_flight.py
@@ -16,6 +16,7 @@
     _metrics,
     _planning,
     _pool,
+    _prompt_progress,
     _published,
     _stop,
     _stream_records,
@@ -26,6 +27,7 @@
 # Time reserved for sending the answer back to the caller.
 _ANSWER_TRANSIT_S: Final = 0.02
 _DEFAULT_RETRY_AFTER_S: Final = 0.1
+_OK: Final = 200
 _FIRST_SERVER_ERROR: Final = 500
 _STATUSES_WITHOUT_BODY: Final = frozenset((204, 304))
 _DELIVERED: Final = 'delivered'
@@ -130,6 +132,7 @@
         self.arrived_at = _clock.now()
         # When the caller got the last event of its stream.
         self.last_event_at = self.arrived_at
+        self._prompt_progress = _prompt_progress.PromptProgress(call.prompt)
         self.attempt_counts = serving.AttemptCounts()
         self.tried_incarnations: set[str] = set()
         self.attempt_open = False
@@ -155,6 +158,11 @@
         """The run of the current attempt."""
         return self._run
 
+    @property
+    def prompt_progress(self) -> _prompt_progress.PromptProgress:
+        """What the current attempt has shown of the prompt."""
+        return self._prompt_progress
+
     @property
     def output_tokens(self) -> int:
         """Largest number of tokens to generate; 0 without a prompt."""
@@ -190,8 +198,13 @@
 
     @property
     def quarantine_s(self) -> float | None:
-        """Seconds for which the content is refused; None if it may run."""
-        return self.context.quarantine.refusal_s(self.content)
+        """Seconds for which the request is refused; None if it may run."""
+        quarantine = self.context.quarantine
+        content_s = quarantine.refusal_s(self.content)
+        if content_s is not None:
+            return content_s
+        parts = self._prompt_progress.parts
+        return quarantine.prompt_refusal_s(parts) if parts else None
 
     def record_sent(
         self, endpoint: serving.Endpoint, time_left_s: float
@@ -205,6 +218,7 @@
         )
         # While an attempt is open, the request may have run.
         self.attempt_open = True
+        self._prompt_progress.begin_attempt()
         _events.SENT.log(
             _logger,
             request_id=self.call.request_id,
@@ -229,7 +243,9 @@
         if outcome is not serving.AttemptOutcome.answered:
             self.tried_incarnations.add(endpoint.incarnation)
         if outcome is serving.AttemptOutcome.unknown:
-            self.context.checks.check(endpoint, (self.content,))
+            self.context.checks.check(
+                endpoint, (self.content,), self._prompt_progress.at_endpoint
+            )
         elif outcome is not serving.AttemptOutcome.unsent:
             self.context.checks.record_answer()
         _events.ATTEMPT_ENDED.log(
@@ -263,6 +279,13 @@
         """Log and count the final answer."""
         if reason == _DELIVERED and status < _FIRST_SERVER_ERROR:
             self.context.quarantine.record_completion(self.content)
+            # A stream without an event may be that of an endpoint that ended.
+            is_stream = self.route.kind is serving.RouteKind.streaming
+            was_written = self._prompt_progress.has_event or not is_stream
+            if status == _OK and was_written:
+                self.context.quarantine.record_completed_prompt(
+                    self._prompt_progress.parts
+                )
         seconds = _clock.now() - self.arrived_at
         self.context.metrics.record_request(self.route.name, status, seconds)
         _events.ENDED.log(
--- a/src/lentilspool/gateway/_streams.py
+++ b/src/lentilspool/gateway/_streams.py
@@ -1,5 +1,6 @@
 """Streaming requests, which an engine answers with a series of events."""
 
+import functools
 import itertools
 import random
 from typing import Final
@@ -118,6 +119,9 @@
         """Return why an engine must not get the request; empty if it may."""
         if not self._origin.allows(endpoint):
             return 'other_version'
+        if self._in_flight.quarantine_s is not None:
+            # Learned while the request was planned.
+            return 'quarantined'
         if not _stop_check.admits(self._in_flight, endpoint):
             return _stop_check.REASON
         return ''
@@ -129,7 +133,7 @@
         in_flight = self._in_flight
         if in_flight.reply.begun:
             return await plan.wait_for_decision()
-        needed_s = _stop_check.needed_s(in_flight)
+        needed_s = functools.partial(_stop_check.needed_s, in_flight)
         waiting = trio.CancelScope()
         with waiting, in_flight.context.stop.shortening(waiting, needed_s):
             decision = await plan.wait_for_decision()
@@ -305,6 +309,7 @@
     async def _write(self, head: serving.AnswerHead, events: bytes) -> None:
         reply = self._in_flight.reply
         self._in_flight.last_event_at = _clock.now()
+        self._in_flight.prompt_progress.record_event()
         if reply.begun:
             await reply.write_chunk(events)
         else:
