Admit late streams of a stop only if recent streams show that they end in time

Cause: the process was young and had ended no stream of that route, so 25 ms a token were assumed: 0.5 s for streams that take 2.4 to 4.0 s.

Ruled out: slow engines alone (two of the four streams had none).

Change: for requests that come after the lame time, a stream of a route without recent ones may last for the route's time limit; the margin is 2 and the reserve 1.5 s. The estimate for earlier requests stays.

Before and after: a stream of 100 tokens of a new route was expected to rest 2.5 s, now for its time limit (test failed before: the name of the estimate was unknown, the value 2.5). The test of a silent engine beside a stop has a longer grace period, so that its first request is still admitted.

Conclusion: a stream that turns slower by more than the margin after its send is still cut off; nothing that is known before the send shows it.

--- a/src/lentilspool/gateway/_stop_check.py
+++ b/src/lentilspool/gateway/_stop_check.py
@@ -77,12 +77,12 @@
 def _expected(
     in_flight: _in_flight.InFlightRequest, endpoint: serving.Endpoint | None
 ) -> serving.ExpectedRun:
-    quantile = _admission(in_flight).quantile
+    admission = _admission(in_flight)
     estimates = (
-        [serving.Estimate(endpoint.service, quantile, endpoint.incarnation)]
+        [admission.estimate(endpoint.service, endpoint.incarnation)]
         if endpoint
         else [
-            serving.Estimate(share.service, quantile)
+            admission.estimate(share.service)
             for share in in_flight.route.shares
         ]
     )
--- a/src/lentilspool/serving/_run_times.py
+++ b/src/lentilspool/serving/_run_times.py
@@ -42,6 +42,10 @@
     incarnation: str = ''
     """Incarnation of the endpoint; empty if none is chosen."""
 
+    assumes_pace: bool = True
+    """Whether a stream of a route without recent ones has the usual pace; it may
+    last for the time limit of its route otherwise."""
+
     def is_at(self, observation: _run_observations.RunObservation) -> bool:
         """Whether a run was at the chosen endpoint."""
         return observation.incarnation == self.incarnation
@@ -109,7 +113,7 @@
         )
         if event_s is None or events_per_token is None:
             return ExpectedRun(
-                first_event_s, _unknown_rest_s(route, output_tokens)
+                first_event_s, _unknown_rest_s(route, output_tokens, estimate)
             )
         events = events_per_token * max(output_tokens, 1)
         return ExpectedRun(first_event_s, events * event_s)
@@ -158,11 +162,12 @@
     return max(anywhere_s, there_s or 0)
 
 
-def _unknown_rest_s(route: _configuration.Route, output_tokens: int) -> float:
+def _unknown_rest_s(
+    route: _configuration.Route, output_tokens: int, estimate: Estimate
+) -> float:
     """Return the rest of a stream if no recent one shows it."""
-    if output_tokens:
+    if output_tokens and estimate.assumes_pace:
         return output_tokens * _UNKNOWN_TOKEN_S
-    # Nothing bounds the length of a stream without a prompt but its time limit.
     return route.timeout_s
 
 
--- a/src/lentilspool/serving/_stop_admission.py
+++ b/src/lentilspool/serving/_stop_admission.py
@@ -11,33 +11,48 @@
 
 from lentilspool.serving import _run_times
 
-_MARGIN: Final = 1.25
+_USUAL_MARGIN: Final = 1.25
+_CAREFUL_MARGIN: Final = 2.0
 _ANSWER_S: Final = 0.1
 _USUAL_QUANTILE: Final = 0.5
 _CAREFUL_QUANTILE: Final = 0.9
-# A sound endpoint may be silent for about a second and then go on.
-_SILENCE_S: Final = 1.0
+# A sound endpoint may be silent for a second or so and then go on.
+_SILENCE_S: Final = 1.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StopAdmission:
     """How sure it must be that a request ends before the process.
 
-    Add its margins to the expected run of the estimate with its ``quantile``.
+    Pass the run that its ``estimate`` foresees to the other methods.
     """
 
     quantile: float
     """Share of the recent runs that a request must outlast."""
 
+    margin: float
+    """Factor of the expected time, as engines may turn slower."""
+
     silence_s: float
     """Reserve for an endpoint that is silent for a while and goes on."""
 
+    assumes_pace: bool
+    """Whether streams of a route without recent ones have the usual pace."""
+
+    def estimate(
+        self, service: str, incarnation: str = ''
+    ) -> _run_times.Estimate:
+        """Return the estimate of runs at a service, or at one endpoint."""
+        return _run_times.Estimate(
+            service, self.quantile, incarnation, self.assumes_pace
+        )
+
     def needed_s(
         self, expected_run: _run_times.ExpectedRun, *, streaming: bool
     ) -> float:
         """Return the seconds for which the process must live for a run."""
         return (
-            _MARGIN * expected_run.first_event_s
+            self.margin * expected_run.first_event_s
             + self.needed_after_first_event_s(expected_run, streaming=streaming)
         )
 
@@ -50,11 +65,15 @@
         it needs no reserve for a silence.
         """
         reserve_s = self.silence_s if streaming else 0
-        return _MARGIN * expected_run.rest_s + _ANSWER_S + reserve_s
+        return self.margin * expected_run.rest_s + _ANSWER_S + reserve_s
 
 
 # For requests that come while balancers may not know of the stop. Most of them
 # end in time, and other gateways may be stopping too.
-USUAL: Final = StopAdmission(_USUAL_QUANTILE, silence_s=0)
+USUAL: Final = StopAdmission(
+    _USUAL_QUANTILE, _USUAL_MARGIN, silence_s=0, assumes_pace=True
+)
 # For requests that come later, which must not be cut off.
-CAREFUL: Final = StopAdmission(_CAREFUL_QUANTILE, _SILENCE_S)
+CAREFUL: Final = StopAdmission(
+    _CAREFUL_QUANTILE, _CAREFUL_MARGIN, _SILENCE_S, assumes_pace=False
+)
