Don't deliver an unframed stream without any event as complete

Callers saw: a 200 with an empty event stream, marked as complete, if the endpoint's connection ended between the head and the first event of a stream without a length. It may have been broken off there, as inside an event.

Ruled out: a stream with a length of 0 is complete, and is still delivered; so is one that goes on at Last-Event-Id and has nothing to add, and one whose events have no numbers.

Change: such a stream counts as broken off: 502, or another attempt where the route allows it.

Before: 21 new cases failed (7 heads; empty, LF, CR LF). After: they pass.

Two cases of TestEndlessBytes (small chunks, /unsafe-both, /stream-both) failed once beside these at load 20 on 8 cores; no code on their way is changed here.

--- a/src/lentilspool/gateway/_connection.py
+++ b/src/lentilspool/gateway/_connection.py
@@ -28,6 +28,7 @@
 _MIN_MEAN_CHUNK_BYTES: Final = 8
 # h11 quotes the bytes that it cannot parse.
 _MAX_LOGGED_CHARACTERS: Final = 200
+_FRAMING_HEADERS: Final = (b'content-length', b'transfer-encoding')
 _SUCCESS_STATUSES: Final = range(
     http.HTTPStatus.OK, http.HTTPStatus.MULTIPLE_CHOICES
 )
@@ -130,6 +131,8 @@
         self.last_active_at = _clock.now()
         self.idle_since = _clock.now()
         self.keep_alive_s: float | None = None
+        # Whether the answer has a length or chunks.
+        self.framed = False
 
     @property
     def reusable(self) -> bool:
@@ -198,6 +201,8 @@
             head = platform.decode_answer_head(event.status_code, event.headers)
             if self._answers_request(head):
                 self.keep_alive_s = head.keep_alive_s
+                names = {name for name, _ in event.headers}
+                self.framed = not names.isdisjoint(_FRAMING_HEADERS)
                 return head
             skipped = await self._skip_mismatched(head, ignored)
             if skipped:
--- a/src/lentilspool/gateway/_streams.py
+++ b/src/lentilspool/gateway/_streams.py
@@ -253,6 +253,13 @@
             part = await self._watch.receive(connection.receive_chunk)
         if isinstance(part, _connection.ExchangeFailure):
             return part
+        has_events = (
+            self._in_flight.reply.begun
+            or self._delivered.last_event is not None
+        )
+        if not (connection.framed or has_events):
+            # It may have been broken off before its first event.
+            return _connection.ExchangeFailure('without an event', sent=True)
         return await self._finish(head, splitter.incomplete)
 
     async def _write(self, head: serving.AnswerHead, events: bytes) -> None:
--- a/src/lentilspool/gateway/tests/test_unframed_answers.py
+++ b/src/lentilspool/gateway/tests/test_unframed_answers.py
@@ -14,6 +14,7 @@
 BODY: Final = b'the whole body'
 EVENTS: Final = application.events(0)
 CRLF_EVENTS: Final = EVENTS.replace(b'\n', b'\r\n')
+UNNUMBERED: Final = b'data: x\n\ndata: y\n\n'
 STAMP: Final = b'Request-Id: ID\r\nServer-Stamp: 3e1b.07\r\n'
 HEAD: Final = b'HTTP/1.1 200 OK\r\n%b\r\n' % STAMP
 FOREIGN: Final = b'HTTP/1.1 200 OK\r\nRequest-Id: f\r\nServer-Stamp: other\r\n'
@@ -210,6 +211,13 @@
 }
 
 
+class TestStreamWithoutNumbers:
+    def test_is_delivered(self) -> None:
+        endpoint = UnframedEndpoint(HEAD + UNNUMBERED)
+        answer = trio.run(answer_of, endpoint, '/stream-both')
+        assert (answer.body, answer.whole) == (UNNUMBERED, True)
+
+
 class TestStreamThatEndsInsideAnEvent:
     @pytest.mark.parametrize('part', CUT_STREAMS.values(), ids=CUT_STREAMS)
     @pytest.mark.parametrize('version', ['1.1', '1.0'])
@@ -233,6 +241,25 @@
         assert answer.status == 502
 
 
+class TestStreamWithoutEvents:
+    """May have been broken off before its first event."""
+
+    @pytest.mark.parametrize('head', HEADS.values(), ids=HEADS)
+    @pytest.mark.parametrize('blank', [b'', b'\n', b'\r\n'])
+    def test_does_not_look_complete(self, head: bytes, blank: bytes) -> None:
+        endpoint = UnframedEndpoint(head + blank)
+        answer = trio.run(answer_of, endpoint, '/stream-both')
+        assert (answer.status, answer.whole) == (502, True)
+        endpoint = UnframedEndpoint(head + blank)
+        answer = trio.run(answer_of, endpoint, '/resumable-both')
+        assert (answer.status, answer.body) == (200, EVENTS)
+
+    def test_is_delivered_if_it_has_a_length(self) -> None:
+        framed = HEAD.replace(b'\r\n\r\n', b'\r\nContent-Length: 0\r\n\r\n')
+        answer = trio.run(answer_of, UnframedEndpoint(framed), '/stream-both')
+        assert (answer.status, answer.body, answer.whole) == (200, b'', True)
+
+
 class TestResetAnswer:
     @pytest.mark.parametrize('head', HEADS.values(), ids=HEADS)
     @pytest.mark.parametrize('body', [b'', BODY])
