Name another version of a history, and take its file's name as it stands

Seen: `python -m soak judge` on a history of another version said "unknown field `machines`" instead of naming the version; a file named 123 ended with a traceback (fire made a number of it); an end earlier than the lines before it passed as a whole history.

Change: format and version are read first, without the other fields; the name is taken as text; the end keeps the order of time too.

Tests, 7 of the 9 new cases failed before: test_history_file (order of the end, head with other fields), test_judge_command (file names). Passed after.

--- a/soak/_history_file.py
+++ b/soak/_history_file.py
@@ -8,6 +8,7 @@
 
 from soak import _history, _history_head
 
+_NAMED: Final = msgspec.json.Decoder(_history_head.Named)
 _HEADER: Final = msgspec.json.Decoder(_history_head.Header)
 _LINE: Final = msgspec.json.Decoder(_history.Line)
 
@@ -61,19 +62,19 @@
 
 def _header(line: bytes) -> _history_head.Header | HistoryError:
     try:
-        header = _HEADER.decode(line)
-    except msgspec.MsgspecError as error:
+        named = _NAMED.decode(line)
+    except (msgspec.MsgspecError, RecursionError) as error:
         return HistoryError(1, f'not the head of a history: {error}')
-    if (header.format, header.version) != (
-        _history_head.FORMAT,
-        _history_head.VERSION,
-    ):
-        named = f'{header.format} {header.version}'
+    found = (named.format, named.version)
+    if found != (_history_head.FORMAT, _history_head.VERSION):
+        expected = f'{_history_head.FORMAT} {_history_head.VERSION}'
         return HistoryError(
-            1,
-            f'expected {_history_head.FORMAT} {_history_head.VERSION}, found {named}',
+            1, f'expected {expected}, found {named.format} {named.version}'
         )
-    return header
+    try:
+        return _HEADER.decode(line)
+    except msgspec.MsgspecError as error:
+        return HistoryError(1, f'not the head of a history: {error}')
 
 
 def _whole(
@@ -91,6 +92,8 @@
         if one.at < latest:
             return HistoryError(number, 'earlier than the line before')
         latest = one.at
+    if closed.at < latest:
+        return HistoryError(last_line, 'earlier than the line before')
     if closed.observations != len(observations):
         reason = f'{closed.observations} observations expected'
         return HistoryError(last_line, reason)
--- a/soak/_history_head.py
+++ b/soak/_history_head.py
@@ -33,6 +33,16 @@
     """Time after the last fault in which service is back."""
 
 
+class Named(msgspec.Struct, frozen=True):
+    """Names the format of a file; other versions may have other fields."""
+
+    format: str
+    """Name of the format."""
+
+    version: int
+    """Version of the format."""
+
+
 class Header(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """First line of a history."""
 
--- a/soak/_judge_command.py
+++ b/soak/_judge_command.py
@@ -5,6 +5,7 @@
 import sys
 
 import msgspec
+from fire import decorators
 
 from soak import _history, _history_file
 from soak.judges import _all
@@ -34,6 +35,8 @@
         return _BROKEN if findings else _CLEAN
 
 
+# Otherwise a file named 123 would arrive as a number.
+@decorators.SetParseFns(history=str)  # type: ignore[untyped-decorator]
 def command(history: str) -> Judgement:
     """Judge the rules over a history.
 
--- a/soak/tests/test_history_file.py
+++ b/soak/tests/test_history_file.py
@@ -9,6 +9,7 @@
 HEADER = _history_head.Header(
     _history_head.FORMAT, _history_head.VERSION, seed=3
 )
+EXPECTED = f'{_history_head.FORMAT} {_history_head.VERSION}'
 SENT = _history.Sent(1.5, 'r', 'g0', 'once', _terms.Kind.unsafe, 4)
 OBSERVATIONS: list[_history.Observation] = [
     SENT,
@@ -37,6 +38,7 @@
             (b'"at":1.7', b'"at":1.5', 4),
             (b'"observations":4', b'"observations":5', 6),
             (b'"observations":4}\n', b'"observations":4}', 6),
+            (b'"type":"closed","at":1.8', b'"type":"closed","at":1.7', 6),
         ],
         ids=[
             'version',
@@ -48,6 +50,7 @@
             'order',
             'lines missing',
             'cut off',
+            'order of the end',
         ],
     )
     def test_faulty_line_is_named(
@@ -73,3 +76,29 @@
         error = _history_file.read(path)
         assert isinstance(error, _history_file.HistoryError)
         assert error.line == line
+
+    @pytest.mark.parametrize(
+        ('head', 'reason'),
+        [
+            (
+                b'{"format":"lentilspool-soak-history","version":2,"more":[]}',
+                f'expected {EXPECTED}, found {_history_head.FORMAT} 2',
+            ),
+            (
+                b'{"format":"other","version":1,"rows":{}}',
+                f'expected {EXPECTED}, found other 1',
+            ),
+            (b'{"version":1}', 'not the head of a history'),
+            (b'{"more":'.ljust(100_000, b'['), 'not the head of a history'),
+        ],
+        ids=['later version', 'other format', 'no format', 'nested deeply'],
+    )
+    def test_head_with_other_fields_is_named(
+        self, head: bytes, reason: str, tmp_path: pathlib.Path
+    ) -> None:
+        path = tmp_path / 'history.jsonl'
+        path.write_bytes(b'\n'.join((head, b'')))
+        error = _history_file.read(path)
+        assert isinstance(error, _history_file.HistoryError)
+        assert error.line == 1
+        assert error.reason.startswith(reason)
--- a/soak/tests/test_judge_command.py
+++ b/soak/tests/test_judge_command.py
@@ -49,3 +49,14 @@
     def test_missing_history_ends_with_2(self, tmp_path: pathlib.Path) -> None:
         path = str(tmp_path / 'none.jsonl')
         assert soak_program.main(['judge', path]) == 2
+
+    @pytest.mark.parametrize('name', ['123', '1e3', 'None', '[a]'])
+    def test_file_name_is_taken_as_it_stands(
+        self,
+        name: str,
+        tmp_path: pathlib.Path,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        monkeypatch.chdir(tmp_path)
+        _history_file.write(pathlib.Path(name), HEADER, [])
+        assert soak_program.main(['judge', name]) == 0
