Start the replacing endpoints of the rewind scenario with their version

Seen: the second scenario of features/store_rewind.feature ended with a TypeError in its own step in 5 of 5 runs: World.add takes a version since, the step gave none. The tag known_red of the first step hid it.

Change: the step hands on the version of the endpoint that is replaced. No check is changed.

--- a/features/steps/store_steps.py
+++ b/features/steps/store_steps.py
@@ -84,7 +84,7 @@
     context.left = [one for one in world.endpoints if one.service == 'desk']
     context.changed_at = trio.current_time()
     for endpoint in context.left:
-        await world.add('desk')
+        await world.add('desk', endpoint.version)
     for endpoint in context.left:
         world.endpoints.remove(endpoint)
         world.gone.append(endpoint)
