--- a/src/lentilspool/gateway/tests/test_endpoint_checks.py
+++ b/src/lentilspool/gateway/tests/test_endpoint_checks.py
@@ -73,7 +73,7 @@
             ),
             nursery,
         )
-        checks.check(endpoint_at(9), CONTENTS)
+        checks.check(endpoint_at(9), CONTENTS, PARTS[0])
         await trio.sleep(0.1)
         checks.record_answer()
 
@@ -86,6 +86,13 @@
             if record.__dict__.get('event') == _events.ENDPOINT_DIED.number
         ]
 
+    def suspects(self, caplog: pytest.LogCaptureFixture) -> list[object]:
+        return [
+            record.__dict__['fields']['suspects']
+            for record in caplog.records
+            if record.__dict__.get('event') == _events.ENDPOINT_DIED.number
+        ]
+
     def test_refused_connection_is_a_death_under_all_contents(
         self, caplog: pytest.LogCaptureFixture
     ) -> None:
@@ -115,12 +122,7 @@
             port = closed.getsockname()[1]
         with caplog.at_level(logging.WARNING):
             trio.run(check_parts)
-        suspects = [
-            record.__dict__['fields']['suspects']
-            for record in caplog.records
-            if record.__dict__.get('event') == _events.ENDPOINT_DIED.number
-        ]
-        assert suspects == [['fatal', 'rare']]
+        assert self.suspects(caplog) == [['fatal', 'rare']]
 
     def test_endpoint_that_accepts_connections_has_not_ended(
         self, caplog: pytest.LogCaptureFixture
@@ -147,3 +149,5 @@
                 check_silent, clock=testing.MockClock(autojump_threshold=0)
             )
         assert bool(self.deaths(caplog)) is died
+        expected = [sorted(PARTS[0].suspects)] if died else []
+        assert self.suspects(caplog) == expected
