--- a/soak/_history.py
+++ b/soak/_history.py
@@ -58,6 +58,12 @@
     prompt: str = ''
     """Digest of its model, tokens and parts of the prompt."""
 
+    parts: tuple[str, ...] = ()
+    """Names of the parts of its prompt, in order."""
+
+    fatal_part: str = ''
+    """Part of its prompt that crashes engines; empty for a sound request."""
+
     pieces: tuple[int, ...] = ()
     """Pieces of each stage; a stage takes all results of the one before."""
 
--- a/soak/judges/_disruptions.py
+++ b/soak/judges/_disruptions.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import itertools
 import math
 from typing import Final
 
@@ -66,6 +67,20 @@
             self.hurts(place, first, at) for place in (machine, _history.STORE)
         )
 
+    def is_calm(self, at: float) -> bool:
+        """Whether nothing is disrupted at a moment, but for planned work.
+
+        What is gone for good counts for the stable window.
+        """
+        window_s = self._bounds.stable_window_s
+        spans = itertools.chain.from_iterable(self._spans.values())
+        return not any(
+            span.begin <= at <= span.end
+            and (span.end < math.inf or at <= span.begin + window_s)
+            for span in spans
+            if not span.planned
+        )
+
     def last(self) -> Span | None:
         """Return the span of machines or endpoints that ends last.
 
