--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,16 +1,23 @@
 """``python -m soak``: runs seeds one after another.
 
 Prints a line of JSON a seed; ends with 1 if a promise or a rule was broken.
-``python -m soak judge HISTORY`` judges the history of a run instead.
+``python -m soak judge HISTORY`` judges the history of a run instead, and
+``python -m soak plants`` switches off one guard after another.
 """
 
 import dataclasses
 import sys
+import types
+from typing import Final
 
 import fire
 import trio
 
-from soak import _judge_command, _planned_work, _run
+from soak import _faults, _judge_command, _planned_work, _plants, _run
+
+_COMMANDS: Final = types.MappingProxyType(
+    {'judge': _judge_command.command, 'plants': _plants.command}
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -25,6 +32,10 @@
 
     def run(self) -> int:
         """Run all seeds; return the exit status."""
+        unknown = set(self.first.only) - set(_faults.NAMES)
+        if unknown:
+            sys.stderr.write(f'unknown disruptions: {sorted(unknown)}\n')
+            return 2
         broken = 0
         for seed in range(self.first.seed, self.first.seed + self.seeds):
             plan = dataclasses.replace(self.first, seed=seed)
@@ -55,8 +66,7 @@
         seconds: Time with faults in each.
         gateways: Gateway processes.
         callers: Callers at the same time.
-        plant: Guard to switch off: resend, blind, era, fatal, version or
-            abrupt.
+        plant: Guard to switch off; ``soak.planted`` has their names.
         logs: Folder for the gateways' logs and the histories.
         planned: Only planned work, and endpoints that fall silent or slow
             down.
@@ -74,13 +84,14 @@
 
 def main(arguments: list[str]) -> int:
     """Run the command that is named; return the exit status."""
-    if arguments[:1] == ['judge']:
-        chosen = fire.Fire(
-            _judge_command.command, arguments[1:], serialize=lambda _: ''
-        )
-    else:
-        chosen = fire.Fire(command, arguments, serialize=lambda _: '')
-    if isinstance(chosen, Soak | _judge_command.Judgement):
+    name = arguments[0] if arguments else ''
+    named = _COMMANDS.get(name)
+    chosen = fire.Fire(
+        named or command,
+        arguments[1:] if named else arguments,
+        serialize=lambda _: '',
+    )
+    if isinstance(chosen, Soak | _judge_command.Judgement | _plants.Plants):
         return chosen.run()
     return 2
 
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -26,6 +26,19 @@
 )
 
 
+_UNPLANNED: Final = (
+    'kill',
+    'pause',
+    'link',
+    'store_link',
+    'crash',
+    'restore',
+    'harm',
+    'fatal_part',
+)
+NAMES: Final = (*_planned_work.NAMES, *_UNPLANNED)
+
+
 class World:
     """Endpoints and store; ``disturb`` does one fault."""
 
@@ -71,17 +84,13 @@
     @property
     def kinds(self) -> _planned_work.Kinds:
         """All kinds of disruption, by name."""
-        return {
-            **self._planned.kinds,
-            'kill': self._kill,
-            'pause': self._pause,
-            'link': self._hurt_link,
-            'store_link': self._hurt_store,
-            'crash': self.crash,
-            'restore': self._drills.restore,
-            'harm': self._drills.harm,
-            'fatal_part': self._drills.crash_by_part,
-        }
+        drills = self._drills
+        signals = (self._kill, self._pause)
+        links = (self._hurt_link, self._hurt_store)
+        requests = (drills.restore, drills.harm, drills.crash_by_part)
+        unplanned = (*signals, *links, self.crash, *requests)
+        planned = self._planned.kinds
+        return {**planned, **dict(zip(_UNPLANNED, unplanned, strict=True))}
 
     @property
     def drawn(self) -> tuple[str, ...]:
--- a/soak/planted.py
+++ b/soak/planted.py
@@ -1,35 +1,24 @@
 """A gateway with a guard switched off, to see that the soak finds it."""
 
+import dataclasses
 import os
 import sys
+import types
+from typing import Final
+
+import trio
 
 from lentilspool import platform, serving
 from lentilspool.gateway import (
     _content_quarantine,
     _gateway,
+    _published,
+    _store,
     _stream_origin,
 )
 from lentilspool.programs import gateway
 from lentilspool.serving import _inputs
-
-
-def _resend() -> None:
-    """Send again what may have run, as if every route could be repeated."""
-    usual = serving.next_step
-
-    def next_step(
-        route: serving.Route,
-        tally: serving.AttemptCounts,
-        end: serving.AttemptOutcome,
-        status: int,
-        *,
-        may_retry: bool,
-    ) -> serving.AttemptStep:
-        if end is serving.AttemptOutcome.unknown and tally.sent < 2:
-            return serving.AttemptStep.again
-        return usual(route, tally, end, status, may_retry=may_retry)
-
-    serving.next_step = next_step
+from soak import _planted_requests
 
 
 def _blind() -> None:
@@ -88,18 +77,69 @@
     return True
 
 
-def main() -> None:
-    """Switch a guard off and run the gateway."""
-    plant = sys.argv.pop(1).removeprefix('--plant=')
-    plants = {
-        'resend': _resend,
+def _drain() -> None:
+    """Send work to endpoints that leave."""
+    usual = platform.decode_endpoint
+
+    def decode(name: str, payload: bytes) -> serving.Endpoint:
+        return dataclasses.replace(usual(name, payload), ready=True)
+
+    platform.decode_endpoint = decode
+
+
+def _freeze() -> None:
+    """Keep the first configuration."""
+    usual = _published.PublishedState.apply_configuration
+
+    def apply(
+        state: _published.PublishedState,
+        item: _published.StoredItem,
+        source: str,
+    ) -> None:
+        if not state.version:
+            usual(state, item, source)
+
+    setattr(  # noqa: B010
+        _published.PublishedState, 'apply_configuration', apply
+    )
+
+
+def _deaf() -> None:
+    """Read the store no more once it has not answered."""
+    usual = _store.StoreReader._read_once
+
+    async def read(reader: _store.StoreReader) -> bool:
+        if not await usual(reader):
+            await trio.sleep_forever()
+        return True
+
+    setattr(_store.StoreReader, '_read_once', read)  # noqa: B010
+
+
+PLANTS: Final = types.MappingProxyType(
+    {
+        'resend': _planted_requests.resend,
         'blind': _blind,
         'era': _era,
         'fatal': _fatal,
         'abrupt': _abrupt,
         'version': _version,
+        'stay': _planted_requests.stay,
+        'forget': _planted_requests.forget,
+        'drain': _drain,
+        'key': _planted_requests.key,
+        'team': _planted_requests.team,
+        'deny': _planted_requests.deny,
+        'freeze': _freeze,
+        'deaf': _deaf,
     }
-    plants[plant]()
+)
+
+
+def main() -> None:
+    """Switch a guard off and run the gateway."""
+    plant = sys.argv.pop(1).removeprefix('--plant=')
+    PLANTS[plant]()
     gateway.main()
 
 
