--- a/soak/tests/test_stored_histories.py
+++ b/soak/tests/test_stored_histories.py
@@ -13,7 +13,7 @@
 
 class TestStoredHistories:
     @pytest.mark.parametrize(
-        ('name', 'rule', 'clause', 'requests'),
+        ('name', 'rule', 'clause', 'findings'),
         [
             # Two streams went on at a runner of another version in one
             # answer, one after its client had taken it up again.
@@ -21,12 +21,31 @@
                 'seed-2-versions.jsonl',
                 'ORDER',
                 'versions',
-                ('1-29', '15-26', '2-24'),
+                (('1-29', '15-26', '2-24'),),
+            ),
+            # Streams taken over 4 s after SIGTERM were cut off by it.
+            (
+                'seed-1-late-stop.jsonl',
+                'LOST',
+                'SIGTERM',
+                (('9-27',), ('4-25',), ('12-18',)),
+            ),
+            # New requests with one part of the prompt ended engine after
+            # engine.
+            (
+                'seed-3-fatal-part.jsonl',
+                'BUDGET',
+                'fatal part',
+                (tuple(f'fa01-{number}' for number in range(10, 22)),),
             ),
         ],
     )
     def test_rule_is_found_broken(
-        self, name: str, rule: str, clause: str, requests: tuple[str, ...]
+        self,
+        name: str,
+        rule: str,
+        clause: str,
+        findings: tuple[tuple[str, ...], ...],
     ) -> None:
         history = _history_file.read(_FOLDER / name)
         assert isinstance(history, _history.History)
@@ -35,4 +54,4 @@
             for one in _all.judge(history)
             if one.rule == rule
         ]
-        assert found == [(rule, clause, requests)]
+        assert found == [(rule, clause, requests) for requests in findings]
