--- a/soak/_planted_requests.py
+++ b/soak/_planted_requests.py
@@ -8,6 +8,7 @@
 from lentilspool.gateway import _http_server, _in_flight
 
 _NOT_FOUND = 404
+_LATE_S = 2.0
 
 
 def resend() -> None:
@@ -70,6 +71,20 @@
     setattr(serving.RouteTable, 'find', find)  # noqa: B010
 
 
+def late() -> None:
+    """Tell endpoints a later deadline than the caller's."""
+    usual = platform.endpoint_headers
+
+    def endpoint_headers(
+        call: serving.Call, options: platform.SendOptions, body_bytes: int
+    ) -> list[tuple[bytes, bytes]]:
+        time_left_s = options.time_left_s + _LATE_S
+        changed = dataclasses.replace(options, time_left_s=time_left_s)
+        return usual(call, changed, body_bytes)
+
+    platform.endpoint_headers = endpoint_headers
+
+
 def team() -> None:
     """Do not tell endpoints the team of a caller."""
     usual = platform.endpoint_headers
--- a/soak/planted.py
+++ b/soak/planted.py
@@ -129,6 +129,7 @@
         'drain': _drain,
         'key': _planted_requests.key,
         'team': _planted_requests.team,
+        'late': _planted_requests.late,
         'deny': _planted_requests.deny,
         'freeze': _freeze,
         'deaf': _deaf,
