--- a/src/lentilspool/serving/_run_observations.py
+++ b/src/lentilspool/serving/_run_observations.py
@@ -44,12 +44,12 @@
         self,
         route: str,
         endpoint: _endpoints.Endpoint,
-        output_tokens: int,
+        output_tokens: int | None,
         now: float,
     ) -> None:
         self._route = route
         self._endpoint = endpoint
-        self._output_tokens = max(output_tokens, 1)
+        self._output_tokens = output_tokens
         self._sent_at = now
         self._first_event_at: float | None = None
         self._last_event_at = now
@@ -84,9 +84,15 @@
             wait_s,
             self._event_s(now, complete=complete),
             self._event_wait_s(now, complete=complete),
-            self._events / self._output_tokens if complete else None,
+            self._events_per_token if complete else None,
         )
 
+    @property
+    def _events_per_token(self) -> float | None:
+        if self._output_tokens is None:
+            return None
+        return self._events / max(self._output_tokens, 1)
+
     def _event_s(self, now: float, *, complete: bool) -> float | None:
         if self._first_event_at is None or self._events < 2:
             return None
