--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -26,15 +26,8 @@
 )
 
 
-_UNPLANNED: Final = (
-    'kill',
-    'pause',
-    'link',
-    'store_link',
-    'crash',
-    'restore',
-    'harm',
-    'fatal_part',
+_UNPLANNED: Final = tuple(
+    'kill pause link store_link crash restore harm fatal_part'.split()
 )
 NAMES: Final = (*_planned_work.NAMES, *_UNPLANNED)
 
--- a/soak/_planned_work.py
+++ b/soak/_planned_work.py
@@ -17,15 +17,8 @@
 _SLOW_S: Final = (1.0, 5.0)
 
 
-NAMES: Final = (
-    'stop',
-    'stop_many',
-    'reload',
-    'configure',
-    'move',
-    'drain',
-    'silence',
-    'slow',
+NAMES: Final = tuple(
+    'stop stop_many reload configure move drain silence slow'.split()
 )
 # Disruptions by name.
 Kinds = dict[str, Callable[[], Awaitable[None]]]
--- a/soak/_planted_requests.py
+++ b/soak/_planted_requests.py
@@ -1,11 +1,13 @@
 """Guards of single requests, to be switched off in a planted gateway."""
 
 import dataclasses
+from collections.abc import Iterable
 
 import trio
 
 from lentilspool import platform, serving
 from lentilspool.gateway import _http_server, _in_flight
+from lentilspool.platform import _names
 
 _NOT_FOUND = 404
 _LATE_S = 2.0
@@ -85,6 +87,20 @@
     platform.endpoint_headers = endpoint_headers
 
 
+def sign() -> None:
+    """Leave out the signatures of endpoints."""
+    usual = platform.decode_answer_head
+
+    def decode(
+        status: int, headers: Iterable[tuple[bytes, bytes]]
+    ) -> serving.AnswerHead:
+        head = usual(status, headers)
+        kept = (one for one in head.headers if one[0] != _names.SIGNATURE)
+        return dataclasses.replace(head, headers=tuple(kept))
+
+    platform.decode_answer_head = decode
+
+
 def team() -> None:
     """Do not tell endpoints the team of a caller."""
     usual = platform.endpoint_headers
