List streams that a stop cuts off in processes that are young

Cause, as traced in history and logs: all four streams were sent 3.1 to 4.0 s after the SIGTERM of a process that had started 1.2 to 3.0 s before it and had ended no stream of their route. Such a route counts with 25 ms a token: 0.5 s after the first event, where these streams take 2.4 to 4.0 s. Even the careful estimate then needs 2975 ms, and admits them until 4.0 s after SIGTERM.

Ruled out: slow engines alone; two of the four streams had none.

Not fixed here.

--- a/soak/tests/test_stored_histories.py
+++ b/soak/tests/test_stored_histories.py
@@ -30,6 +30,14 @@
                 'SIGTERM',
                 (('9-27',), ('4-25',), ('12-18',)),
             ),
+            # Taken by processes that had ended no stream of their route.
+            (
+                'seed-16-late-stop.jsonl',
+                'LOST',
+                'SIGTERM',
+                (('4-41',), ('15-53',), ('14-49',)),
+            ),
+            ('seed-17-late-stop.jsonl', 'LOST', 'SIGTERM', (('5-50',),)),
             # New requests with one part of the prompt ended engine after
             # engine.
             (
