Soak: a connection that has lost bytes brings no later ones

Cause, a fault of the soak: the proxy drops bytes while it is silent or one_way and passes later ones of the same connection on. No TCP connection does that. Chunks are whole, so no gateway can tell. Streams of 0.5 s seldom lasted beyond a silence; those of several seconds do.

Ruled out: the gateway; its log shows one attempt, delivered whole.

Change: once bytes of a direction are lost, that connection passes no more of it. soak/tests/test_proxy.py failed for both modes before, and passes.

--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -82,22 +82,27 @@
         forward: bool,
         scope: trio.CancelScope,
     ) -> None:
+        # A connection that has lost bytes brings no later ones.
+        lost = False
         try:
             async for chunk in source:
                 if self._mode is Mode.endless and not forward:
                     await self._garble(chunk, sink)
                 if self._mode is Mode.delayed:
                     await trio.sleep(_DELAY_S)
-                dropped = self._mode is Mode.silent or (
-                    self._mode is Mode.one_way and not forward
-                )
-                if not dropped:
+                lost = lost or self._drops(forward=forward)
+                if not lost:
                     await sink.send_all(chunk)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             scope.cancel()
             return
         scope.cancel()
 
+    def _drops(self, *, forward: bool) -> bool:
+        """Whether bytes of a direction are lost now."""
+        one_way = self._mode is Mode.one_way and not forward
+        return one_way or self._mode is Mode.silent
+
     async def _garble(
         self, chunk: bytes | bytearray, sink: trio.SocketStream
     ) -> None:
