--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -26,6 +26,12 @@
 )
 
 
+_UNPLANNED: Final = tuple(
+    'kill pause link store_link crash restore harm fatal_part'.split()
+)
+NAMES: Final = (*_planned_work.NAMES, *_UNPLANNED)
+
+
 class World:
     """Endpoints and store; ``disturb`` does one fault."""
 
@@ -44,7 +50,7 @@
         self.endpoints: list[_endpoints.Endpoint] = []
         self.gone: list[_endpoints.Endpoint] = []
         self._drills = _drills.Drills(self, findings, rng, nursery)
-        self.planned = _planned_work.PlannedWork(self, rng, nursery)
+        self._planned = _planned_work.PlannedWork(self, rng, nursery)
 
     async def start(self) -> None:
         """Start store and endpoints, and publish the first configuration."""
@@ -68,22 +74,27 @@
         self.gone.append(endpoint)
         self.store.drop_endpoint(endpoint)
 
-    async def disturb(self) -> None:
-        """Do one fault, drawn at random; some go on in the background."""
-        fault = self._rng.choice(
-            (
-                *self.planned.kinds,
-                self._kill,
-                self._pause,
-                self._hurt_link,
-                self._hurt_link,
-                self._hurt_store,
-                self.crash,
-                self._drills.restore,
-                self._drills.harm,
-            )
-        )
-        await fault()
+    @property
+    def kinds(self) -> _planned_work.Kinds:
+        """All kinds of disruption, by name."""
+        drills = self._drills
+        signals = (self._kill, self._pause)
+        links = (self._hurt_link, self._hurt_store)
+        requests = (drills.restore, drills.harm, drills.crash_by_part)
+        unplanned = (*signals, *links, self.crash, *requests)
+        planned = self._planned.kinds
+        return {**planned, **dict(zip(_UNPLANNED, unplanned, strict=True))}
+
+    @property
+    def drawn(self) -> tuple[str, ...]:
+        """Names from which disruptions are drawn, some of them more often."""
+        return (*self.kinds, 'link')
+
+    async def disturb(self, names: tuple[str, ...]) -> None:
+        """Do one disruption of those named; some go on in the background."""
+        name = self._rng.choice(names)
+        self._findings.drawn[name] += 1
+        await self.kinds[name]()
 
     async def add(self, service: str, version: str) -> None:
         """Start an endpoint and list it."""
--- a/soak/_findings.py
+++ b/soak/_findings.py
@@ -101,6 +101,14 @@
     received: bytes = b''
     """Events of that stream that the caller has, without their marks."""
 
+    fatal_part: str = ''
+    """Part of its prompt that crashes engines; empty for none."""
+
+    @property
+    def route(self) -> str:
+        """Name of its route."""
+        return self.target.decode().split('/')[1]
+
     @property
     def stream(self) -> str:
         """Identity of its stream."""
@@ -171,6 +179,7 @@
         self.resumed: collections.Counter[str] = collections.Counter()
         self.budget_rule = _budget_rule.BudgetRule(_budget_rule.Allowance())
         self.restores = 0
+        self.drawn: collections.Counter[str] = collections.Counter()
         self.recorder = _recorder.Recorder()
         self.judged: list[_finding.Finding] = []
         self.fatal_parts = _fatal_parts.FatalParts()
@@ -307,6 +316,7 @@
             'statuses': dict(sorted(self.statuses.items())),
             'resumed': dict(sorted(self.resumed.items())),
             'restores': self.restores,
+            'drawn': dict(sorted(self.drawn.items())),
             'fatal': len(self._deaths),
             'deaths': self.deaths,
             'broken': dict(kinds),
