--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -36,7 +36,8 @@
 # Pause in a resumable stream after which its caller goes elsewhere.
 _PAUSE_S: Final = 0.4
 _PROMPT_PARTS: Final = b'prompt-prefix'
-_PART_TOKENS: Final = (300, 100, 100)
+_SHARED_TOKENS: Final = 200
+_LAST_TOKENS: Final = 100
 # First parts of prompts, so that several endpoints hold some of them.
 _FIRST_PARTS: Final = 6
 _SECOND_PARTS: Final = 3
@@ -81,24 +82,24 @@
     return kinds[asked.repeatable]
 
 
-def _parts_of(asked: _findings.Asked) -> tuple[str, ...]:
-    """Return the parts of a prompt, which attempts of a stream share.
+def _shared_parts(target: bytes) -> tuple[str, ...]:
+    """Draw the parts of a prompt that requests share."""
+    drawn = zlib.crc32(target)
+    return f'aa{drawn % _FIRST_PARTS}', f'bb{drawn % _SECOND_PARTS}'
+
 
-    A fatal part stands for the first or the second one.
-    """
+def _parts_of(asked: _findings.Asked) -> tuple[str, ...]:
+    """Return the parts of a prompt, which attempts of a stream share."""
     if not asked.counts:
         return ()
-    drawn = zlib.crc32(asked.target)
-    shared = [f'aa{drawn % _FIRST_PARTS}', f'bb{drawn % _SECOND_PARTS}']
-    if asked.fatal_part:
-        shared[zlib.crc32(asked.fatal_part.encode()) % 2] = asked.fatal_part
-    return *shared, asked.stream
+    return *(asked.parts or _shared_parts(asked.target)), asked.stream
 
 
 def _prompt_of(asked: _findings.Asked) -> bytes:
     """Return the header that lists the parts of a prompt."""
-    listed = zip(_parts_of(asked), _PART_TOKENS, strict=True)
-    return ','.join(f'{part}:{tokens}' for part, tokens in listed).encode()
+    *shared, last = _parts_of(asked)
+    listed = ''.join(f'{part}:{_SHARED_TOKENS},' for part in shared)
+    return f'{listed}{last}:{_LAST_TOKENS}'.encode()
 
 
 def _headers_of(asked: _findings.Asked) -> stand_ins.Headers:
@@ -255,21 +256,29 @@
             await trio.sleep(self._rng.uniform(0, 2 * pause_s))
 
     async def repeat_part(self, part: str, pause_s: float) -> None:
-        """Send new requests with a fatal part of a prompt, at any gateway."""
+        """Send new requests with a fatal part of a prompt, at any gateway.
+
+        It stands for the first or the second part.
+        """
+        self._findings.fatal_parts.names.add(part)
+        place = zlib.crc32(part.encode()) % 2
         while True:
             await trio.sleep(self._rng.expovariate(1 / pause_s))
             self._count += 1
             name, service, repeatable, counts = self._rng.choice(_STREAMS)
             request_id = f'{part}-{self._count}'
+            target = f'/{name}/{request_id}'.encode()
+            shared = list(_shared_parts(target))
+            shared[place] = part
             asked = _findings.Asked(
                 request_id,
                 _published.TEAMS[0],
-                f'/{name}/{request_id}'.encode(),
+                target,
                 f'body of {request_id}'.encode(),
                 service,
                 repeatable,
                 counts,
-                fatal_part=part,
+                parts=tuple(shared),
             )
             await self._ask(asked)
             await self._close()
@@ -371,6 +380,7 @@
     def _note_sent(self, asked: _findings.Asked, prompt: str) -> None:
         recorder = self._findings.recorder
         time_s = _published.timeout_s_of(asked.route)
+        parts = _parts_of(asked)
         sent = _history.Sent(
             recorder.now(),
             asked.request_id,
@@ -383,8 +393,8 @@
             content=_recorder.digest(asked.target, asked.body),
             team=asked.team,
             prompt=prompt,
-            parts=_parts_of(asked),
-            fatal_part=asked.fatal_part,
+            parts=parts,
+            fatal_part=self._findings.fatal_parts.find(parts),
             pieces=asked.counts,
             key=asked.request_id if asked.counts else '',
             attempts=_published.attempts_of(repeatable=asked.repeatable),
--- a/soak/_endpoints.py
+++ b/soak/_endpoints.py
@@ -11,7 +11,14 @@
 from lentilspool import serving
 from lentilspool.gateway import _http_server
 from lentilspool.platform.tests import stand_ins
-from soak import _findings, _history, _proxy, _recorder, _terms
+from soak import (
+    _fatal_parts,
+    _findings,
+    _history,
+    _proxy,
+    _recorder,
+    _terms,
+)
 
 _LIMITS: Final = serving.CallLimits(65536, 1_000_000, 5, 30)
 _WORK_S: Final = 0.03
@@ -21,8 +28,6 @@
 _LONG_EVENT_S: Final = 0.15
 _MORE_EVENT_S: Final = 0.45
 _PERCENT: Final = 100
-# Time after which a fatal part of a prompt ends its engine.
-_FATAL_S: Final = 0.1
 _names = itertools.count(1)
 
 
@@ -209,9 +214,7 @@
         run: str,
     ) -> None:
         self._findings.ran(self, sent, request)
-        if self._findings.harms(sent.request_id, _findings.Harm.request):
-            self._crashed_by = sent.request_id
-            await self._crash()
+        await self._end_if_harmful(request, sent.request_id)
         headers = stand_ins.answer_headers(sent.request_id, self.name)
         if sent.results is None:
             await self._pause(self._lasts_s(request, sent))
@@ -221,7 +224,6 @@
         self._findings.read(sent.request_id, sent.results)
         stream = sent.resumed_id or sent.request_id
         await reply.write_head(200, headers, b'')
-        await self._read_prompt(sent.request_id)
         event_s = _event_s(request)
         for number in range(sent.last_event + 1, _findings.EVENTS + 1):
             await self._pause(event_s)
@@ -229,6 +231,20 @@
             await reply.write_chunk(event)
         await reply.write_end()
 
+    async def _end_if_harmful(
+        self, request: _http_server.Request, request_id: str
+    ) -> None:
+        """End, a little later if it is because of a part of the prompt."""
+        if self._findings.harms(request_id, _findings.Harm.request):
+            self._crashed_by = request_id
+            await self._crash()
+        fatal_parts = self._findings.fatal_parts
+        if fatal_parts.runs(request.headers):
+            await trio.sleep(_fatal_parts.END_S)
+            self._crashed_by = request_id
+            fatal_parts.ends(self.name)
+            await self._crash()
+
     def _lasts_s(
         self, request: _http_server.Request, sent: stand_ins.EndpointRequest
     ) -> float:
@@ -238,13 +254,6 @@
         long = request.target.startswith(b'/moving/')
         return _LONG_WORK_S if long else self.work_s
 
-    async def _read_prompt(self, request_id: str) -> None:
-        """Crash if the prompt of a request holds a fatal part."""
-        if self._findings.has_fatal_part(request_id):
-            await trio.sleep(_FATAL_S)
-            self._crashed_by = request_id
-            await self._crash()
-
     async def _pause(self, seconds: float) -> None:
         await trio.sleep(seconds * self._slow_factor)
         await trio.sleep_until(self._silent_until)
--- a/soak/_findings.py
+++ b/soak/_findings.py
@@ -10,7 +10,7 @@
 import trio
 
 from lentilspool.platform.tests import stand_ins
-from soak import _budget_rule, _recorder
+from soak import _budget_rule, _fatal_parts, _recorder
 from soak.judges import _finding
 
 # Statuses that promise: it has not run, and never will.
@@ -92,15 +92,15 @@
     moved_to: str = ''
     """Service to which its route may be moved."""
 
+    parts: tuple[str, ...] = ()
+    """Parts of its prompt but the last; drawn by its target if empty."""
+
     resumed_id: str = ''
     """Request whose answer began the stream that it takes up."""
 
     received: bytes = b''
     """Events of that stream that the caller has, without their marks."""
 
-    fatal_part: str = ''
-    """Part of its prompt that crashes engines; empty for none."""
-
     @property
     def route(self) -> str:
         """Name of its route."""
@@ -179,6 +179,7 @@
         self.drawn: collections.Counter[str] = collections.Counter()
         self.recorder = _recorder.Recorder()
         self.judged: list[_finding.Finding] = []
+        self.fatal_parts = _fatal_parts.FatalParts()
         self.last_run_at: dict[str, float] = {}
         self.broken: list[str] = []
 
@@ -199,11 +200,6 @@
         self._deaths[asked.content] += 1
         return True
 
-    def has_fatal_part(self, request_id: str) -> bool:
-        """Whether a request crashes its engine by a part of its prompt."""
-        asked = self._asked.get(request_id)
-        return asked is not None and bool(asked.fatal_part)
-
     def asks(self, asked: Asked) -> None:
         """Note a request before it is sent."""
         self._asked[asked.request_id] = asked
--- a/soak/tests/test_load.py
+++ b/soak/tests/test_load.py
@@ -85,7 +85,7 @@
             assert PART in parts[:-1]
 
 
-async def run_at_engine(fatal_part: str) -> _findings.Findings:
+async def run_at_engine(part: str) -> _findings.Findings:
     """Let an engine run a request, until it has ended."""
     findings = _findings.Findings()
     gone = trio.Event()
@@ -98,17 +98,18 @@
         'model',
         repeatable=False,
         counts=(0,),
-        fatal_part=fatal_part,
     )
     findings.asks(asked)
+    findings.fatal_parts.names.add(PART)
     async with trio.open_nursery() as nursery:
         await nursery.start(engine.serve)
         stream = await trio.open_tcp_stream('127.0.0.1', engine.proxy.port)
         request = (
-            b'POST /draft/r HTTP/1.1\r\nhost: soak\r\ncontent-length: 0\r\n'
-            b'request-id: r\r\ninputs:\r\n\r\n'
+            'POST /draft/r HTTP/1.1\r\nhost: soak\r\ncontent-length: 0\r\n'
+            'request-id: r\r\ninputs:\r\n'
+            f'prompt-prefix: aa:400,{part}:100,r:10\r\n\r\n'
         )
-        await stream.send_all(request)
+        await stream.send_all(request.encode())
         with trio.fail_after(5):
             while not any(
                 isinstance(one, _history.Worked)
@@ -122,7 +123,7 @@
 class TestEngineWithFatalPart:
     @pytest.mark.parametrize(
         ('part', 'how'),
-        [('', _terms.Work.whole), (PART, _terms.Work.crashed)],
+        [('bb', _terms.Work.whole), (PART, _terms.Work.crashed)],
     )
     def test_part_ends_engine(self, part: str, how: _terms.Work) -> None:
         findings = trio.run(run_at_engine, part)
--- a/src/lentilspool/gateway/_stop.py
+++ b/src/lentilspool/gateway/_stop.py
@@ -2,7 +2,7 @@
 
 import contextlib
 import math
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Final
 
 import trio
@@ -20,8 +20,8 @@
     def __init__(self, stop_settings: settings.StopSettings) -> None:
         self._settings = stop_settings
         self._began_at: float | None = None
-        # Seconds that must be left to the answer when a scope ends.
-        self._scopes: dict[trio.CancelScope, float] = {}
+        # For each time limit, the seconds that must be left after it.
+        self._scopes: dict[trio.CancelScope, Callable[[], float]] = {}
 
     @property
     def begun(self) -> bool:
@@ -66,11 +66,12 @@
 
     @contextlib.contextmanager
     def shortening(
-        self, scope: trio.CancelScope, needed_s: float = 0
+        self, scope: trio.CancelScope, needed_s: Callable[[], float] = float
     ) -> Iterator[None]:
         """Let a stop shorten a time limit of a request.
 
-        ``needed_s`` are the seconds that must be left after it.
+        ``needed_s`` returns the seconds that must be left after it; it is
+        called once the stop begins.
         """
         self._scopes[scope] = needed_s
         if self.begun:
@@ -80,6 +81,8 @@
         finally:
             self._scopes.pop(scope)
 
-    def _shorten(self, scope: trio.CancelScope, needed_s: float) -> None:
-        left_s = max(self.left_s - needed_s, 0)
+    def _shorten(
+        self, scope: trio.CancelScope, needed_s: Callable[[], float]
+    ) -> None:
+        left_s = max(self.left_s - needed_s(), 0)
         scope.deadline = min(scope.deadline, trio.current_time() + left_s)
