--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -52,7 +52,7 @@
             # Streams taken 4 s after SIGTERM were cut off by the stop.
             pytest.param(STOPS, id='series of stops'),
             # New requests with one part ended engine after engine.
-            pytest.param(PART, id='fatal part', marks=pytest.mark.known_red),
+            pytest.param(PART, id='fatal part'),
         ],
     )
     def test_plan_that_broke_a_rule_breaks_none(self, plan: _run.Plan) -> None:
