--- a/soak/_drills.py
+++ b/soak/_drills.py
@@ -93,10 +93,8 @@
             self._findings,
             random.Random(self._rng.random()),
         )
-        part = f'fa{self._parts:02}'
-        self._findings.fatal_parts.names.add(part)
         with trio.move_on_after(seconds):
-            await caller.repeat_part(part, _PART_PAUSE_S)
+            await caller.repeat_part(f'fa{self._parts:02}', _PART_PAUSE_S)
 
     async def _repeat_harmful(self) -> None:
         """Send a request that ends its endpoints, again and again."""
--- a/soak/_fatal_parts.py
+++ b/soak/_fatal_parts.py
@@ -1,7 +1,7 @@
 """Parts of prompts that end each endpoint which begins to write on them."""
 
 import dataclasses
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from typing import Final
 
 import trio
@@ -30,13 +30,17 @@
         """When the last endpoint has ended."""
         return max(self.ended_at.values())
 
+    def find(self, parts: Sequence[str]) -> str:
+        """Return the fatal part of a prompt; empty if there is none."""
+        fatal = (part for part in parts[:-1] if part in self.names)
+        return next(fatal, '')
+
     def runs(self, headers: Iterable[tuple[bytes, bytes]]) -> bool:
         """Note that a request begins to run; return whether it is fatal."""
-        parts = stand_ins.decode_prompt_parts(headers)
-        fatal = not self.names.isdisjoint(parts[:-1])
+        fatal = self.find(stand_ins.decode_prompt_parts(headers))
         if fatal:
             self.runs_at.append(trio.current_time())
-        return fatal
+        return bool(fatal)
 
     def ends(self, endpoint: str) -> None:
         """Note the end of an endpoint."""
--- a/soak/_findings.py
+++ b/soak/_findings.py
@@ -101,9 +101,6 @@
     received: bytes = b''
     """Events of that stream that the caller has, without their marks."""
 
-    fatal_part: str = ''
-    """Part of its prompt that crashes engines; empty for none."""
-
     @property
     def route(self) -> str:
         """Name of its route."""
