Write the queue between two gateways in few writes

Callers who took up a stream after their gateway had died got 503 version_unknown from a busy fleet: the other gateways had no record of it.

Cause: the outbox of a connection wrote one message at a time, which takes about three turns of the event loop. When a turn takes longer than the time between heartbeats, heartbeats alone are queued faster than they are written, and records wait behind them. Traced in TestOverTries::test_most_streams_of_a_gateway_that_died_go_on beside load (load average about 20 on 8 cores): records sent 1.6 to 2 s after they were queued, the gateway was killed before that. Plans, their answers and published state use the same queue.

Ruled out: lost connections (all were up when records were queued), the 0.15 s for which other gateways are asked (they did not have the record), refusals by planners.

Change: the outbox takes all that is queued and writes it together, up to 64 KiB a write. A write ends or breaks the stream, as before.

--- a/src/lentilspool/gateway/_peers.py
+++ b/src/lentilspool/gateway/_peers.py
@@ -3,6 +3,7 @@
 They carry heartbeats, plan requests and published state.
 """
 
+import contextlib
 import dataclasses
 import logging
 from collections.abc import Callable
@@ -179,10 +180,17 @@
 
     async def send_to(self, stream: wire.MessageStream) -> None:
         """Send queued messages until the stream is broken."""
-        async for message in self._messages:
-            if not await stream.send(message):
+        async for first in self._messages:
+            if not await stream.send_together([first, *self._take_queued()]):
                 return
 
+    def _take_queued(self) -> list[wire.Message]:
+        queued: list[wire.Message] = []
+        with contextlib.suppress(trio.WouldBlock):
+            while len(queued) < _OUTBOX_CAPACITY:
+                queued.append(self._messages.receive_nowait())
+        return queued
+
 
 class Link:
     """A connection that this process opened to another gateway."""
--- a/src/lentilspool/wire/_stream.py
+++ b/src/lentilspool/wire/_stream.py
@@ -4,6 +4,7 @@
 import math
 import struct
 import time
+from collections.abc import Iterable
 from typing import Final
 
 import trio
@@ -14,6 +15,8 @@
 _RECEIVE_CHUNK_BYTES: Final = 65536
 _SEND_TIMEOUT_S: Final = 5.0
 _MESSAGES_PER_TURN: Final = 64
+# Frames are written together until they have this size.
+_WRITE_BYTES: Final = 65536
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -58,20 +61,21 @@
         so that the receiver never gets part of one. A receiver that does
         not read the frame before the send timeout breaks the stream.
         """
-        payload = _codec.encode(message)
-        frame = _LENGTH_PREFIX.pack(len(payload)) + payload
-        async with self._send_lock:
-            if self._broken:
-                return False
-            deadline = trio.current_time() + _SEND_TIMEOUT_S
-            scope = trio.CancelScope(shield=True, deadline=deadline)
-            with scope:
-                self._broken = not await self._write(frame)
-            if scope.cancelled_caught:
-                self._broken = True
-            if self._broken:
-                await trio.aclose_forcefully(self._stream)
-        return not self._broken
+        return await self._send_frames(_frame(message))
+
+    async def send_together(self, messages: Iterable[_codec.Message]) -> bool:
+        """Send messages in few writes; return False if the stream is broken.
+
+        Each write is completed or breaks the stream, as ``send`` does.
+        """
+        frames = bytearray()
+        for message in messages:
+            frames += _frame(message)
+            if len(frames) >= _WRITE_BYTES:
+                if not await self._send_frames(bytes(frames)):
+                    return False
+                frames.clear()
+        return not frames or await self._send_frames(bytes(frames))
 
     async def receive(self) -> _codec.Message | _codec.Malformed | Closed:
         """Return the next message, ``Malformed``, or ``Closed`` at the end."""
@@ -97,9 +101,23 @@
         with trio.CancelScope(shield=True, deadline=trio.current_time() + 1):
             await self._stream.aclose()
 
-    async def _write(self, frame: bytes) -> bool:
+    async def _send_frames(self, frames: bytes) -> bool:
+        async with self._send_lock:
+            if self._broken:
+                return False
+            deadline = trio.current_time() + _SEND_TIMEOUT_S
+            scope = trio.CancelScope(shield=True, deadline=deadline)
+            with scope:
+                self._broken = not await self._write(frames)
+            if scope.cancelled_caught:
+                self._broken = True
+            if self._broken:
+                await trio.aclose_forcefully(self._stream)
+        return not self._broken
+
+    async def _write(self, frames: bytes) -> bool:
         try:
-            await self._stream.send_all(frame)
+            await self._stream.send_all(frames)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             return False
         return True
@@ -116,3 +134,8 @@
             self._last_received_at = time.clock_gettime(time.CLOCK_BOOTTIME)
             self._buffer += received
         return True
+
+
+def _frame(message: _codec.Message) -> bytes:
+    payload = _codec.encode(message)
+    return _LENGTH_PREFIX.pack(len(payload)) + payload
