Judge an entry's readiness by its sidecars' configuration, not their limit

Cause, in: an entry that starts while all endpoints of one pool are down would not become ready, since their sidecars report limit 0. Replacing the entries during such an outage would have taken away every pipeline. No caller saw it; found on reading it again.

Change: a pool counts when a member with a lease has reported a configuration in force (heartbeats carry its number). Limit 0 until the first configuration stays, so that no call is sent to such a sidecar. The table of incarnations is gone.

Test: test_directory, case "down from the start", failed before (1 of 6). The cases of stay; their reports carry the configuration's number now, as a sidecar without one can't tell a limit above 0.

--- a/src/lentilspool/daemons/_directory.py
+++ b/src/lentilspool/daemons/_directory.py
@@ -62,7 +62,6 @@
         self._hosts: dict[str, _hosts.Host] = {}
         self._names_by_target: dict[_connections.Target, str] = {}
         self._extra_sidecars: set[str] = set()
-        self._incarnations_with_limit: dict[str, int] = {}
         self._entries = 1
         self._lease_generation = -1
         self._document: config.Document | None = None
@@ -70,15 +69,15 @@
 
     @property
     def ready(self) -> bool:
-        """Whether every pool has an endpoint that has reported a limit.
+        """Whether every pool has an endpoint with a configured sidecar.
 
-        An endpoint that is down for a while, for example during an order,
-        still counts, because the other pools can be used meanwhile.
+        An endpoint that is down or gets an order counts too, because the
+        other pools can be used meanwhile.
         """
         now = trio.current_time()
         return bool(self._routers) and all(
             any(
-                self._has_had_limit(candidate.name, now)
+                self._is_configured(candidate.name, now)
                 for candidate in router.candidates
             )
             for router in self._routers.values()
@@ -146,8 +145,6 @@
         self._hosts = {host.name: host for host in sidecars}
         self._names_by_target = {host.target: host.name for host in sidecars}
         self._extra_sidecars.intersection_update(self._hosts)
-        for gone in self._incarnations_with_limit.keys() - self._hosts.keys():
-            self._incarnations_with_limit.pop(gone)
         self._update_targets()
 
     def apply_configuration(self, state: config.State) -> None:
@@ -220,8 +217,6 @@
             return
         self._update_routers()
         member = answer.member
-        if member.limit:
-            self._incarnations_with_limit[member.name] = member.incarnation
         router = self._routers.get(member.pool)
         if router is not None:
             report = pipeline.LoadReport(
@@ -231,13 +226,10 @@
                 member.name, report, _DEFAULT_SERVICE_TIME_S, now
             )
 
-    def _has_had_limit(self, name: str, now: float) -> bool:
-        """Return whether this incarnation has reported a limit above zero."""
+    def _is_configured(self, name: str, now: float) -> bool:
+        """Return whether a sidecar has reported a configuration."""
         member = self._members.leases.live_member(name, now)
-        return (
-            member is not None
-            and self._incarnations_with_limit.get(name) == member.incarnation
-        )
+        return member is not None and member.config.version > 0
 
     def _update_targets(self) -> None:
         """Keep connections to subsets, spare endpoints and extra sidecars."""
--- a/src/lentilspool/daemons/tests/test_directory.py
+++ b/src/lentilspool/daemons/tests/test_directory.py
@@ -21,17 +21,17 @@
     text=b'{}',
 )
 
-_Report = tuple[int, int]
+_Report = tuple[int, int, int]
 
 
 def _heartbeat(sequence: int, report: _Report) -> wire.Heartbeat:
-    incarnation, limit = report
+    incarnation, number, limit = report
     return wire.Heartbeat(
         process='p-0',
         incarnation=incarnation,
         sequence=sequence,
         leaving=False,
-        config=wire.ConfigDigest(0, ''),
+        config=wire.ConfigDigest(number, ''),
         in_flight=0,
         queued=0,
         limit=limit,
@@ -84,14 +84,15 @@
     @pytest.mark.parametrize(
         ('reports', 'ready'),
         [
-            pytest.param(((1, 0),), False, id='cannot run calls yet'),
-            pytest.param(((1, 4),), True, id='runs calls'),
-            pytest.param(((1, 0), (1, 4)), True, id='can now run calls'),
-            pytest.param(((1, 4), (1, 0)), True, id='down for a while'),
-            pytest.param(((1, 4), (2, 0)), False, id='restarted'),
+            pytest.param(((1, 0, 0),), False, id='no configuration'),
+            pytest.param(((1, 1, 4),), True, id='runs calls'),
+            pytest.param(((1, 0, 0), (1, 1, 4)), True, id='configured later'),
+            pytest.param(((1, 1, 4), (1, 1, 0)), True, id='down for a while'),
+            pytest.param(((1, 1, 0),), True, id='down from the start'),
+            pytest.param(((1, 1, 4), (2, 0, 0)), False, id='restarted'),
         ],
     )
-    def test_each_pool_needs_a_sidecar_that_could_run_calls(
+    def test_each_pool_needs_a_configured_sidecar(
         self, reports: tuple[_Report, ...], ready: bool
     ) -> None:
         assert trio.run(_ready_after, reports) is ready
