Kill a gateway some turns after its connection, not at once

test_gateway_that_starts_later_learns_of_streams failed beside load, with 503 version_unknown.

Cause, in the test: a gateway sends its records to a new one when the connection answers, and the test saw the connection at that moment and could kill the gateway in the same turn of the event loop, before anything was written. Any process that dies then loses them, so the product is not changed.

Change: the test kills the gateway 5 turns later. The bound is counted in turns, so it does not depend on the machine's speed; before, the test waited for no certain time at all.

--- a/src/lentilspool/gateway/tests/test_stream_versions.py
+++ b/src/lentilspool/gateway/tests/test_stream_versions.py
@@ -15,6 +15,8 @@
 STREAMS = 12
 # Planners wait for an engine until half a second past the target.
 AT_ONCE_S = stream_fleet.TARGET_S
+# Turns of the event loop in which a new connection carries the first records.
+GREETING_TURNS = 5
 Check = Callable[[stream_fleet.Fleet], Awaitable[None]]
 
 
@@ -132,6 +134,8 @@
             begun_at, spare = fleet.nodes
             await stream_fleet.Caller('r1').read(begun_at, stop_after=BEGUN)
             late = await fleet.add_node('late')
+            for _ in range(GREETING_TURNS):
+                await trio.lowlevel.checkpoint()
             fleet.kill(begun_at)
             fleet.kill(spare)
             first.scope.cancel()
