Bound an endless listing by its pages, not by the wall clock

TestEndlessListing::test_listing_without_end_is_given_up[payload1-True-40] failed beside load with TooSlowError, after 5 s for the whole test.

Cause, in the test: it sends 34 pages of 1 MB, which takes 1.3 s of processor time in this process, server included (measured; 4.5 s by the clock at a load of about 20 on 8 cores, 8.2 s when it failed). Nothing in the profile grows with the square of the size. The reader's own limit of 1.5 s for a page could also end the listing early, and the test passed without its subject.

Change: the store ends the test as soon as it is asked for more pages than allowed, so an endless listing fails by count at any speed. A reader that stops asking fails after 5 s without a request, where before it had 5 s in all. The limit on the number of pages is the same. New: pages that are late cannot end the listing, and the reason logged must be the listing without end, once.

--- a/src/lentilspool/gateway/tests/test_store.py
+++ b/src/lentilspool/gateway/tests/test_store.py
@@ -13,6 +13,8 @@
 LIMITS = serving.CallLimits(10_000, 10_000, 5, 5)
 CHANGE_INTERVAL_S = 0.02
 CHANGE_COUNT = 20
+# Longest time for a page of a listing, beside any load.
+PAGE_LIMIT_S = 5
 
 
 class FakeStore:
@@ -272,18 +274,26 @@
 class EndlessStore:
     """Store whose listing always has another page."""
 
-    def __init__(self, payload: bytes, *, advances: bool) -> None:
+    def __init__(
+        self, payload: bytes, *, advances: bool, most_pages: int
+    ) -> None:
         self._payload = base64.b64encode(payload).decode()
         self._advances = advances
+        self._most_pages = most_pages
         self.pages = 0
-        self.restarted = trio.Event()
+        self.asked = trio.Event()
+        # Set when the listing begins again, or goes on for too long.
+        self.ended = trio.Event()
 
     async def serve(
         self, request: _http_server.Request, reply: _http_server.Reply
     ) -> None:
-        if self.pages and b'after=' not in request.target:
-            self.restarted.set()
+        restarted = self.pages and b'after=' not in request.target
+        if restarted or self.pages > self._most_pages:
+            self.ended.set()
         self.pages += 1
+        self.asked.set()
+        self.asked = trio.Event()
         number = self.pages if self._advances else 1
         item = {'key': f'servers/e{number:09}', 'value': self._payload}
         body = msgspec.json.encode(
@@ -292,6 +302,12 @@
         length = str(len(body)).encode()
         await reply.write_complete(200, [(b'content-length', length)], body)
 
+    async def wait_until_ended(self) -> None:
+        """Wait for the end, and at most some time for each page."""
+        while not self.ended.is_set():
+            with trio.fail_after(PAGE_LIMIT_S):
+                await self.asked.wait()
+
 
 class TestEndlessListing:
     @pytest.mark.parametrize(
@@ -299,26 +315,40 @@
         [(b'x', False, 2), (b'x' * 1_000_000, True, 40)],
     )
     def test_listing_without_end_is_given_up(
-        self, payload: bytes, advances: bool, most_pages: int
+        self,
+        payload: bytes,
+        advances: bool,
+        most_pages: int,
+        caplog: pytest.LogCaptureFixture,
     ) -> None:
         async def check() -> int:
-            store = EndlessStore(payload, advances=advances)
+            store = EndlessStore(
+                payload, advances=advances, most_pages=most_pages
+            )
             server = _http_server.Server(
                 '127.0.0.1:0', store.serve, lambda: LIMITS
             )
-            with trio.fail_after(5):
-                async with trio.open_nursery() as nursery:
-                    await nursery.start(server.serve)
-                    reader = _store.StoreReader(
-                        platform.ENDPOINT_PREFIX,
-                        settings.StoreSettings(
-                            f'127.0.0.1:{server.port}', retry_s=0.01
-                        ),
-                        _published.PublishedState(),
-                    )
-                    nursery.start_soon(reader.serve)
-                    await store.restarted.wait()
-                    nursery.cancel_scope.cancel()
+            async with trio.open_nursery() as nursery:
+                await nursery.start(server.serve)
+                reader = _store.StoreReader(
+                    platform.ENDPOINT_PREFIX,
+                    settings.StoreSettings(
+                        f'127.0.0.1:{server.port}',
+                        # A page that is late would end the listing too.
+                        read_timeout_s=2 * PAGE_LIMIT_S,
+                        retry_s=0.01,
+                    ),
+                    _published.PublishedState(),
+                )
+                nursery.start_soon(reader.serve)
+                await store.wait_until_ended()
+                nursery.cancel_scope.cancel()
             return store.pages
 
         assert trio.run(check) <= most_pages + 1
+        assert self.problems(caplog) == ['a listing without end']
+
+    def problems(self, caplog: pytest.LogCaptureFixture) -> list[object]:
+        """Return why answers of the store were not used."""
+        fields = [getattr(one, 'fields', {}) for one in caplog.records]
+        return [one['problem'] for one in fields if 'problem' in one]
