--- a/src/lentilspool/gateway/_connection.py
+++ b/src/lentilspool/gateway/_connection.py
@@ -7,6 +7,7 @@
 import dataclasses
 import http
 import logging
+from collections.abc import Callable
 from typing import Final
 
 import h11
@@ -117,11 +118,22 @@
         return None
 
 
+HeadListener = Callable[[serving.AnswerHead, float], None]
+"""Takes the head of an answer, and when its request was sent."""
+
+
 class Connection:
-    """An open connection that carries one request at a time."""
+    """An open connection that carries one request at a time.
 
-    def __init__(self, stream: trio.SocketStream) -> None:
+    ``on_head`` is called with the head of each answer to a request.
+    """
+
+    def __init__(
+        self, stream: trio.SocketStream, on_head: HeadListener | None = None
+    ) -> None:
         self._stream = stream
+        self._on_head = on_head
+        self._sent_at = 0.0
         self._parser = _new_parser()
         self._outgoing: Outgoing | None = None
         self._sent = False
@@ -177,11 +189,12 @@
         head = self._start_request(outgoing)
         if head is None:
             return ExchangeFailure('the request is not valid HTTP', sent=False)
+        self._sent_at = _clock.now()
+        self.last_active_at = self._sent_at
         try:
             # Set before the write, because a failed write may still have
             # reached the endpoint.
             self._sent = True
-            self.last_active_at = _clock.now()
             await self._stream.send_all(head + outgoing.body)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             return ExchangeFailure(f'broken while sending: {error}', sent=True)
@@ -203,6 +216,8 @@
                 self.keep_alive_s = head.keep_alive_s
                 names = {name for name, _ in event.headers}
                 self.framed = not names.isdisjoint(_FRAMING_HEADERS)
+                if self._on_head:
+                    self._on_head(head, self._sent_at)
                 return head
             skipped = await self._skip_mismatched(head, ignored)
             if skipped:
--- a/src/lentilspool/gateway/_events.py
+++ b/src/lentilspool/gateway/_events.py
@@ -98,6 +98,14 @@
     logging.WARNING,
     'An endpoint ended while it ran requests or pieces of these contents.',
 )
+LIMIT_STATED: Final = _declare(
+    824,
+    logging.INFO,
+    'An endpoint has stated or changed its limit of requests, or ended it.',
+)
+STATEMENT_UNREADABLE: Final = _declare(
+    825, logging.WARNING, 'A statement of an endpoint cannot be read.'
+)
 CALLER_BROKEN: Final = _declare(
     822, logging.INFO, 'A connection of a caller violated HTTP.'
 )
--- a/src/lentilspool/gateway/_gateway.py
+++ b/src/lentilspool/gateway/_gateway.py
@@ -25,6 +25,7 @@
     _published,
     _reload,
     _sockets,
+    _statements,
     _status,
     _stop,
     _store,
@@ -50,7 +51,10 @@
         self._stop_requested = trio.Event()
         self._planned_stop = _stop.PlannedStop(gateway_settings.stop)
         self._published = _published.PublishedState()
-        self._pool = _pool.ConnectionPool(gateway_settings.send)
+        self._statements = _statements.EndpointStatements()
+        self._pool = _pool.ConnectionPool(
+            gateway_settings.send, self._statements.record
+        )
         host, port = _sockets.split_address(gateway_settings.peers)
         self._roster = serving.Roster(
             serving.Member(
--- a/src/lentilspool/gateway/_pool.py
+++ b/src/lentilspool/gateway/_pool.py
@@ -1,6 +1,8 @@
 """A pool of connections to endpoints."""
 
+import functools
 import logging
+from collections.abc import Callable
 from typing import Final
 
 import trio
@@ -12,11 +14,23 @@
 _MAX_IDLE_PER_ENDPOINT: Final = 64
 
 
+AnswerListener = Callable[[serving.Endpoint, serving.AnswerHead, float], None]
+"""Takes an endpoint, the head of its answer, and when it was asked."""
+
+
 class ConnectionPool:
-    """Idle connections, grouped by the incarnation of their endpoint."""
+    """Idle connections, grouped by the incarnation of their endpoint.
+
+    ``on_answer`` is called with the head of each answer of an endpoint.
+    """
 
-    def __init__(self, limits: settings.SendSettings) -> None:
+    def __init__(
+        self,
+        limits: settings.SendSettings,
+        on_answer: AnswerListener | None = None,
+    ) -> None:
         self._limits = limits
+        self._on_answer = on_answer
         self._idle: dict[str, list[_connection.Connection]] = {}
         self._opened = 0
 
@@ -53,7 +67,10 @@
         if stream is None:
             return _connection.ExchangeFailure('no connection', sent=False)
         self._opened += 1
-        return _connection.Connection(stream)
+        on_head = self._on_answer and functools.partial(
+            self._on_answer, endpoint
+        )
+        return _connection.Connection(stream, on_head)
 
     async def release(
         self, endpoint: serving.Endpoint, connection: _connection.Connection
--- a/src/lentilspool/platform/_answers.py
+++ b/src/lentilspool/platform/_answers.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 from lentilspool import serving
-from lentilspool.platform import _digits, _names
+from lentilspool.platform import _digits, _names, _statements
 
 _TIMEOUT: Final = re.compile(rb'timeout\s*=\s*(\d+)')
 _LOAD_FIELDS: Final = 3
@@ -36,6 +36,7 @@
         load=_load(by_name.get(_names.LOAD, b'')),
         keep_alive_s=_keep_alive(by_name.get(b'keep-alive', b'')),
         length=_digits.decode_number(length.decode('latin-1')),
+        statement=_statements.decode_statement(pairs),
     )
 
 
--- a/src/lentilspool/platform/tests/stand_ins.py
+++ b/src/lentilspool/platform/tests/stand_ins.py
@@ -74,6 +74,11 @@
     ]
 
 
+def limit_headers(limit: str) -> Headers:
+    """Return the header with which an endpoint states a limit, if any."""
+    return [(_names.LIMIT, limit.encode())] if limit else []
+
+
 def rejection_headers(request_id: str) -> Headers:
     """Return the headers of an endpoint that did not run a request."""
     return [
--- a/src/lentilspool/serving/__init__.py
+++ b/src/lentilspool/serving/__init__.py
@@ -6,6 +6,7 @@
 
 from lentilspool.serving._answers import AnswerHead as AnswerHead
 from lentilspool.serving._answers import ReportedLoad as ReportedLoad
+from lentilspool.serving._answers import Statement as Statement
 from lentilspool.serving._attempts import AttemptCounts as AttemptCounts
 from lentilspool.serving._attempts import AttemptOutcome as AttemptOutcome
 from lentilspool.serving._attempts import AttemptStep as AttemptStep
--- a/src/lentilspool/serving/_answers.py
+++ b/src/lentilspool/serving/_answers.py
@@ -19,6 +19,18 @@
     """Number of requests that it can run at the same time."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Statement:
+    """What an endpoint states of itself in one answer."""
+
+    limit_per_s: float | None = None
+    """Requests a second that it takes from all hosts together; None for no
+    limit."""
+
+    unreadable: tuple[str, ...] = ()
+    """Values that cannot be read; they state nothing."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerHead:
     """Status and headers of an endpoint's answer."""
@@ -43,3 +55,6 @@
 
     length: int | None
     """Length of the body in bytes; None if not declared."""
+
+    statement: Statement = Statement()
+    """What the endpoint states of itself."""
