--- a/src/lentilspool/gateway/tests/stream_fleet.py
+++ b/src/lentilspool/gateway/tests/stream_fleet.py
@@ -5,7 +5,7 @@
 import random
 import re
 import socket
-from typing import Final
+from typing import Final, Protocol
 
 import trio
 
@@ -50,11 +50,27 @@
     return json.dumps(document).encode()
 
 
+class Listed(Protocol):
+    """An endpoint that the store lists."""
+
+    @property
+    def name(self) -> str:
+        """Name of the endpoint."""
+
+    @property
+    def entry(self) -> bytes:
+        """Entry that it publishes."""
+
+    async def serve(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serve until cancelled."""
+
+
 class Store:
     """A store with a configuration and the entries of engines."""
 
-    def __init__(self, timeout_ms: int) -> None:
-        document = _document(timeout_ms)
+    def __init__(self, document: bytes) -> None:
         self._items: dict[str, tuple[bytes | None, int]] = {
             platform.CONFIGURATION_KEY: (document, 1)
         }
@@ -192,13 +208,18 @@
 class Fleet:
     """Gateways over a store, with the engines that it lists."""
 
-    def __init__(self, nursery: trio.Nursery, timeout_ms: int = 5000) -> None:
+    def __init__(
+        self,
+        nursery: trio.Nursery,
+        timeout_ms: int = 5000,
+        document: bytes = b'',
+    ) -> None:
         self._nursery = nursery
-        self._store = Store(timeout_ms)
-        self._engines: list[Engine] = []
+        self._store = Store(document or _document(timeout_ms))
+        self._engines: list[Listed] = []
         self.nodes: list[Node] = []
 
-    async def start(self, gateways: int, *engines: Engine) -> None:
+    async def start(self, gateways: int, *engines: Listed) -> None:
         """Start the store, engines and gateways; wait until they are linked."""
         await self._nursery.start(self._store.server.serve)
         for engine in engines:
@@ -206,7 +227,7 @@
         for index in range(gateways):
             await self.add_node(f'g{index}')
 
-    async def add(self, engine: Engine) -> None:
+    async def add(self, engine: Listed) -> None:
         """Start an engine and list it."""
         await self._nursery.start(engine.serve)
         self.list_(engine)
@@ -225,12 +246,12 @@
         node.scope.cancel()
         self.nodes.remove(node)
 
-    def list_(self, engine: Engine) -> None:
+    def list_(self, engine: Listed) -> None:
         """Write the entry of an engine."""
         self._store.put(engine.name, engine.entry)
         self._engines.append(engine)
 
-    def delist(self, engine: Engine) -> None:
+    def delist(self, engine: Listed) -> None:
         """Remove the entry of an engine."""
         self._store.put(engine.name, None)
         self._engines.remove(engine)
