Keep the limits of requests that endpoints state, over all gateways

As a class: what an endpoint states is learnt where an answer arrives and needed where requests are placed, for plain requests at each gateway, for streams and pieces at the planner.

Ruled out: requests decided before the news (the share stayed for minutes); shares of gateways without a common account (25 gateways with a full share each send 25 requests for a limit of 1).

Change: serving.EndpointStatements remembers limits by incarnation, heartbeats carry them, the planner grants all requests to such endpoints, plain ones too, and counts what other planners have granted. Limits count in the choice of engines, in estimates of stage services and in the admission. A limit ends with the answer to a request sent after the last statement of it.

--- a/src/lentilspool/gateway/_gateway.py
+++ b/src/lentilspool/gateway/_gateway.py
@@ -20,6 +20,7 @@
     _metrics,
     _peer_server,
     _peers,
+    _plain_placement,
     _planning,
     _pool,
     _published,
@@ -51,30 +52,29 @@
         self._stop_requested = trio.Event()
         self._planned_stop = _stop.PlannedStop(gateway_settings.stop)
         self._published = _published.PublishedState()
-        self._statements = _statements.EndpointStatements()
+        self._metrics = _metrics.GatewayMetrics()
+        self._statements = _statements.StatementRecorder(
+            serving.EndpointStatements(
+                f'{gateway_settings.name}/{_clock.wall_ms()}'
+            ),
+            self._metrics,
+        )
         self._pool = _pool.ConnectionPool(
             gateway_settings.send, self._statements.record
         )
-        host, port = _sockets.split_address(gateway_settings.peers)
         self._roster = serving.Roster(
-            serving.Member(
-                gateway_settings.name,
-                host,
-                port,
-                gateway_settings.zone,
-                gateway_settings.processor_share
-                * gateway_settings.processor_speed,
-                _clock.wall_ms(),
-            ),
-            gateway_settings.link.forget_s,
+            _own_member(gateway_settings), gateway_settings.link.forget_s
         )
         quarantine = _content_quarantine.ContentQuarantine(
             gateway_settings.quarantine
         )
         cluster = _peers.ClusterState(
-            self._roster, self._published, quarantine, gateway_settings.link
+            self._roster,
+            self._published,
+            quarantine,
+            gateway_settings.link,
+            self._statements,
         )
-        self._metrics = _metrics.GatewayMetrics()
         checks = _endpoint_checks.EndpointChecks(
             gateway_settings.send, self._metrics, quarantine, nursery
         )
@@ -87,6 +87,7 @@
                 * _PIECE_SLACK_SHARE
             ),
             nursery,
+            self._statements.known,
         )
         self._local = local
         links = _planning.Links(gateway_settings, cluster, nursery)
@@ -94,11 +95,12 @@
             gateway_settings.zone, random.Random()
         )
         self._repeat_callers = serving.RepeatCallerDetector()
+        planning = _planning.Planning(local, links, self._roster)
         context = _in_flight.GatewayContext(
             gateway_settings,
             self._published,
             self._pool,
-            _planning.Planning(local, links, self._roster),
+            planning,
             self._loads,
             _in_flight.RetryBudgets(
                 gateway_settings.send, self._count_gateways
@@ -110,6 +112,9 @@
             self._repeat_callers,
             cluster.streams,
             serving.RunTimes(),
+            _plain_placement.PlainPlacement(
+                self._published, self._loads, self._statements.known, planning
+            ),
         )
         self._streams = cluster.streams
         ingress = _ingress.Ingress(context)
@@ -178,6 +183,7 @@
             'plans': self._local.waiting,
             'open_requests': self._caller_server.open_requests,
             'connections_opened': self._pool.opened,
+            'limits': len(self._statements.known.limits),
             'store_calls': sum(reader.calls for reader in self._store_readers),
             'stopping': self._planned_stop.begun,
         }
@@ -240,12 +246,25 @@
                 await self._pool.clear()
             last = now
             self._published.drop_expired(now)
-            await self._pool.retain(
-                {
-                    one.incarnation
-                    for one in self._published.endpoint_index.endpoints
-                }
-            )
+            listed = {
+                one.incarnation
+                for one in self._published.endpoint_index.endpoints
+            }
+            self._statements.known.forget_unlisted(listed, now)
+            await self._pool.retain(listed)
+
+
+def _own_member(gateway_settings: settings.GatewaySettings) -> serving.Member:
+    """Return the state of this process at its start."""
+    host, port = _sockets.split_address(gateway_settings.peers)
+    return serving.Member(
+        gateway_settings.name,
+        host,
+        port,
+        gateway_settings.zone,
+        gateway_settings.processor_share * gateway_settings.processor_speed,
+        _clock.wall_ms(),
+    )
 
 
 async def serve(
--- a/src/lentilspool/gateway/_in_flight.py
+++ b/src/lentilspool/gateway/_in_flight.py
@@ -14,6 +14,7 @@
     _events,
     _http_server,
     _metrics,
+    _plain_placement,
     _planning,
     _pool,
     _prompt_progress,
@@ -82,6 +83,9 @@
     run_times: serving.RunTimes
     """How long runs at endpoints have taken lately."""
 
+    placement: _plain_placement.PlainPlacement
+    """Choice of endpoints for requests that are not planned."""
+
 
 class RetryBudgets:
     """Retry budgets by service.
--- a/src/lentilspool/gateway/_local_planning.py
+++ b/src/lentilspool/gateway/_local_planning.py
@@ -45,13 +45,16 @@
         checks: _endpoint_checks.EndpointChecks,
         limits: serving.PlanLimits,
         nursery: trio.Nursery,
+        statements: serving.EndpointStatements,
     ) -> None:
         self._published = published
         self._pool = pool
         self._checks = checks
         self._nursery = nursery
+        self._statements = statements
+        self._grants = serving.Grants(published.endpoint_index, statements)
         self._planner = serving.Planner(
-            published.endpoint_index, limits, checks.quarantine
+            published.endpoint_index, limits, checks.quarantine, statements
         )
         self._callbacks: dict[str, DecisionCallback] = {}
         self._changed = trio.Event()
@@ -65,6 +68,8 @@
 
     def can_serve(self, plan_request: serving.PlanRequest) -> bool:
         """Whether the services of a request are configured here."""
+        if plan_request.among:
+            return True
         return self._planner.can_serve(plan_request)
 
     def submit(
@@ -75,6 +80,9 @@
         The callback receives its decision, once, and before that whether its
         first pieces are sent.
         """
+        if plan_request.among:
+            callback(self._grants.decide(plan_request, _clock.now()))
+            return
         self._callbacks[plan_request.key] = callback
         self._planner.submit(plan_request, _clock.now())
         self._changed.set()
@@ -181,6 +189,9 @@
         )
         if producer is None:
             return
+        if self._statements.limit(producer.incarnation) is not None:
+            # It drops the results after a time; its limit is kept for calls.
+            return
         answer: _Answer | _connection.ExchangeFailure | None = None
         with trio.move_on_after(_FREE_CALL_TIMEOUT_S):
             answer = await self._exchange(
--- a/src/lentilspool/gateway/_metrics.py
+++ b/src/lentilspool/gateway/_metrics.py
@@ -21,6 +21,10 @@
         """Count an endpoint that ended while it ran requests."""
         self._metrics.record_endpoint_death(service)
 
+    def record_statement(self, kind: str) -> None:
+        """Count a new statement of an endpoint, here or at another gateway."""
+        self._metrics.record_statement(kind)
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return self._metrics.render()
--- a/src/lentilspool/gateway/_peers.py
+++ b/src/lentilspool/gateway/_peers.py
@@ -20,6 +20,7 @@
     _local_planning,
     _published,
     _sockets,
+    _statements,
     _stream_records,
 )
 
@@ -57,6 +58,13 @@
     """Era of the store in which that revision was given out; 0 from gateways
     of an older release."""
 
+    limits: tuple[serving.LimitReport, ...] = ()
+    """Limits that endpoints have stated lately; all in some heartbeats."""
+
+    granted: tuple[tuple[str, int], ...] = ()
+    """Requests that the sender has sent or granted to endpoints with limits, by
+    incarnation."""
+
     @property
     def listing(self) -> int:
         """Position of the listing as one number."""
@@ -92,8 +100,10 @@
         published: _published.PublishedState,
         quarantine: _content_quarantine.ContentQuarantine,
         peer_settings: settings.PeerSettings,
+        statements: _statements.StatementRecorder,
     ) -> None:
         self.quarantine = quarantine
+        self.statements = statements
         self.roster = roster
         self.published = published
         self.streams = _stream_records.StreamRecords(published)
@@ -108,7 +118,8 @@
         """Return the encoded view for the heartbeat with this number."""
         now = _clock.now()
         others: tuple[tuple[serving.Member, float], ...] = ()
-        if number % _HEARTBEATS_PER_GOSSIP == 1:
+        gossips = number % _HEARTBEATS_PER_GOSSIP == 1
+        if gossips:
             others = tuple(self.roster.members(now))
         self.roster.set_ready(self.published.ready)
         view = View(
@@ -117,6 +128,8 @@
             self.published.version,
             self.published.revision,
             self.published.position[0],
+            self.statements.known.reports(now, everything=gossips),
+            self.statements.known.totals(),
         )
         return msgspec.msgpack.encode(view)
 
@@ -133,6 +146,8 @@
         for member, age_s in view.others:
             self.roster.record_heartbeat(member, age_s, now)
         self.published.store_era.hear(view.era)
+        process = f'{view.own.name}/{view.own.incarnation}'
+        self.statements.merge(process, view.limits, view.granted)
         own = (
             self.published.version,
             _listing_number(self.published.position),
--- a/src/lentilspool/gateway/_plain.py
+++ b/src/lentilspool/gateway/_plain.py
@@ -13,13 +13,14 @@
     _exchange,
     _in_flight,
     _next_attempt,
+    _plain_placement,
     _stop_check,
 )
 
 _rng: Final = random.Random()
 _FAILED_ENDPOINT_BLOCK_S: Final = 0.5
 _FIRST_SERVER_ERROR: Final = 500
-_NO_ENDPOINT_RETRY_AFTER_S: Final = 0.5
+_NO_TIME_RETRY_AFTER_S: Final = 0.5
 _MIN_ATTEMPT_S: Final = 0.03
 _REPLACEMENT_POLL_S: Final = 0.05
 # Share of the time left after which an attempt is not left for another one.
@@ -56,15 +57,13 @@
             return
         if service not in _next_attempt.current_services(in_flight):
             service = serving.pick_service(in_flight.route, _rng)
-        endpoints = in_flight.context.published.endpoint_index.ready(service)
-        endpoint = in_flight.context.loads.choose(
-            endpoints, in_flight.tried_incarnations, _clock.now()
-        )
-        if endpoint is None or in_flight.time_left_s < _MIN_ATTEMPT_S:
-            await _give_up(in_flight, 'no_endpoint', _NO_ENDPOINT_RETRY_AFTER_S)
-            return
-        if not _stop_check.admits(in_flight, endpoint):
-            await _give_up(in_flight, _stop_check.REASON, None)
+        ask = _ask(in_flight, service)
+        placed = await in_flight.context.placement.choose(ask)
+        if _has_changed(in_flight, service):
+            continue
+        endpoint = _admit(in_flight, placed)
+        if isinstance(endpoint, _plain_placement.NoEndpoint):
+            await _give_up(in_flight, endpoint.reason, endpoint.retry_after_s)
             return
         answer = await _attempt(in_flight, endpoint)
         step = _decide(in_flight, endpoint, answer)
@@ -74,6 +73,37 @@
     await _give_up(in_flight, 'quarantined', in_flight.quarantine_s)
 
 
+def _has_changed(in_flight: _in_flight.InFlightRequest, service: str) -> bool:
+    """Whether a request must not go to a service, as learnt meanwhile."""
+    services = _next_attempt.current_services(in_flight)
+    return service not in services or in_flight.quarantine_s is not None
+
+
+def _admit(
+    in_flight: _in_flight.InFlightRequest,
+    placed: serving.Endpoint | _plain_placement.NoEndpoint,
+) -> serving.Endpoint | _plain_placement.NoEndpoint:
+    """Return the endpoint for an attempt, or why there is none."""
+    if isinstance(placed, _plain_placement.NoEndpoint):
+        return placed
+    if in_flight.time_left_s < _MIN_ATTEMPT_S:
+        return _plain_placement.NoEndpoint('no_time', _NO_TIME_RETRY_AFTER_S)
+    if not _stop_check.admits(in_flight, placed):
+        return _plain_placement.NoEndpoint(_stop_check.REASON, None)
+    return placed
+
+
+def _ask(
+    in_flight: _in_flight.InFlightRequest, service: str, *also_tried: str
+) -> _plain_placement.Ask:
+    return _plain_placement.Ask(
+        in_flight.call.request_id,
+        service,
+        frozenset((*in_flight.tried_incarnations, *also_tried)),
+        in_flight.time_left_s,
+    )
+
+
 async def _attempt(
     in_flight: _in_flight.InFlightRequest, endpoint: serving.Endpoint
 ) -> _Answer:
@@ -136,12 +166,9 @@
 def _has_replacement(
     in_flight: _in_flight.InFlightRequest, endpoint: serving.Endpoint
 ) -> bool:
-    context = in_flight.context
-    ready = context.published.endpoint_index.ready(endpoint.service)
-    tried = in_flight.tried_incarnations | {endpoint.incarnation}
-    other = context.loads.choose(ready, tried, _clock.now())
+    ask = _ask(in_flight, endpoint.service, endpoint.incarnation)
     return (
-        other is not None
+        in_flight.context.placement.has_other(ask)
         and in_flight.quarantine_s is None
         and endpoint.service in _next_attempt.current_services(in_flight)
         and _next_attempt.may_follow(in_flight, endpoint)
--- /dev/null
+++ b/src/lentilspool/gateway/_plain_placement.py
@@ -0,0 +1,146 @@
+"""Choice of an endpoint for an attempt of a plain request."""
+
+import dataclasses
+import itertools
+from typing import Final
+
+import trio
+
+from lentilspool import serving
+from lentilspool.gateway import _clock, _planning, _published
+
+_counter: Final = itertools.count(1)
+_NO_ENDPOINT_RETRY_AFTER_S: Final = 0.5
+# Time for the planner to answer while other endpoints are free, and otherwise.
+_QUICK_GRANT_S: Final = 0.1
+_GRANT_S: Final = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoEndpoint:
+    """Reason why no endpoint may get a request now."""
+
+    reason: str
+    """Reason, for logs."""
+
+    retry_after_s: float | None
+    """Seconds after which the caller should come back; None for the usual."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ask:
+    """A plain request that needs an endpoint."""
+
+    request_id: str
+    """Identity of the request."""
+
+    service: str
+    """Service that runs it."""
+
+    tried: frozenset[str]
+    """Incarnations of endpoints that must not get it again."""
+
+    time_left_s: float
+    """Seconds until its answer is due."""
+
+
+class PlainPlacement:
+    """Chooses endpoints for requests that are not planned.
+
+    The least loaded endpoint is chosen here. If it states a limit, the planner
+    is asked for it, because the limit holds for all gateways together.
+    """
+
+    def __init__(
+        self,
+        published: _published.PublishedState,
+        loads: serving.EndpointLoads,
+        statements: serving.EndpointStatements,
+        planning: _planning.Planning,
+    ) -> None:
+        self._published = published
+        self._loads = loads
+        self._statements = statements
+        self._planning = planning
+        # When the planner may grant another request, by service.
+        self._next_grant_at: dict[str, float] = {}
+
+    async def choose(self, ask: Ask) -> serving.Endpoint | NoEndpoint:
+        """Return the endpoint for the next attempt, or why there is none."""
+        left = self._left(ask)
+        if not left:
+            return NoEndpoint('no_endpoint', _NO_ENDPOINT_RETRY_AFTER_S)
+        limited = {one.incarnation for one in left if self._is_limited(one)}
+        now = _clock.now()
+        if limited and self._prefers_limited(left, limited, now):
+            decision = await self._ask_planner(ask, limited, len(left))
+            if isinstance(decision, serving.RunAt):
+                return decision.endpoint
+            if len(limited) == len(left):
+                return NoEndpoint(
+                    decision.reason,
+                    decision.retry_after_s or _NO_ENDPOINT_RETRY_AFTER_S,
+                )
+        # The listing and the limits may have changed meanwhile.
+        return self._choose_free(ask)
+
+    def has_other(self, ask: Ask) -> bool:
+        """Whether an endpoint without a limit is left for another attempt."""
+        return not isinstance(self._choose_free(ask), NoEndpoint)
+
+    def _choose_free(self, ask: Ask) -> serving.Endpoint | NoEndpoint:
+        free = tuple(
+            one for one in self._left(ask) if not self._is_limited(one)
+        )
+        chosen = self._loads.choose(free, (), _clock.now())
+        return chosen or NoEndpoint('limited', _NO_ENDPOINT_RETRY_AFTER_S)
+
+    def _left(self, ask: Ask) -> tuple[serving.Endpoint, ...]:
+        ready = self._published.endpoint_index.ready(ask.service)
+        return tuple(one for one in ready if one.incarnation not in ask.tried)
+
+    def _is_limited(self, endpoint: serving.Endpoint) -> bool:
+        return self._statements.limit(endpoint.incarnation) is not None
+
+    def _prefers_limited(
+        self, left: tuple[serving.Endpoint, ...], limited: set[str], now: float
+    ) -> bool:
+        """Whether to ask for an endpoint with a limit before the others."""
+        if len(limited) == len(left):
+            return True
+        if self._next_grant_at.get(left[0].service, 0) > now:
+            return False
+        chosen = self._loads.choose(left, (), now)
+        return chosen is not None and chosen.incarnation in limited
+
+    async def _ask_planner(
+        self, ask: Ask, limited: set[str], endpoints: int
+    ) -> serving.RunAt | serving.Refuse:
+        key = f'{ask.request_id}/{next(_counter)}'
+        plan = self._planning.plan(
+            serving.PlanRequest(
+                key=self._planning.unique_key(key),
+                request_id=ask.request_id,
+                route='',
+                service=ask.service,
+                stages=(),
+                piece_key='',
+                prompt=None,
+                target_s=ask.time_left_s,
+                deadline_s=ask.time_left_s,
+                priority=0,
+                zone='',
+                among=tuple(sorted(limited)),
+            )
+        )
+        decision: serving.RunAt | serving.Refuse = serving.Refuse(
+            key, 'limited', _NO_ENDPOINT_RETRY_AFTER_S
+        )
+        all_limited = len(limited) == endpoints
+        with trio.move_on_after(_GRANT_S if all_limited else _QUICK_GRANT_S):
+            decision = await plan.wait_for_decision()
+        plan.report_event('cancelled')
+        if isinstance(decision, serving.Refuse):
+            wait_s = decision.retry_after_s or 0
+            self._next_grant_at[ask.service] = _clock.now() + wait_s
+        return decision
--- a/src/lentilspool/gateway/_planning.py
+++ b/src/lentilspool/gateway/_planning.py
@@ -224,6 +224,11 @@
         """Return a plan that has no decision yet."""
         return Plan(self, request)
 
+    def unique_key(self, text: str) -> str:
+        """Return a key for a plan that is unique among all processes."""
+        own = self._roster.own
+        return f'{own.name}/{own.incarnation}/{text}'
+
     def planner_link(self) -> _peers.Link | None:
         """Return the connection to the planner; None if it is this process."""
         chosen: _peers.Link | None = None
--- a/src/lentilspool/gateway/_statements.py
+++ b/src/lentilspool/gateway/_statements.py
@@ -1,24 +1,30 @@
-"""What endpoints state of themselves in their answers to this gateway."""
+"""What endpoints state of themselves, recorded and shared by gateways."""
 
 import logging
+from collections.abc import Iterable
 from typing import Final
 
 from lentilspool import serving
-from lentilspool.gateway import _events
+from lentilspool.gateway import _clock, _events, _metrics
 
 _logger: Final = logging.getLogger(__name__)
 _MISDIRECTED: Final = 421
 
 
-class EndpointStatements:
-    """Records the statements of endpoints.
+class StatementRecorder:
+    """Records the statements of endpoints in ``known``.
 
-    Call ``record`` with the head of each answer of an endpoint, and when the
-    endpoint was asked.
+    Call ``record`` with the head of each answer of an endpoint, and ``merge``
+    with what other gateways have learnt.
     """
 
-    def __init__(self) -> None:
-        self._limits: dict[str, float] = {}
+    def __init__(
+        self,
+        known: serving.EndpointStatements,
+        metrics: _metrics.GatewayMetrics,
+    ) -> None:
+        self.known = known
+        self._metrics = metrics
 
     def record(
         self,
@@ -26,7 +32,7 @@
         head: serving.AnswerHead,
         asked_at: float,
     ) -> None:
-        """Record what an answer states."""
+        """Record what an answer states; the endpoint was asked at that time."""
         if head.status == _MISDIRECTED:
             # Another endpoint has answered, at a reused address.
             return
@@ -38,23 +44,38 @@
                 request_id=head.request_id,
                 values=statement.unreadable,
             )
-        self._record_limit(endpoint, head)
+        limit = statement.limit_per_s
+        if self.known.record_limit(
+            endpoint.incarnation, limit, asked_at, _clock.now()
+        ):
+            self._log_limit(endpoint.incarnation, limit, head.request_id)
 
-    def _record_limit(
-        self, endpoint: serving.Endpoint, head: serving.AnswerHead
+    def merge(
+        self,
+        process: str,
+        reports: Iterable[serving.LimitReport],
+        totals: Iterable[tuple[str, int]],
     ) -> None:
-        name = endpoint.incarnation
-        limit = head.statement.limit_per_s
-        if self._limits.get(name) == limit:
-            return
-        if limit is None:
-            self._limits.pop(name)
-        else:
-            self._limits[name] = limit
+        """Merge what another gateway has learnt, and what it has granted."""
+        now = _clock.now()
+        for report in self.known.merge(reports, now):
+            self._log_limit(
+                report.incarnation, report.limit_per_s, '', report.origin
+            )
+        self.known.merge_totals(process, totals, now)
+
+    def _log_limit(
+        self,
+        incarnation: str,
+        limit_per_s: float | None,
+        request_id: str,
+        origin: str = '',
+    ) -> None:
+        self._metrics.record_statement('limit')
         _events.LIMIT_STATED.log(
             _logger,
-            endpoint=endpoint.name,
-            service=endpoint.service,
-            request_id=head.request_id,
-            limit_per_s=limit,
+            endpoint=incarnation,
+            limit_per_s=limit_per_s,
+            request_id=request_id,
+            origin=origin,
         )
--- a/src/lentilspool/gateway/tests/application.py
+++ b/src/lentilspool/gateway/tests/application.py
@@ -19,6 +19,7 @@
     _in_flight,
     _ingress,
     _metrics,
+    _plain_placement,
     _planning,
     _pool,
     _published,
@@ -173,12 +174,13 @@
             SETTINGS.send, self.metrics, quarantine, nursery
         )
         planning = cast(_planning.Planning, StandInPlanning(self.published))
+        loads = serving.EndpointLoads('a', random.Random(0))
         context = _in_flight.GatewayContext(
             SETTINGS,
             self.published,
             _pool.ConnectionPool(SETTINGS.send),
             planning,
-            serving.EndpointLoads('a', random.Random(0)),
+            loads,
             _in_flight.RetryBudgets(SETTINGS.send, lambda: 1),
             quarantine,
             checks,
@@ -187,6 +189,9 @@
             serving.RepeatCallerDetector(),
             _stream_records.StreamRecords(self.published),
             serving.RunTimes(),
+            _plain_placement.PlainPlacement(
+                self.published, loads, serving.EndpointStatements(), planning
+            ),
         )
         ingress = _ingress.Ingress(context)
         self.server = _http_server.Server(
--- a/src/lentilspool/gateway/tests/builders.py
+++ b/src/lentilspool/gateway/tests/builders.py
@@ -18,9 +18,11 @@
     _ingress,
     _local_planning,
     _metrics,
+    _plain_placement,
     _planning,
     _pool,
     _published,
+    _statements,
     _stop,
     _stream_records,
 )
@@ -153,24 +155,34 @@
         )
         metrics = _metrics.GatewayMetrics()
         quarantine = _content_quarantine.ContentQuarantine(own.quarantine)
-        pool = _pool.ConnectionPool(send)
+        statements = _statements.StatementRecorder(
+            serving.EndpointStatements('g'), metrics
+        )
+        pool = _pool.ConnectionPool(send, statements.record)
         checks = _endpoint_checks.EndpointChecks(
             send, metrics, quarantine, nursery
         )
         local = _local_planning.LocalPlanning(
-            self.published, pool, checks, serving.PlanLimits(), nursery
-        )
-        roster = serving.Roster(
-            serving.Member('g', '127.0.0.1', 9, 'a', 1, 1), 8
+            self.published,
+            pool,
+            checks,
+            serving.PlanLimits(),
+            nursery,
+            statements.known,
         )
-        links = cast(_planning.Links, NoLinks())
         self.budgets = _in_flight.RetryBudgets(send, lambda: 1)
+        planning = _planning.Planning(
+            local,
+            cast(_planning.Links, NoLinks()),
+            serving.Roster(serving.Member('g', '127.0.0.1', 9, 'a', 1, 1), 8),
+        )
+        loads = serving.EndpointLoads('a', random.Random(1))
         self.context = _in_flight.GatewayContext(
             own,
             self.published,
             pool,
-            _planning.Planning(local, links, roster),
-            serving.EndpointLoads('a', random.Random(1)),
+            planning,
+            loads,
             self.budgets,
             quarantine,
             checks,
@@ -179,6 +191,9 @@
             serving.RepeatCallerDetector(),
             _stream_records.StreamRecords(self.published),
             serving.RunTimes(),
+            _plain_placement.PlainPlacement(
+                self.published, loads, statements.known, planning
+            ),
         )
         self._local = local
         ingress = _ingress.Ingress(self.context)
--- a/src/lentilspool/gateway/tests/test_peers.py
+++ b/src/lentilspool/gateway/tests/test_peers.py
@@ -20,6 +20,7 @@
     _pool,
     _published,
     _sockets,
+    _statements,
 )
 from lentilspool.serving.tests import builders
 
@@ -70,11 +71,15 @@
         self.quarantine = _content_quarantine.ContentQuarantine(
             self.gateway_settings.quarantine
         )
+        self.statements = _statements.StatementRecorder(
+            serving.EndpointStatements(name), _metrics.GatewayMetrics()
+        )
         cluster = _peers.ClusterState(
             self.roster,
             self.published,
             self.quarantine,
             self.gateway_settings.link,
+            self.statements,
         )
         local = _local_planning.LocalPlanning(
             self.published,
@@ -87,6 +92,7 @@
             ),
             serving.PlanLimits(),
             nursery,
+            self.statements.known,
         )
         self.links = _planning.Links(self.gateway_settings, cluster, nursery)
         self.planning = _planning.Planning(local, self.links, self.roster)
--- a/src/lentilspool/serving/__init__.py
+++ b/src/lentilspool/serving/__init__.py
@@ -29,6 +29,10 @@
 from lentilspool.serving._contents import content_digest as content_digest
 from lentilspool.serving._contents import shared_parts as shared_parts
 from lentilspool.serving._endpoint_loads import EndpointLoads as EndpointLoads
+from lentilspool.serving._endpoint_statements import (
+    EndpointStatements as EndpointStatements,
+)
+from lentilspool.serving._endpoint_statements import LimitReport as LimitReport
 from lentilspool.serving._endpoints import Endpoint as Endpoint
 from lentilspool.serving._endpoints import EndpointIndex as EndpointIndex
 from lentilspool.serving._entry_order import EntryState as EntryState
@@ -36,6 +40,7 @@
 from lentilspool.serving._entry_order import Position as Position
 from lentilspool.serving._entry_order import is_outdated as is_outdated
 from lentilspool.serving._entry_order import order_of_era as order_of_era
+from lentilspool.serving._grants import Grants as Grants
 from lentilspool.serving._patience import StorePatience as StorePatience
 from lentilspool.serving._plan_types import Action as Action
 from lentilspool.serving._plan_types import Begun as Begun
--- /dev/null
+++ b/src/lentilspool/serving/_engine_waits.py
@@ -0,0 +1,55 @@
+"""Waits for the engines of a service, which may all have limits.
+
+Load pattern: all engines of a service are in need and take a few requests a
+second, while the stages before them have room.
+"""
+
+from collections.abc import Iterable
+
+from lentilspool.serving import _fleet, _jobs, _pacing
+
+
+class EngineWaits:
+    """Estimates when a request gets an engine, and when a refused one may."""
+
+    def __init__(self, fleet: _fleet.Fleet) -> None:
+        self._fleet = fleet
+        self._return_times = _pacing.ReturnTimes()
+
+    def wait_s(
+        self, job: _jobs.Job, others: Iterable[_jobs.Job], ready_at: float
+    ) -> float:
+        """Return the seconds from ``ready_at`` until an engine is free.
+
+        ``others`` are all requests that have no engine yet.
+        """
+        service = job.plan_request.service
+        pool = self._fleet.pool(service)
+        if pool.limit_per_s() is None:
+            return pool.wait_s(ready_at)
+        ahead = [
+            other
+            for other in others
+            if other.plan_request.service == service and other is not job
+        ]
+        return pool.wait_s(ready_at, len(ahead))
+
+    def refusal(
+        self,
+        job: _jobs.Job,
+        others: Iterable[_jobs.Job],
+        expected_s: float,
+        now: float,
+    ) -> tuple[str, float]:
+        """Return why a request that cannot be in time is refused.
+
+        Also returns after how many seconds its caller should come back.
+        """
+        service = job.plan_request.service
+        limit_per_s = self._fleet.pool(service).limit_per_s()
+        if limit_per_s is None:
+            return 'no_time', expected_s
+        wait_s = self.wait_s(job, others, now)
+        return 'limited', self._return_times.next_s(
+            service, wait_s, limit_per_s, now
+        )
--- a/src/lentilspool/serving/_engines.py
+++ b/src/lentilspool/serving/_engines.py
@@ -14,7 +14,9 @@
 from lentilspool.serving import (
     _calls,
     _configuration,
+    _endpoint_statements,
     _endpoints,
+    _pacing,
     _plan_types,
 )
 
@@ -193,8 +195,13 @@
 class EnginePool:
     """All engines of one service."""
 
-    def __init__(self, limits: _plan_types.PlanLimits) -> None:
+    def __init__(
+        self,
+        limits: _plan_types.PlanLimits,
+        statements: _endpoint_statements.EndpointStatements,
+    ) -> None:
         self._limits = limits
+        self._statements = statements
         self.engines: dict[str, Engine] = {}
 
     def update_endpoints(
@@ -239,6 +246,7 @@
             for engine in self.engines.values()
             if _may_run(engine, plan_request)
             and engine.blocked_until <= now
+            and self._next_at(engine, now) <= now
             and not engine.full
         ]
         if not candidates:
@@ -270,6 +278,7 @@
     ) -> None:
         """Record that a request is assigned to an engine."""
         engine = placement.engine
+        self._statements.record_sent(engine.endpoint.incarnation, now)
         prompt = plan_request.prompt
         tokens = prompt.input_tokens + prompt.output_tokens if prompt else 0
         engine.running[plan_request.key] = RunningRequest(
@@ -280,17 +289,52 @@
         if prompt:
             engine.add_cached_parts(prompt.parts)
 
-    def wait_s(self, now: float) -> float:
+    def wait_s(self, now: float, ahead: int = 0) -> float:
         """Return the seconds until the first engine can read another prompt.
 
+        ``ahead`` is the number of requests that go first to engines with limits.
         It is 1 if there is no engine.
         """
         waits = [
             max(engine.prefill_until, engine.blocked_until) - now
             for engine in self.engines.values()
+            if self._limit(engine) is None
         ]
+        if len(waits) < len(self.engines):
+            waits.append(self._limited_wait_s(now, ahead))
         return max(min(waits, default=1), 0)
 
+    def limit_per_s(self) -> float | None:
+        """Return how many requests a second all engines take together.
+
+        None if some engine has no limit, or if there is none.
+        """
+        limits = [self._limit(engine) for engine in self.engines.values()]
+        known = [one for one in limits if one is not None]
+        if not known or len(known) < len(limits):
+            return None
+        return sum(_pacing.rate_per_s(one) for one in known)
+
+    def _limit(self, engine: Engine) -> float | None:
+        return self._statements.limit(engine.endpoint.incarnation)
+
+    def _next_at(self, engine: Engine, now: float) -> float:
+        return self._statements.next_at(engine.endpoint.incarnation, now)
+
+    def _limited_wait_s(self, now: float, ahead: int) -> float:
+        """Return the seconds until an engine with a limit may get a request."""
+        limited = [
+            engine
+            for engine in self.engines.values()
+            if self._limit(engine) is not None
+        ]
+        first_s = min(
+            max(engine.blocked_until, self._next_at(engine, now)) - now
+            for engine in limited
+        )
+        rates = [_pacing.rate_per_s(self._limit(one) or 0) for one in limited]
+        return max(first_s, 0) + ahead / sum(rates)
+
     def _placement(
         self,
         engine: Engine,
--- a/src/lentilspool/serving/_events.py
+++ b/src/lentilspool/serving/_events.py
@@ -25,6 +25,11 @@
     514, logging.WARNING, 'A stage call returned no results.'
 )
 PLACED: Final = _declare(515, logging.INFO, 'An engine was chosen.')
+GRANT_REFUSED: Final = _declare(
+    517,
+    logging.INFO,
+    'All endpoints that a plain request may go to have their limit.',
+)
 PIECE_FAILED: Final = _declare(
     516, logging.WARNING, 'A piece of a stage returned no result.'
 )
--- a/src/lentilspool/serving/_fleet.py
+++ b/src/lentilspool/serving/_fleet.py
@@ -2,6 +2,7 @@
 
 from lentilspool.serving import (
     _configuration,
+    _endpoint_statements,
     _endpoints,
     _engines,
     _jobs,
@@ -22,10 +23,14 @@
         endpoint_index: _endpoints.EndpointIndex,
         limits: _plan_types.PlanLimits,
         suspects: _suspects.Suspects,
+        statements: _endpoint_statements.EndpointStatements,
     ) -> None:
         self._endpoint_index = endpoint_index
         self._limits = limits
-        self.stages = _stage_dispatch.StageDispatcher(limits, suspects)
+        self._statements = statements
+        self.stages = _stage_dispatch.StageDispatcher(
+            limits, suspects, statements
+        )
         self._pools: dict[str, _engines.EnginePool] = {}
         self._services: dict[str, _configuration.Service] = {}
         self._applied_generation = -1
@@ -52,7 +57,9 @@
     def pool(self, service: str) -> _engines.EnginePool:
         """Return the engine pool of a service."""
         if service not in self._pools:
-            self._pools[service] = _engines.EnginePool(self._limits)
+            self._pools[service] = _engines.EnginePool(
+                self._limits, self._statements
+            )
         return self._pools[service]
 
     def likely_engine_zone(self, job: _jobs.Job, now: float) -> str:
--- a/src/lentilspool/serving/_plan_types.py
+++ b/src/lentilspool/serving/_plan_types.py
@@ -74,6 +74,10 @@
     planners_lost: int = 0
     """Planners lost lately, as the sender saw it."""
 
+    among: tuple[str, ...] = ()
+    """Incarnations of endpoints with limits, one of which a plain request asks
+    for; empty for all other requests."""
+
     @property
     def shared_tokens(self) -> int:
         """Number of tokens in prompt parts that other requests may share."""
--- a/src/lentilspool/serving/_planner.py
+++ b/src/lentilspool/serving/_planner.py
@@ -5,7 +5,9 @@
 
 from lentilspool.serving import (
     _configuration,
+    _endpoint_statements,
     _endpoints,
+    _engine_waits,
     _engines,
     _estimates,
     _events,
@@ -47,13 +49,20 @@
         endpoint_index: _endpoints.EndpointIndex,
         limits: _plan_types.PlanLimits | None = None,
         suspects: _suspects.Suspects | None = None,
+        statements: _endpoint_statements.EndpointStatements | None = None,
     ) -> None:
         self._limits = limits or _plan_types.PlanLimits()
         suspects = suspects or _suspects.NoSuspects()
         self._suspicions = _suspects.JobSuspicions(suspects)
-        self._fleet = _fleet.Fleet(endpoint_index, self._limits, suspects)
+        self._fleet = _fleet.Fleet(
+            endpoint_index,
+            self._limits,
+            suspects,
+            statements or _endpoint_statements.EndpointStatements(),
+        )
         self._stages = self._fleet.stages
         self._forecast = _forecast.Forecast()
+        self._engine_waits = _engine_waits.EngineWaits(self._fleet)
         self._jobs: dict[str, _jobs.Job] = {}
         self._outcomes: list[_plan_types.RunAt | _plan_types.Refuse] = []
         self._running: dict[str, tuple[_jobs.Job, _engines.Engine]] = {}
@@ -89,7 +98,10 @@
         job.zone = self._fleet.likely_engine_zone(job, now)
         expected_s = self._expected_s(job, now)
         if expected_s > plan_request.deadline_s * self._limits.admit_share:
-            self._refuse(job, 'no_time', expected_s, now)
+            reason, return_s = self._engine_waits.refusal(
+                job, self._jobs.values(), expected_s, now
+            )
+            self._refuse(job, reason, return_s, now)
             return
         if not self._stages.retries.admits(job, now):
             self._refuse(job, 'retry_budget', _RETRY_AFTER_S, now)
@@ -190,8 +202,9 @@
         ahead = _estimates.pieces_ahead(job, self._jobs.values())
         services = self._stages.services
         stages_s = _estimates.expected_stages_s(job, services, ahead, now)
-        pool = self._fleet.pool(job.plan_request.service)
-        engine_s = pool.wait_s(now + stages_s)
+        engine_s = self._engine_waits.wait_s(
+            job, self._jobs.values(), now + stages_s
+        )
         plain_s = stages_s + engine_s + _estimates.engine_s(job, self._limits)
         return self._forecast.corrected(plain_s)
 
--- a/src/lentilspool/serving/_stage_dispatch.py
+++ b/src/lentilspool/serving/_stage_dispatch.py
@@ -5,6 +5,7 @@
 
 from lentilspool.serving import (
     _configuration,
+    _endpoint_statements,
     _endpoints,
     _estimates,
     _events,
@@ -36,9 +37,13 @@
     """
 
     def __init__(
-        self, limits: _plan_types.PlanLimits, suspects: _suspects.Suspects
+        self,
+        limits: _plan_types.PlanLimits,
+        suspects: _suspects.Suspects,
+        statements: _endpoint_statements.EndpointStatements,
     ) -> None:
         self._limits = limits
+        self._statements = statements
         self._suspects = suspects
         self.services: _estimates.Services = {}
         self._begun: list[_plan_types.Begun] = []
@@ -60,7 +65,7 @@
         """Apply the limits and the listed endpoints of a service."""
         if name not in self.services:
             self.services[name] = _stage_service.StageService(
-                limits, self._limits
+                limits, self._limits, self._statements
             )
         self.services[name].update_endpoints(endpoints, limits)
 
@@ -219,6 +224,8 @@
                 call_piece.job.zone = stage_endpoint.endpoint.zone
             call_piece.job.stages[call_piece.stage].start_call(call_piece.piece)
             stage_endpoint.free_bytes -= call_piece.size
+        incarnation = stage_endpoint.endpoint.incarnation
+        self._statements.record_sent(incarnation, now)
         stage_endpoint.open_calls[open_call.number] = open_call
         self._open_calls[open_call.number] = open_call
         self._outgoing_calls.append(
--- a/src/lentilspool/serving/_stage_service.py
+++ b/src/lentilspool/serving/_stage_service.py
@@ -6,8 +6,10 @@
 
 from lentilspool.serving import (
     _configuration,
+    _endpoint_statements,
     _endpoints,
     _jobs,
+    _pacing,
     _plan_types,
     _stage_graph,
 )
@@ -241,8 +243,10 @@
         self,
         limits: _configuration.BatchLimits,
         plan_limits: _plan_types.PlanLimits,
+        statements: _endpoint_statements.EndpointStatements,
     ) -> None:
         self.limits = limits
+        self._statements = statements
         self._plan_limits = plan_limits
         self.stage_endpoints: dict[str, StageEndpoint] = {}
         self.size_factor = 1.0
@@ -293,6 +297,7 @@
             stage_endpoint
             for stage_endpoint in self.stage_endpoints.values()
             if stage_endpoint.idle(now)
+            and self._next_at(stage_endpoint, now) <= now
         ]
         return sorted(idle, key=lambda stage_endpoint: stage_endpoint.slowness)
 
@@ -328,7 +333,14 @@
         full_call_piece_s = limits.piece_s + limits.call_s / max(
             limits.batch, 1
         )
-        return full_call_piece_s / max(len(self.stage_endpoints), 1)
+        endpoints = len(self.stage_endpoints)
+        if self._statements.limits:
+            capacity = [
+                self._capacity_share(one, full_call_piece_s)
+                for one in self.stage_endpoints
+            ]
+            return full_call_piece_s / (sum(capacity) or 1)
+        return full_call_piece_s / max(endpoints, 1)
 
     def wait_s(self, pieces_ahead: float, now: float) -> float:
         """Return the seconds until a piece starts after ``pieces_ahead``."""
@@ -336,12 +348,27 @@
             return _NO_ENDPOINT_WAIT_S
         if self._first_free_cache[0] != now:
             first_free_at = min(
-                stage_endpoint.free_at(now)
+                max(
+                    stage_endpoint.free_at(now),
+                    self._next_at(stage_endpoint, now),
+                )
                 for stage_endpoint in self.stage_endpoints.values()
             )
             self._first_free_cache = (now, first_free_at)
         return self._first_free_cache[1] - now + pieces_ahead * self.piece_s()
 
+    def _next_at(self, stage_endpoint: StageEndpoint, now: float) -> float:
+        incarnation = stage_endpoint.endpoint.incarnation
+        return self._statements.next_at(incarnation, now)
+
+    def _capacity_share(self, incarnation: str, piece_s: float) -> float:
+        """Return how much of its full calls an endpoint takes by its limit."""
+        limit = self._statements.limit(incarnation)
+        if limit is None:
+            return 1
+        pieces = _pacing.rate_per_s(limit) * self.limits.batch
+        return min(pieces * piece_s, 1)
+
     def _near_zone_first(
         self, stage_endpoint: StageEndpoint, ready_stages: list[ReadyStage]
     ) -> list[ReadyStage]:
--- a/src/lentilspool/serving/tests/test_forecast.py
+++ b/src/lentilspool/serving/tests/test_forecast.py
@@ -51,7 +51,9 @@
         for _ in range(200):
             forecast.record(0.5, 0.5 * ratio)
         limits = serving.PlanLimits()
-        service = _stage_service.StageService(builders.BATCHES, limits)
+        service = _stage_service.StageService(
+            builders.BATCHES, limits, serving.EndpointStatements()
+        )
         service.update_endpoints((SEARCH,), builders.BATCHES)
         ahead = self.job('ahead', 8)
         ahead.begun = True
--- a/src/lentilspool/serving/tests/test_result_memory.py
+++ b/src/lentilspool/serving/tests/test_result_memory.py
@@ -178,7 +178,9 @@
     ) -> _stage_service.StageService:
         limits = dataclasses.replace(builders.BATCHES, room_bytes=400_000)
         dispatcher = _stage_dispatch.StageDispatcher(
-            serving.PlanLimits(), _suspects.NoSuspects()
+            serving.PlanLimits(),
+            _suspects.NoSuspects(),
+            serving.EndpointStatements(),
         )
         dispatcher.update_endpoints('search', limits, (SEARCH,))
         job = _jobs.Job(builders.plan_request('one', builders.stage(pieces)), 0)
@@ -197,7 +199,9 @@
 
     def test_listed_endpoints_apply_new_limits(self) -> None:
         dispatcher = _stage_dispatch.StageDispatcher(
-            serving.PlanLimits(), _suspects.NoSuspects()
+            serving.PlanLimits(),
+            _suspects.NoSuspects(),
+            serving.EndpointStatements(),
         )
         dispatcher.update_endpoints('search', builders.BATCHES, (SEARCH,))
         smaller = dataclasses.replace(builders.BATCHES, batch=2)
--- a/src/lentilspool/telemetry/_metrics.py
+++ b/src/lentilspool/telemetry/_metrics.py
@@ -33,6 +33,10 @@
             'lentilspool_endpoint_deaths',
             description='Endpoints that ended while they ran requests.',
         )
+        self._statements = meter.create_counter(
+            'lentilspool_endpoint_statements',
+            description='New statements of endpoints about themselves.',
+        )
 
     def record_request(
         self, pipeline: str, team: str, outcome: str, seconds: float
@@ -50,6 +54,10 @@
         """Count an endpoint that ended while it ran requests."""
         self._deaths.add(1, {'pool': pool})
 
+    def record_statement(self, kind: str) -> None:
+        """Count a new statement of an endpoint about itself."""
+        self._statements.add(1, {'kind': kind})
+
     def record_spend(
         self, team: str, stage: str, provider: str, cost: float
     ) -> None:
