--- a/src/lentilspool/gateway/_events.py
+++ b/src/lentilspool/gateway/_events.py
@@ -106,6 +106,9 @@
 STATEMENT_UNREADABLE: Final = _declare(
     825, logging.WARNING, 'A statement of an endpoint cannot be read.'
 )
+REST_STATED: Final = _declare(
+    826, logging.INFO, 'An endpoint has rejected a request and wants a rest.'
+)
 CALLER_BROKEN: Final = _declare(
     822, logging.INFO, 'A connection of a caller violated HTTP.'
 )
--- a/src/lentilspool/gateway/_statements.py
+++ b/src/lentilspool/gateway/_statements.py
@@ -9,6 +9,7 @@
 
 _logger: Final = logging.getLogger(__name__)
 _MISDIRECTED: Final = 421
+_MS_PER_S: Final = 1000
 
 
 class StatementRecorder:
@@ -44,6 +45,13 @@
                 request_id=head.request_id,
                 values=statement.unreadable,
             )
+        if statement.rest_s is not None:
+            _events.REST_STATED.log(
+                _logger,
+                endpoint=endpoint.incarnation,
+                request_id=head.request_id,
+                rest_ms=round(statement.rest_s * _MS_PER_S),
+            )
         limit = statement.limit_per_s
         if self.known.record_limit(
             endpoint.incarnation, limit, asked_at, _clock.now()
--- a/src/lentilspool/platform/_answers.py
+++ b/src/lentilspool/platform/_answers.py
@@ -36,7 +36,7 @@
         load=_load(by_name.get(_names.LOAD, b'')),
         keep_alive_s=_keep_alive(by_name.get(b'keep-alive', b'')),
         length=_digits.decode_number(length.decode('latin-1')),
-        statement=_statements.decode_statement(pairs),
+        statement=_statements.decode_statement(status, pairs),
     )
 
 
--- a/src/lentilspool/platform/tests/stand_ins.py
+++ b/src/lentilspool/platform/tests/stand_ins.py
@@ -79,6 +79,11 @@
     return [(_names.LIMIT, limit.encode())] if limit else []
 
 
+def rest_headers(rest: str) -> Headers:
+    """Return the header with which an endpoint asks for rest, if it does."""
+    return [(_names.RETRY_AFTER, rest.encode())] if rest else []
+
+
 def rejection_headers(request_id: str) -> Headers:
     """Return the headers of an endpoint that did not run a request."""
     return [
--- a/src/lentilspool/platform/tests/test_statements.py
+++ b/src/lentilspool/platform/tests/test_statements.py
@@ -5,11 +5,15 @@
 from lentilspool import platform, serving
 
 LIMIT = b'Server-Limit'
+REST = b'Retry-After'
+DATE = (b'Date', b'Fri, 04 Dec 2026 16:00:00 GMT')
 LONG = '9' * 400
 
 
-def statement(*headers: tuple[bytes, bytes]) -> serving.Statement:
-    return platform.decode_answer_head(200, headers).statement
+def statement(
+    *headers: tuple[bytes, bytes], status: int = 200
+) -> serving.Statement:
+    return platform.decode_answer_head(status, headers).statement
 
 
 class TestLimits:
@@ -37,3 +41,38 @@
 
     def test_answer_without_a_limit_states_nothing(self) -> None:
         assert statement() == serving.Statement()
+
+
+class TestRests:
+    @pytest.mark.parametrize(
+        ('text', 'rest_s'),
+        [
+            ('3', 3),
+            ('0', 0),
+            ('0.5', 0.5),
+            ('7200', 7200),
+            ('Fri, 04 Dec 2026 16:00:07 GMT', 7),
+            ('Fri, 04 Dec 2026 15:59:00 GMT', 0),
+            ('Friday, 04-Dec-26 16:00:07 GMT', 7),
+        ],
+    )
+    def test_seconds_or_date_of_a_rejection_are_a_rest(
+        self, text: str, rest_s: float
+    ) -> None:
+        found = statement((REST, text.encode()), DATE, status=503)
+        assert found == serving.Statement(rest_s=rest_s)
+
+    def test_date_without_a_clock_of_the_endpoint_is_read(self) -> None:
+        found = statement((REST, b'Fri, 01 Jan 2027 00:00:00 GMT'), status=503)
+        assert found.rest_s is not None
+
+    @pytest.mark.parametrize(
+        'text', ['', 'soon', '-3', 'nan', '1e999', 'Fri, 99 Dec 2026', LONG]
+    )
+    def test_unreadable_rest_states_nothing(self, text: str) -> None:
+        found = statement((REST, text.encode()), status=503)
+        assert found == serving.Statement(unreadable=(text[:80],))
+
+    @pytest.mark.parametrize('status', [200, 429, 500])
+    def test_other_answers_ask_for_no_rest(self, status: int) -> None:
+        assert statement((REST, b'3'), status=status) == serving.Statement()
--- a/src/lentilspool/serving/_answers.py
+++ b/src/lentilspool/serving/_answers.py
@@ -27,6 +27,10 @@
     """Requests a second that it takes from all hosts together; None for no
     limit."""
 
+    rest_s: float | None = None
+    """Seconds for which it wants nothing from this host, if it has rejected a
+    request; None if it does not say."""
+
     unreadable: tuple[str, ...] = ()
     """Values that cannot be read; they state nothing."""
 
