--- a/src/lentilspool/gateway/tests/stating_fleet.py
+++ b/src/lentilspool/gateway/tests/stating_fleet.py
@@ -9,7 +9,7 @@
 import json
 import re
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Any, Final
 
 import trio
@@ -30,9 +30,13 @@
 _WORK_S: Final = 0.02
 _SLOTS: Final = 32
 _OK: Final = 200
+_UNAVAILABLE: Final = 503
+# Time within which requests may have been under way at a rejection.
+_UNDER_WAY_S: Final = 0.5
 _MISDIRECTED: Final = 421
 _LIMITS: Final = serving.CallLimits(header_timeout_s=5, idle_timeout_s=60)
 _RETRY_AFTER: Final = re.compile(rb'(?i)retry-after: *([0-9.]+)')
+_SENDER: Final = re.compile(rb'/(g[0-9]+)-[0-9]+$')
 _numbers = itertools.count(1)
 
 
@@ -85,6 +89,11 @@
         self.service = service
         # Limit that it states in its answers; empty for none.
         self.limit = ''
+        # Rest that it asks for, rejecting everything; empty if it serves.
+        self.rest = ''
+        # Time and sender of each rejection, and of each arrival.
+        self.rejected: list[tuple[float, str]] = []
+        self.received: list[tuple[float, str]] = []
         self.stated_at: float | None = None
         self.arrivals: list[float] = []
         self._server = _http_server.Server(
@@ -115,11 +124,34 @@
         counts = [self.arrived(at, at + window_s) for at in begins]
         return max(counts, default=0)
 
+    def most_in_rest(self, rest_s: float) -> int:
+        """Return the most requests that came from a gateway while it rested.
+
+        Those of the first half second after a rejection do not count.
+        """
+        counts = [
+            len(
+                [
+                    at
+                    for at, name in self.received
+                    if name == sender
+                    and begin + _UNDER_WAY_S <= at < begin + rest_s
+                ]
+            )
+            for begin, sender in self.rejected
+        ]
+        return max(counts, default=0)
+
     async def _serve(
         self, request: _http_server.Request, reply: _http_server.Reply
     ) -> None:
         if not stand_ins.is_stage_free(request.target):
-            self.arrivals.append(trio.current_time())
+            now = trio.current_time()
+            self.arrivals.append(now)
+            self.received.append((now, _sender(request)))
+            if self.rest:
+                await self._reject(request, reply)
+                return
         sent = stand_ins.decode_endpoint_request(request.headers)
         stated = stand_ins.limit_headers(self.limit)
         if stated and self.stated_at is None:
@@ -142,6 +174,17 @@
         length = (b'content-length', str(len(body)).encode())
         await reply.write_complete(_OK, [*headers, length], body)
 
+    async def _reject(
+        self, request: _http_server.Request, reply: _http_server.Reply
+    ) -> None:
+        sent = stand_ins.decode_endpoint_request(request.headers)
+        headers = [
+            *stand_ins.rejection_headers(sent.request_id),
+            *stand_ins.rest_headers(self.rest),
+        ]
+        await reply.write_complete(_UNAVAILABLE, headers, b'')
+        self.rejected.append((trio.current_time(), _sender(request)))
+
     async def _work(self, request: _http_server.Request) -> bytes:
         if stand_ins.is_stage_free(request.target):
             return b''
@@ -154,6 +197,12 @@
         return stand_ins.encode_stage_answer(handles)
 
 
+def _sender(request: _http_server.Request) -> str:
+    """Return the gateway that sent a request; empty for calls of planners."""
+    found = _SENDER.search(request.target)
+    return found[1].decode() if found else ''
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reply:
     """Answer that a caller has read."""
@@ -209,7 +258,7 @@
         began_at = trio.current_time()
         received = b''
         try:
-            received = await self._exchange(node.callers, route)
+            received = await self._exchange(node, route)
         except OSError:
             # The gateway has been killed.
             received = b''
@@ -234,11 +283,11 @@
             if one.route == route and one.at >= since
         )
 
-    async def _exchange(self, port: int, route: str) -> bytes:
+    async def _exchange(self, node: stream_fleet.Node, route: str) -> bytes:
         number = next(_numbers)
         pieces = '2' if route == 'draft' else ''
         lines = [
-            b'GET /%b/%d HTTP/1.1' % (route.encode(), number),
+            f'GET /{route}/{node.name}-{number} HTTP/1.1'.encode(),
             b'Host: stating.example',
             b'Connection: close',
         ]
@@ -248,7 +297,7 @@
             lines.append(b'%b: %b' % (name, content))
         head = b'\r\n'.join((*lines, b'', b''))
         received = b''
-        stream = await trio.open_tcp_stream('127.0.0.1', port)
+        stream = await trio.open_tcp_stream('127.0.0.1', node.callers)
         async with stream:
             try:
                 await stream.send_all(head)
@@ -257,3 +306,20 @@
             except trio.BrokenResourceError:
                 return received
         return received
+
+
+Scenario = Callable[[StatingFleet], Awaitable[None]]
+
+
+def play(scenario: Scenario, gateways: int, endpoints: int) -> StatingFleet:
+    """Play a scenario with gateways over endpoints of each service."""
+
+    async def main() -> StatingFleet:
+        async with trio.open_nursery() as nursery:
+            fleet = StatingFleet(nursery)
+            await fleet.start(gateways, endpoints)
+            await scenario(fleet)
+            nursery.cancel_scope.cancel()
+        return fleet
+
+    return trio.run(main)
--- a/src/lentilspool/gateway/tests/stream_fleet.py
+++ b/src/lentilspool/gateway/tests/stream_fleet.py
@@ -173,6 +173,7 @@
     """A gateway that can be killed."""
 
     def __init__(self, name: str, store_port: int, *seeds: str) -> None:
+        self.name = name
         self.peers = f'127.0.0.1:{free_port()}'
         self.callers = free_port()
         self._settings = settings.GatewaySettings(
--- a/src/lentilspool/gateway/tests/test_endpoint_limits.py
+++ b/src/lentilspool/gateway/tests/test_endpoint_limits.py
@@ -1,7 +1,6 @@
 """Tests of endpoints that state how many requests a second they take."""
 
 import functools
-from collections.abc import Awaitable, Callable
 from typing import Final
 
 import pytest
@@ -21,23 +20,6 @@
 RATE: Final = 18.0
 
 
-Scenario = Callable[[stating_fleet.StatingFleet], Awaitable[None]]
-
-
-def play(scenario: Scenario) -> stating_fleet.StatingFleet:
-    """Play a scenario with a fleet."""
-
-    async def main() -> stating_fleet.StatingFleet:
-        async with trio.open_nursery() as nursery:
-            fleet = stating_fleet.StatingFleet(nursery)
-            await fleet.start(GATEWAYS, ENDPOINTS)
-            await scenario(fleet)
-            nursery.cancel_scope.cancel()
-        return fleet
-
-    return trio.run(main)
-
-
 @functools.cache
 def limited() -> stating_fleet.StatingFleet:
     """Play a load beside one endpoint of each service that states a limit."""
@@ -47,7 +29,7 @@
             endpoints[0].limit = str(LIMIT_PER_S)
         await fleet.load(RATE, LEARN_S + WINDOW_S + 1)
 
-    return play(scenario)
+    return stating_fleet.play(scenario, GATEWAYS, ENDPOINTS)
 
 
 class TestLimitOfAllGateways:
@@ -80,7 +62,7 @@
                     await trio.sleep(WINDOW_S / 2)
                     fleet.fleet.kill(fleet.fleet.nodes[0])
 
-        return play(scenario)
+        return stating_fleet.play(scenario, GATEWAYS, ENDPOINTS)
 
     def test_limit_is_kept_while_the_planner_changes(self) -> None:
         for service, endpoints in self.fleet.endpoints.items():
@@ -107,7 +89,7 @@
                 endpoint.arrivals.clear()
             await fleet.load(RATE, 2)
 
-        return play(scenario)
+        return stating_fleet.play(scenario, GATEWAYS, ENDPOINTS)
 
     def test_endpoint_gets_its_share_again(self) -> None:
         shares = {
@@ -131,7 +113,7 @@
             fleet.replies.clear()
             await fleet.load(RATE, WINDOW_S)
 
-        return play(scenario)
+        return stating_fleet.play(scenario, GATEWAYS, ENDPOINTS)
 
     def test_no_endpoint_gets_more_than_its_limit(self) -> None:
         for endpoints in self.fleet.endpoints.values():
--- /dev/null
+++ b/src/lentilspool/gateway/tests/test_endpoint_rests.py
@@ -0,0 +1,71 @@
+"""Tests of endpoints that reject a request and ask its sender for rest."""
+
+import functools
+from typing import Final
+
+import pytest
+
+from lentilspool.gateway.tests import stating_fleet
+
+GATEWAYS: Final = 3
+ENDPOINTS: Final = 3
+RATE: Final = 12.0
+REST_S: Final = 3.0
+# The users' rule: requests that may come from a host in a rest.
+ALLOWED: Final = 2
+
+
+@functools.cache
+def resting() -> stating_fleet.StatingFleet:
+    """Play a load beside one endpoint of each service that wants rest."""
+
+    async def scenario(fleet: stating_fleet.StatingFleet) -> None:
+        for endpoints in fleet.endpoints.values():
+            endpoints[0].rest = str(REST_S)
+        await fleet.load(RATE, 2 * REST_S)
+
+    return stating_fleet.play(scenario, GATEWAYS, ENDPOINTS)
+
+
+@functools.cache
+def all_resting() -> stating_fleet.StatingFleet:
+    """Play a load while all endpoints want rest."""
+
+    async def scenario(fleet: stating_fleet.StatingFleet) -> None:
+        for endpoints in fleet.endpoints.values():
+            for endpoint in endpoints:
+                endpoint.rest = str(REST_S)
+        await fleet.load(RATE, 1)
+        fleet.replies.clear()
+        await fleet.load(RATE, 1)
+
+    return stating_fleet.play(scenario, GATEWAYS, ENDPOINTS)
+
+
+@pytest.mark.known_red
+class TestRest:
+    @pytest.mark.parametrize('service', stating_fleet.SERVICES)
+    def test_gateway_sends_nothing_in_a_rest(self, service: str) -> None:
+        endpoint = resting().endpoints[service][0]
+        assert endpoint.rejected
+        assert endpoint.most_in_rest(REST_S) <= ALLOWED
+
+    @pytest.mark.parametrize('route', ['plain', 'talk'])
+    def test_callers_are_told_when_a_rest_of_all_ends(self, route: str) -> None:
+        replies = [one for one in all_resting().replies if one.route == route]
+        assert {one.status for one in replies} == {503}
+        waits = [one.retry_after_s or 0 for one in replies]
+        assert min(waits) > REST_S - 2.5
+        assert max(waits) <= REST_S
+
+    def test_no_stage_runs_while_all_endpoints_rest(self) -> None:
+        for endpoint in all_resting().endpoints[stating_fleet.STAGE]:
+            assert endpoint.most_in_rest(REST_S) <= ALLOWED
+
+
+@pytest.mark.known_red
+class TestServiceBesideRests:
+    @pytest.mark.parametrize('route', stating_fleet.ROUTES)
+    def test_requests_are_served(self, route: str) -> None:
+        statuses = resting().statuses(route)
+        assert statuses[200] == statuses.total()
