Leave endpoints alone for the rest that they ask for

Cause: a rejection excluded the endpoint for that request only. The planner took it for the end of a sound run, so an engine that rejects everything looked idle and drew the next request. Ruled out: that blocks are only too short; the planner, which decides, did not know whose the rest was.

Change: rests are remembered by gateway and incarnation, told in heartbeats, and kept in plans, plain placement and calls of pieces. A decision that a rest has overtaken is planned again before the send. If all endpoints of a service rest and the request would be late, it is refused at once with the first end.

--- a/src/lentilspool/gateway/_gateway.py
+++ b/src/lentilspool/gateway/_gateway.py
@@ -54,9 +54,7 @@
         self._published = _published.PublishedState()
         self._metrics = _metrics.GatewayMetrics()
         self._statements = _statements.StatementRecorder(
-            serving.EndpointStatements(
-                f'{gateway_settings.name}/{_clock.wall_ms()}'
-            ),
+            serving.EndpointStatements(gateway_settings.name, _clock.wall_ms()),
             self._metrics,
         )
         self._pool = _pool.ConnectionPool(
@@ -112,6 +110,7 @@
             self._repeat_callers,
             cluster.streams,
             serving.RunTimes(),
+            self._statements.known,
             _plain_placement.PlainPlacement(
                 self._published, self._loads, self._statements.known, planning
             ),
--- a/src/lentilspool/gateway/_in_flight.py
+++ b/src/lentilspool/gateway/_in_flight.py
@@ -83,6 +83,9 @@
     run_times: serving.RunTimes
     """How long runs at endpoints have taken lately."""
 
+    statements: serving.EndpointStatements
+    """Limits and rests of endpoints."""
+
     placement: _plain_placement.PlainPlacement
     """Choice of endpoints for requests that are not planned."""
 
--- a/src/lentilspool/gateway/_next_attempt.py
+++ b/src/lentilspool/gateway/_next_attempt.py
@@ -62,6 +62,24 @@
     return step is serving.AttemptStep.again
 
 
+def avoided(
+    in_flight: _in_flight.InFlightRequest, left_silent: set[str]
+) -> tuple[str, ...]:
+    """Return the incarnations of engines that must not be chosen.
+
+    Those that were only silent may be chosen again.
+    """
+    tried = in_flight.tried_incarnations - left_silent
+    resting = in_flight.context.statements.resting(_clock.now())
+    return tuple(tried | resting)
+
+
+def rest_s(in_flight: _in_flight.InFlightRequest, service: str) -> float | None:
+    """Return the seconds for which all endpoints rest; None if one does not."""
+    ready = in_flight.context.published.endpoint_index.ready(service)
+    return in_flight.context.statements.rest_s(ready, _clock.now()) or None
+
+
 def spend_retry(
     in_flight: _in_flight.InFlightRequest, endpoint: serving.Endpoint
 ) -> bool:
--- a/src/lentilspool/gateway/_peers.py
+++ b/src/lentilspool/gateway/_peers.py
@@ -61,6 +61,10 @@
     limits: tuple[serving.LimitReport, ...] = ()
     """Limits that endpoints have stated lately; all in some heartbeats."""
 
+    rests: tuple[tuple[str, float], ...] = ()
+    """Incarnations of endpoints that want nothing from the sender, with the
+    seconds left."""
+
     granted: tuple[tuple[str, int], ...] = ()
     """Requests that the sender has sent or granted to endpoints with limits, by
     incarnation."""
@@ -129,6 +133,7 @@
             self.published.revision,
             self.published.position[0],
             self.statements.known.reports(now, everything=gossips),
+            self.statements.known.own_rests(now),
             self.statements.known.totals(),
         )
         return msgspec.msgpack.encode(view)
@@ -148,6 +153,7 @@
         self.published.store_era.hear(view.era)
         process = f'{view.own.name}/{view.own.incarnation}'
         self.statements.merge(process, view.limits, view.granted)
+        self.statements.known.rests.merge(view.own.name, view.rests, now)
         own = (
             self.published.version,
             _listing_number(self.published.position),
--- a/src/lentilspool/gateway/_plain.py
+++ b/src/lentilspool/gateway/_plain.py
@@ -68,7 +68,7 @@
         answer = await _attempt(in_flight, endpoint)
         step = _decide(in_flight, endpoint, answer)
         if step is not serving.AttemptStep.again:
-            await _conclude(in_flight, step, answer)
+            await _conclude(in_flight, service, step, answer)
             return
     await _give_up(in_flight, 'quarantined', in_flight.quarantine_s)
 
@@ -241,6 +241,7 @@
 
 async def _conclude(
     in_flight: _in_flight.InFlightRequest,
+    service: str,
     step: serving.AttemptStep,
     answer: _Answer,
 ) -> None:
@@ -250,7 +251,8 @@
     ):
         await in_flight.deliver(head, answer.body)
     elif step is serving.AttemptStep.refuse:
-        await in_flight.refuse('rejected', None)
+        rest_s = _next_attempt.rest_s(in_flight, service)
+        await in_flight.refuse('rejected', rest_s)
     else:
         late = in_flight.time_left_s < _MIN_ATTEMPT_S
         status = _in_flight.GATEWAY_TIMEOUT if late else _in_flight.BAD_GATEWAY
--- a/src/lentilspool/gateway/_plain_placement.py
+++ b/src/lentilspool/gateway/_plain_placement.py
@@ -47,7 +47,7 @@
 class PlainPlacement:
     """Chooses endpoints for requests that are not planned.
 
-    The least loaded endpoint is chosen here. If it states a limit, the planner
+    The least loaded endpoint that does not rest is chosen here. If it states a limit, the planner
     is asked for it, because the limit holds for all gateways together.
     """
 
@@ -69,7 +69,7 @@
         """Return the endpoint for the next attempt, or why there is none."""
         left = self._left(ask)
         if not left:
-            return NoEndpoint('no_endpoint', _NO_ENDPOINT_RETRY_AFTER_S)
+            return self._none_left(ask.service)
         limited = {one.incarnation for one in left if self._is_limited(one)}
         now = _clock.now()
         if limited and self._prefers_limited(left, limited, now):
@@ -88,6 +88,13 @@
         """Whether an endpoint without a limit is left for another attempt."""
         return not isinstance(self._choose_free(ask), NoEndpoint)
 
+    def _none_left(self, service: str) -> NoEndpoint:
+        ready = self._published.endpoint_index.ready(service)
+        rest_s = self._statements.rest_s(ready, _clock.now())
+        if rest_s:
+            return NoEndpoint('resting', rest_s)
+        return NoEndpoint('no_endpoint', _NO_ENDPOINT_RETRY_AFTER_S)
+
     def _choose_free(self, ask: Ask) -> serving.Endpoint | NoEndpoint:
         free = tuple(
             one for one in self._left(ask) if not self._is_limited(one)
@@ -97,7 +104,8 @@
 
     def _left(self, ask: Ask) -> tuple[serving.Endpoint, ...]:
         ready = self._published.endpoint_index.ready(ask.service)
-        return tuple(one for one in ready if one.incarnation not in ask.tried)
+        excluded = ask.tried | self._statements.resting(_clock.now())
+        return tuple(one for one in ready if one.incarnation not in excluded)
 
     def _is_limited(self, endpoint: serving.Endpoint) -> bool:
         return self._statements.limit(endpoint.incarnation) is not None
--- a/src/lentilspool/gateway/_statements.py
+++ b/src/lentilspool/gateway/_statements.py
@@ -52,6 +52,10 @@
                 request_id=head.request_id,
                 rest_ms=round(statement.rest_s * _MS_PER_S),
             )
+            self._metrics.record_statement('rest')
+            self.known.record_rest(
+                endpoint.incarnation, statement.rest_s, _clock.now()
+            )
         limit = statement.limit_per_s
         if self.known.record_limit(
             endpoint.incarnation, limit, asked_at, _clock.now()
--- a/src/lentilspool/gateway/_streams.py
+++ b/src/lentilspool/gateway/_streams.py
@@ -30,6 +30,7 @@
 _PLAN_AGAIN_S: Final = 0.2
 # Reasons of a planner to which more time would be the remedy.
 _TIME_REFUSALS: Final = frozenset(('no_time', 'deadline'))
+_RESTING: Final = 'resting'
 _STOP_REFUSAL: Final = serving.Refuse('', _stop_check.REASON, None)
 # Reasons for which a planner will not plan a request in the next seconds.
 _FINAL_REFUSALS: Final = frozenset(('quarantined', 'no_engine_of_version'))
@@ -112,6 +113,9 @@
         if not problem:
             return await self._send(decision, plan)
         plan.report_event('cancelled')
+        if problem == _RESTING:
+            # Learnt while the request was planned: another engine may take it.
+            return True
         await self._fail(problem)
         return False
 
@@ -124,7 +128,8 @@
             return 'quarantined'
         if not _stop_check.admits(self._in_flight, endpoint):
             return _stop_check.REASON
-        return ''
+        resting = self._in_flight.context.statements.resting(_clock.now())
+        return _RESTING if endpoint.incarnation in resting else ''
 
     async def _wait_for_decision(
         self, plan: _planning.Plan
@@ -190,10 +195,11 @@
             ),
             priority=in_flight.matched.priority,
             zone=in_flight.context.gateway_settings.zone,
-            avoid=tuple(in_flight.tried_incarnations - self._left_silent),
+            avoid=_next_attempt.avoided(in_flight, self._left_silent),
             content=in_flight.content,
             version=self._origin.version,
             repeated=self._pieces_ran,
+            gateway=in_flight.context.gateway_settings.name,
         )
 
     async def _send(
@@ -372,7 +378,8 @@
         ):
             await self._deliver_failure(answer)
         elif step is serving.AttemptStep.refuse:
-            await in_flight.refuse('rejected', None)
+            rest_s = _next_attempt.rest_s(in_flight, endpoint.service)
+            await in_flight.refuse('rejected', rest_s)
         else:
             await self._fail('unknown')
         return False
--- a/src/lentilspool/gateway/tests/builders.py
+++ b/src/lentilspool/gateway/tests/builders.py
@@ -191,6 +191,7 @@
             serving.RepeatCallerDetector(),
             _stream_records.StreamRecords(self.published),
             serving.RunTimes(),
+            statements.known,
             _plain_placement.PlainPlacement(
                 self.published, loads, statements.known, planning
             ),
--- a/src/lentilspool/serving/_endpoint_statements.py
+++ b/src/lentilspool/serving/_endpoint_statements.py
@@ -1,14 +1,15 @@
 """What endpoints state of themselves, as known to one process.
 
-A statement is learnt from an answer at one gateway and needed wherever requests
-are placed, so gateways tell each other. It holds for one incarnation.
+A limit is learnt from an answer at one gateway and needed wherever requests
+are placed, so gateways tell each other. It holds for one incarnation. A rest holds
+for one gateway.
 """
 
 import dataclasses
 from collections.abc import Container, Iterable
 from typing import Final
 
-from lentilspool.serving import _pacing
+from lentilspool.serving import _endpoints, _pacing, _rests
 
 # Seconds for which reports are told at once; afterwards only from time to time.
 _RECENT_S: Final = 2.0
@@ -54,16 +55,19 @@
 
 
 class EndpointStatements:
-    """Limits of endpoints, and the requests that count towards them.
+    """Limits and rests of endpoints, and the requests that count towards limits.
 
-    ``record_limit`` is called with each answer to this process. ``reports`` and
-    ``totals`` are told to other processes, which ``merge`` them. Before a
-    request is sent to an endpoint, ``next_at`` must have passed, and
-    ``record_sent`` follows.
+    ``record_limit`` is called with each answer to this process, and
+    ``record_rest`` if the answer asks for it. ``reports``, ``totals`` and
+    ``rests`` are told to other processes, which merge them. Before a request is
+    sent to an endpoint, ``next_at`` must have passed, and ``record_sent``
+    follows. ``gateway`` is the name of this process among gateways.
     """
 
-    def __init__(self, origin: str = '') -> None:
-        self._origin = origin
+    def __init__(self, gateway: str = '', started_ms: int = 0) -> None:
+        self._gateway = gateway
+        self._origin = f'{gateway}/{started_ms}'
+        self.rests = _rests.Rests()
         self._pacer = _pacing.RequestPacer()
         self._known: dict[str, _Known] = {}
         self._limits: dict[str, float] = {}
@@ -78,11 +82,44 @@
         """Return the limit of an endpoint in requests a second, if any."""
         return self._limits.get(incarnation)
 
-    def next_at(self, incarnation: str, now: float) -> float:
-        """Return when an endpoint may get another request, or an earlier time."""
+    def next_at(
+        self, incarnation: str, now: float, gateway: str | None = None
+    ) -> float:
+        """Return when an endpoint may get another request, or an earlier time.
+
+        The request is sent by this process unless a gateway is named.
+        """
+        sender = self._gateway if gateway is None else gateway
+        rest_until = self.rests.until(sender, incarnation)
         if incarnation not in self._limits:
-            return now
-        return self._pacer.next_at(incarnation, now)
+            return rest_until
+        return max(self._pacer.next_at(incarnation, now), rest_until)
+
+    def rest_s(
+        self,
+        endpoints: Iterable[_endpoints.Endpoint],
+        now: float,
+        gateway: str | None = None,
+    ) -> float:
+        """Return the seconds for which all endpoints rest; 0 if one does not."""
+        sender = self._gateway if gateway is None else gateway
+        first = min(
+            (self.rests.until(sender, one.incarnation) for one in endpoints),
+            default=0,
+        )
+        return max(first - now, 0)
+
+    def resting(self, now: float) -> set[str]:
+        """Return the endpoints that this process must leave alone."""
+        return self.rests.incarnations(self._gateway, now)
+
+    def record_rest(self, incarnation: str, rest_s: float, now: float) -> None:
+        """Record a rest that an endpoint asks of this process."""
+        self.rests.record(self._gateway, incarnation, rest_s, now)
+
+    def own_rests(self, now: float) -> tuple[tuple[str, float], ...]:
+        """Return the rests asked of this process, with the seconds left."""
+        return self.rests.told(self._gateway, now)
 
     def record_sent(self, incarnation: str, now: float) -> None:
         """Count a request that is sent to an endpoint, or granted."""
@@ -173,6 +210,7 @@
 
     def forget_unlisted(self, listed: Container[str], now: float) -> None:
         """Forget what is no longer needed of endpoints."""
+        self.rests.forget_ended(now)
         for incarnation, known in list(self._known.items()):
             holds = incarnation in listed and incarnation in self._limits
             if not holds and now - known.learnt_at > _KEEP_S:
--- a/src/lentilspool/serving/_engine_waits.py
+++ b/src/lentilspool/serving/_engine_waits.py
@@ -1,7 +1,7 @@
-"""Waits for the engines of a service, which may all have limits.
+"""Waits for the engines of a service, which may all have limits or rest.
 
 Load pattern: all engines of a service are in need and take a few requests a
-second, while the stages before them have room.
+second, or shed load, while the stages before them have room.
 """
 
 from collections.abc import Iterable
@@ -26,13 +26,40 @@
         service = job.plan_request.service
         pool = self._fleet.pool(service)
         if pool.limit_per_s() is None:
-            return pool.wait_s(ready_at)
+            return pool.wait_s(job.plan_request.gateway, ready_at)
         ahead = [
             other
             for other in others
             if other.plan_request.service == service and other is not job
         ]
-        return pool.wait_s(ready_at, len(ahead))
+        return pool.wait_s(job.plan_request.gateway, ready_at, len(ahead))
+
+    def rest_s(self, job: _jobs.Job, now: float) -> float | None:
+        """Return the rest for which a request is refused; None if it is not.
+
+        It is if all endpoints of a service that it needs rest for so long that
+        it would be late.
+        """
+        plan_request = job.plan_request
+        pool = self._fleet.pool(plan_request.service)
+        rest_s = pool.rest_s(plan_request.gateway, now)
+        for stage in job.stages:
+            service = self._fleet.stages.services.get(
+                stage.stage_request.service
+            )
+            if service and not stage.done:
+                rest_s = max(rest_s, service.rest_s(now))
+        return rest_s if rest_s and now + rest_s > job.target_at else None
+
+    def without_endpoint(
+        self, jobs: Iterable[_jobs.Job], now: float
+    ) -> list[tuple[_jobs.Job, float]]:
+        """Return requests that rests refuse before they have begun.
+
+        Also returns the rest of each in seconds.
+        """
+        rests = ((job, self.rest_s(job, now)) for job in jobs if not job.begun)
+        return [(job, rest_s) for job, rest_s in rests if rest_s is not None]
 
     def refusal(
         self,
--- a/src/lentilspool/serving/_engines.py
+++ b/src/lentilspool/serving/_engines.py
@@ -246,7 +246,7 @@
             for engine in self.engines.values()
             if _may_run(engine, plan_request)
             and engine.blocked_until <= now
-            and self._next_at(engine, now) <= now
+            and self._next_at(engine, plan_request.gateway, now) <= now
             and not engine.full
         ]
         if not candidates:
@@ -289,19 +289,24 @@
         if prompt:
             engine.add_cached_parts(prompt.parts)
 
-    def wait_s(self, now: float, ahead: int = 0) -> float:
+    def wait_s(self, gateway: str, now: float, ahead: int = 0) -> float:
         """Return the seconds until the first engine can read another prompt.
 
-        ``ahead`` is the number of requests that go first to engines with limits.
-        It is 1 if there is no engine.
+        ``gateway`` sends the request, and ``ahead`` is the number of requests
+        that go first to engines with limits. It is 1 if there is no engine.
         """
         waits = [
-            max(engine.prefill_until, engine.blocked_until) - now
+            max(
+                engine.prefill_until,
+                engine.blocked_until,
+                self._next_at(engine, gateway, now),
+            )
+            - now
             for engine in self.engines.values()
             if self._limit(engine) is None
         ]
         if len(waits) < len(self.engines):
-            waits.append(self._limited_wait_s(now, ahead))
+            waits.append(self._limited_wait_s(gateway, now, ahead))
         return max(min(waits, default=1), 0)
 
     def limit_per_s(self) -> float | None:
@@ -315,13 +320,19 @@
             return None
         return sum(_pacing.rate_per_s(one) for one in known)
 
+    def rest_s(self, gateway: str, now: float) -> float:
+        """Return the seconds for which a gateway must leave all engines alone."""
+        endpoints = (engine.endpoint for engine in self.engines.values())
+        return self._statements.rest_s(endpoints, now, gateway)
+
     def _limit(self, engine: Engine) -> float | None:
         return self._statements.limit(engine.endpoint.incarnation)
 
-    def _next_at(self, engine: Engine, now: float) -> float:
-        return self._statements.next_at(engine.endpoint.incarnation, now)
+    def _next_at(self, engine: Engine, gateway: str, now: float) -> float:
+        name = engine.endpoint.incarnation
+        return self._statements.next_at(name, now, gateway)
 
-    def _limited_wait_s(self, now: float, ahead: int) -> float:
+    def _limited_wait_s(self, gateway: str, now: float, ahead: int) -> float:
         """Return the seconds until an engine with a limit may get a request."""
         limited = [
             engine
@@ -329,7 +340,7 @@
             if self._limit(engine) is not None
         ]
         first_s = min(
-            max(engine.blocked_until, self._next_at(engine, now)) - now
+            max(engine.blocked_until, self._next_at(engine, gateway, now)) - now
             for engine in limited
         )
         rates = [_pacing.rate_per_s(self._limit(one) or 0) for one in limited]
--- a/src/lentilspool/serving/_plan_types.py
+++ b/src/lentilspool/serving/_plan_types.py
@@ -74,6 +74,9 @@
     planners_lost: int = 0
     """Planners lost lately, as the sender saw it."""
 
+    gateway: str = ''
+    """Name of the gateway that sends the request."""
+
     among: tuple[str, ...] = ()
     """Incarnations of endpoints with limits, one of which a plain request asks
     for; empty for all other requests."""
--- a/src/lentilspool/serving/_planner.py
+++ b/src/lentilspool/serving/_planner.py
@@ -28,6 +28,7 @@
 # Suggested to refused callers; also the wait for an engine past the target.
 _RETRY_AFTER_S: Final = 0.5
 _QUARANTINED: Final = 'quarantined'
+_RESTING: Final = 'resting'
 _NO_VERSION: Final = 'no_engine_of_version'
 
 
@@ -96,6 +97,10 @@
         )
         job.rank = _ranking.rank(job)
         job.zone = self._fleet.likely_engine_zone(job, now)
+        rest_s = self._engine_waits.rest_s(job, now)
+        if rest_s is not None:
+            self._refuse(job, _RESTING, rest_s, now)
+            return
         expected_s = self._expected_s(job, now)
         if expected_s > plan_request.deadline_s * self._limits.admit_share:
             reason, return_s = self._engine_waits.refusal(
@@ -213,19 +218,17 @@
         refused = self._suspicions.apply_changes(self._jobs.values())
         for suspect, refusal_s in refused:
             self._refuse(suspect, _QUARANTINED, refusal_s, now)
+        refused = self._engine_waits.without_endpoint(self._jobs.values(), now)
+        for resting, rest_s in refused:
+            self._refuse(resting, _RESTING, rest_s, now)
         services = self._stages.services
         for job in list(self._jobs.values()):
-            left_s = job.deadline_at - now
             min_s = _estimates.min_remaining_s(job, services, self._limits)
-            late = now + min_s > job.target_at
-            max_wait_s = (
-                job.plan_request.deadline_s * self._limits.late_wait_share
-            )
             if not self._fleet.has_version(job.plan_request):
                 self._refuse(job, _NO_VERSION, _RETRY_AFTER_S, now)
-            elif min_s > left_s:
+            elif min_s > job.deadline_at - now:
                 self._refuse(job, 'deadline', None, now)
-            elif late and job.has_waited(max_wait_s, now):
+            elif _has_waited_late(job, min_s, self._limits, now):
                 self._refuse(job, 'late', self._expected_s(job, now), now)
 
     def _refuse_failed(self, now: float) -> None:
@@ -299,3 +302,12 @@
             waited_ms=round((now - job.arrived_at) * _MS_PER_S),
             waiting=len(self._jobs),
         )
+
+
+def _has_waited_late(
+    job: _jobs.Job, min_s: float, limits: _plan_types.PlanLimits, now: float
+) -> bool:
+    """Whether a request that will be late has waited for too long."""
+    max_wait_s = job.plan_request.deadline_s * limits.late_wait_share
+    late = now + min_s > job.target_at
+    return late and job.has_waited(max_wait_s, now)
