--- a/src/lentilspool/gateway/_events.py
+++ b/src/lentilspool/gateway/_events.py
@@ -109,6 +109,9 @@
 REST_STATED: Final = _declare(
     826, logging.INFO, 'An endpoint has rejected a request and wants a rest.'
 )
+LEAVING_STATED: Final = _declare(
+    827, logging.INFO, 'An endpoint has stated that it is about to end.'
+)
 CALLER_BROKEN: Final = _declare(
     822, logging.INFO, 'A connection of a caller violated HTTP.'
 )
--- a/src/lentilspool/gateway/_statements.py
+++ b/src/lentilspool/gateway/_statements.py
@@ -45,6 +45,12 @@
                 request_id=head.request_id,
                 values=statement.unreadable,
             )
+        if statement.leaving:
+            _events.LEAVING_STATED.log(
+                _logger,
+                endpoint=endpoint.incarnation,
+                request_id=head.request_id,
+            )
         if statement.rest_s is not None:
             _events.REST_STATED.log(
                 _logger,
--- a/src/lentilspool/gateway/tests/stating_fleet.py
+++ b/src/lentilspool/gateway/tests/stating_fleet.py
@@ -91,6 +91,8 @@
         self.limit = ''
         # Rest that it asks for, rejecting everything; empty if it serves.
         self.rest = ''
+        # Whether it states that it leaves, though it is listed as ready.
+        self.leaving = False
         # Time and sender of each rejection, and of each arrival.
         self.rejected: list[tuple[float, str]] = []
         self.received: list[tuple[float, str]] = []
@@ -153,7 +155,10 @@
                 await self._reject(request, reply)
                 return
         sent = stand_ins.decode_endpoint_request(request.headers)
-        stated = stand_ins.limit_headers(self.limit)
+        stated = [
+            *stand_ins.limit_headers(self.limit),
+            *stand_ins.leaving_headers(self.leaving),
+        ]
         if stated and self.stated_at is None:
             self.stated_at = trio.current_time()
         if sent.endpoint not in {'', self.name}:
--- a/src/lentilspool/platform/_statements.py
+++ b/src/lentilspool/platform/_statements.py
@@ -10,6 +10,8 @@
 from lentilspool.platform import _digits, _names
 
 _MAX_QUOTED_CHARACTERS: Final = 80
+_SET: Final = '1'
+_FLAGS: Final = frozenset((_SET, '0'))
 _Headers = Sequence[tuple[bytes, bytes]]
 
 
@@ -26,7 +28,12 @@
         rest_s = None if rest is None else _decode_rest(rest, headers)
         if rest is not None and rest_s is None:
             unreadable.append(rest)
-    return serving.Statement(limit_per_s, rest_s, tuple(unreadable))
+    leaving = _one(headers, _names.LEAVING, unreadable)
+    if leaving not in {None, *_FLAGS}:
+        unreadable.append(str(leaving))
+    return serving.Statement(
+        limit_per_s, rest_s, leaving == _SET, tuple(unreadable)
+    )
 
 
 def _decode_rest(text: str, headers: _Headers) -> float | None:
--- a/src/lentilspool/platform/tests/stand_ins.py
+++ b/src/lentilspool/platform/tests/stand_ins.py
@@ -79,6 +79,11 @@
     return [(_names.LIMIT, limit.encode())] if limit else []
 
 
+def leaving_headers(leaving: bool) -> Headers:
+    """Return the header with which an endpoint states that it leaves."""
+    return [(_names.LEAVING, b'1')] if leaving else []
+
+
 def rest_headers(rest: str) -> Headers:
     """Return the header with which an endpoint asks for rest, if it does."""
     return [(_names.RETRY_AFTER, rest.encode())] if rest else []
--- a/src/lentilspool/platform/tests/test_statements.py
+++ b/src/lentilspool/platform/tests/test_statements.py
@@ -6,6 +6,7 @@
 
 LIMIT = b'Server-Limit'
 REST = b'Retry-After'
+LEAVING = b'Server-Leaving'
 DATE = (b'Date', b'Fri, 04 Dec 2026 16:00:00 GMT')
 LONG = '9' * 400
 
@@ -76,3 +77,17 @@
     @pytest.mark.parametrize('status', [200, 429, 500])
     def test_other_answers_ask_for_no_rest(self, status: int) -> None:
         assert statement((REST, b'3'), status=status) == serving.Statement()
+
+
+class TestLeaving:
+    @pytest.mark.parametrize(
+        ('text', 'leaving', 'unreadable'),
+        [('1', True, ()), ('0', False, ()), ('yes', False, ('yes',))],
+    )
+    def test_one_means_that_the_endpoint_leaves(
+        self, text: str, leaving: bool, unreadable: tuple[str, ...]
+    ) -> None:
+        found = statement((LEAVING, text.encode()))
+        assert found == serving.Statement(
+            leaving=leaving, unreadable=unreadable
+        )
--- a/src/lentilspool/serving/_answers.py
+++ b/src/lentilspool/serving/_answers.py
@@ -31,6 +31,9 @@
     """Seconds for which it wants nothing from this host, if it has rejected a
     request; None if it does not say."""
 
+    leaving: bool = False
+    """Whether it is about to end, and wants no new work."""
+
     unreadable: tuple[str, ...] = ()
     """Values that cannot be read; they state nothing."""
 
