Give no work to endpoints that state that they leave

Callers saw nothing yet: an endpoint that states in its answers that it leaves, and is listed as ready or cannot be read from the store, went on getting plain requests, streams and calls of pieces, which end with it.

Cause: the statement was not read. Ruled out as a place for the fix: each path's own choice of endpoints; there are five (plain, grants, engines, stages, cached parts), and all read the index of ready endpoints.

Change: statements are remembered by incarnation, told in heartbeats, and applied to the index. An endpoint that leaves gets work only if there is no other, for half of send.drain_ms. Calls of pieces that run at an endpoint that leaves or drains are not repeated; before, they were taken for lost as soon as the endpoint was not ready.

--- a/src/lentilspool/gateway/_gateway.py
+++ b/src/lentilspool/gateway/_gateway.py
@@ -54,7 +54,12 @@
         self._published = _published.PublishedState()
         self._metrics = _metrics.GatewayMetrics()
         self._statements = _statements.StatementRecorder(
-            serving.EndpointStatements(gateway_settings.name, _clock.wall_ms()),
+            serving.EndpointStatements(
+                gateway_settings.name,
+                _clock.wall_ms(),
+                leaving_serves_s=gateway_settings.send.drain_ms / _MS_PER_S,
+            ),
+            self._published,
             self._metrics,
         )
         self._pool = _pool.ConnectionPool(
@@ -183,6 +188,8 @@
             'open_requests': self._caller_server.open_requests,
             'connections_opened': self._pool.opened,
             'limits': len(self._statements.known.limits),
+            'leaving': len(self._statements.known.leaving.incarnations),
+            'rests': len(self._statements.known.resting(_clock.now())),
             'store_calls': sum(reader.calls for reader in self._store_readers),
             'stopping': self._planned_stop.begun,
         }
@@ -249,7 +256,7 @@
                 one.incarnation
                 for one in self._published.endpoint_index.endpoints
             }
-            self._statements.known.forget_unlisted(listed, now)
+            self._statements.expire()
             await self._pool.retain(listed)
 
 
--- a/src/lentilspool/gateway/_peers.py
+++ b/src/lentilspool/gateway/_peers.py
@@ -61,6 +61,10 @@
     limits: tuple[serving.LimitReport, ...] = ()
     """Limits that endpoints have stated lately; all in some heartbeats."""
 
+    leaving: tuple[str, ...] = ()
+    """Incarnations of endpoints that have stated lately that they leave; all in
+    some heartbeats."""
+
     rests: tuple[tuple[str, float], ...] = ()
     """Incarnations of endpoints that want nothing from the sender, with the
     seconds left."""
@@ -133,6 +137,7 @@
             self.published.revision,
             self.published.position[0],
             self.statements.known.reports(now, everything=gossips),
+            self.statements.known.leaving.told(now, everything=gossips),
             self.statements.known.own_rests(now),
             self.statements.known.totals(),
         )
@@ -152,7 +157,7 @@
             self.roster.record_heartbeat(member, age_s, now)
         self.published.store_era.hear(view.era)
         process = f'{view.own.name}/{view.own.incarnation}'
-        self.statements.merge(process, view.limits, view.granted)
+        self.statements.merge(process, view.limits, view.granted, view.leaving)
         self.statements.known.rests.merge(view.own.name, view.rests, now)
         own = (
             self.published.version,
--- a/src/lentilspool/gateway/_published.py
+++ b/src/lentilspool/gateway/_published.py
@@ -175,6 +175,18 @@
         if due:
             self._notify_listeners()
 
+    def apply_leaving(
+        self, leaving: frozenset[str], last_resorts: frozenset[str]
+    ) -> None:
+        """Apply the incarnations of endpoints that state that they leave.
+
+        ``last_resorts`` are those that may get work if there is no other.
+        """
+        generation = self.endpoint_index.generation
+        self.endpoint_index.apply_leaving(leaving, last_resorts)
+        if self.endpoint_index.generation != generation:
+            self._notify_listeners()
+
     def export(self, kind: str) -> tuple[int, bytes]:
         """Return revision and packed content of a kind of state."""
         if kind == CONFIGURATION:
--- a/src/lentilspool/gateway/_statements.py
+++ b/src/lentilspool/gateway/_statements.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 from lentilspool import serving
-from lentilspool.gateway import _clock, _events, _metrics
+from lentilspool.gateway import _clock, _events, _metrics, _published
 
 _logger: Final = logging.getLogger(__name__)
 _MISDIRECTED: Final = 421
@@ -22,9 +22,11 @@
     def __init__(
         self,
         known: serving.EndpointStatements,
+        published: _published.PublishedState,
         metrics: _metrics.GatewayMetrics,
     ) -> None:
         self.known = known
+        self._published = published
         self._metrics = metrics
 
     def record(
@@ -46,11 +48,7 @@
                 values=statement.unreadable,
             )
         if statement.leaving:
-            _events.LEAVING_STATED.log(
-                _logger,
-                endpoint=endpoint.incarnation,
-                request_id=head.request_id,
-            )
+            self._record_leaving([endpoint.incarnation], head.request_id)
         if statement.rest_s is not None:
             _events.REST_STATED.log(
                 _logger,
@@ -73,8 +71,10 @@
         process: str,
         reports: Iterable[serving.LimitReport],
         totals: Iterable[tuple[str, int]],
+        leaving: Iterable[str],
     ) -> None:
         """Merge what another gateway has learnt, and what it has granted."""
+        self._record_leaving(leaving, '', process)
         now = _clock.now()
         for report in self.known.merge(reports, now):
             self._log_limit(
@@ -82,6 +82,32 @@
             )
         self.known.merge_totals(process, totals, now)
 
+    def expire(self) -> None:
+        """Forget what has ended; call it from time to time."""
+        now = _clock.now()
+        endpoints = self._published.endpoint_index.endpoints
+        listed = {one.incarnation for one in endpoints}
+        self.known.forget_unlisted(listed, now)
+        leaving = self.known.leaving
+        self._published.apply_leaving(
+            leaving.incarnations, leaving.last_resorts(now)
+        )
+
+    def _record_leaving(
+        self, incarnations: Iterable[str], request_id: str, origin: str = ''
+    ) -> None:
+        new = self.known.leaving.merge(incarnations, _clock.now())
+        for incarnation in new:
+            self._metrics.record_statement('leaving')
+            _events.LEAVING_STATED.log(
+                _logger,
+                endpoint=incarnation,
+                request_id=request_id,
+                origin=origin,
+            )
+        if new:
+            self.expire()
+
     def _log_limit(
         self,
         incarnation: str,
--- a/src/lentilspool/gateway/tests/builders.py
+++ b/src/lentilspool/gateway/tests/builders.py
@@ -156,7 +156,7 @@
         metrics = _metrics.GatewayMetrics()
         quarantine = _content_quarantine.ContentQuarantine(own.quarantine)
         statements = _statements.StatementRecorder(
-            serving.EndpointStatements('g'), metrics
+            serving.EndpointStatements('g'), self.published, metrics
         )
         pool = _pool.ConnectionPool(send, statements.record)
         checks = _endpoint_checks.EndpointChecks(
--- a/src/lentilspool/gateway/tests/test_leaving_endpoints.py
+++ b/src/lentilspool/gateway/tests/test_leaving_endpoints.py
@@ -39,7 +39,6 @@
     return stating_fleet.play(scenario, GATEWAYS, ENDPOINTS)
 
 
-@pytest.mark.known_red
 class TestLeavingEndpoints:
     @pytest.mark.parametrize('service', stating_fleet.SERVICES)
     def test_endpoint_gets_no_work(self, service: str) -> None:
--- a/src/lentilspool/gateway/tests/test_peers.py
+++ b/src/lentilspool/gateway/tests/test_peers.py
@@ -72,7 +72,9 @@
             self.gateway_settings.quarantine
         )
         self.statements = _statements.StatementRecorder(
-            serving.EndpointStatements(name), _metrics.GatewayMetrics()
+            serving.EndpointStatements(name),
+            self.published,
+            _metrics.GatewayMetrics(),
         )
         cluster = _peers.ClusterState(
             self.roster,
--- a/src/lentilspool/serving/_endpoint_statements.py
+++ b/src/lentilspool/serving/_endpoint_statements.py
@@ -9,7 +9,7 @@
 from collections.abc import Container, Iterable
 from typing import Final
 
-from lentilspool.serving import _endpoints, _pacing, _rests
+from lentilspool.serving import _endpoints, _leaving, _pacing, _rests
 
 # Seconds for which reports are told at once; afterwards only from time to time.
 _RECENT_S: Final = 2.0
@@ -55,17 +55,25 @@
 
 
 class EndpointStatements:
-    """Limits and rests of endpoints, and the requests that count towards limits.
+    """Limits, rests and ends of endpoints, and the requests within limits.
 
     ``record_limit`` is called with each answer to this process, and
     ``record_rest`` if the answer asks for it. ``reports``, ``totals`` and
     ``rests`` are told to other processes, which merge them. Before a request is
     sent to an endpoint, ``next_at`` must have passed, and ``record_sent``
-    follows. ``gateway`` is the name of this process among gateways.
+    follows. ``gateway`` is the name of this process among gateways, and
+    ``leaving_serves_s`` is for how long endpoints that leave go on serving.
     """
 
-    def __init__(self, gateway: str = '', started_ms: int = 0) -> None:
+    def __init__(
+        self,
+        gateway: str = '',
+        started_ms: int = 0,
+        *,
+        leaving_serves_s: float = 0,
+    ) -> None:
         self._gateway = gateway
+        self.leaving = _leaving.LeavingEndpoints(leaving_serves_s)
         self._origin = f'{gateway}/{started_ms}'
         self.rests = _rests.Rests()
         self._pacer = _pacing.RequestPacer()
@@ -102,6 +110,8 @@
         gateway: str | None = None,
     ) -> float:
         """Return the seconds for which all endpoints rest; 0 if one does not."""
+        if not self.rests.known:
+            return 0
         sender = self._gateway if gateway is None else gateway
         first = min(
             (self.rests.until(sender, one.incarnation) for one in endpoints),
@@ -211,6 +221,7 @@
     def forget_unlisted(self, listed: Container[str], now: float) -> None:
         """Forget what is no longer needed of endpoints."""
         self.rests.forget_ended(now)
+        self.leaving.forget_unlisted(listed, now)
         for incarnation, known in list(self._known.items()):
             holds = incarnation in listed and incarnation in self._limits
             if not holds and now - known.learnt_at > _KEEP_S:
--- a/src/lentilspool/serving/_endpoints.py
+++ b/src/lentilspool/serving/_endpoints.py
@@ -49,12 +49,16 @@
     """Index of the endpoints that are listed now, by service.
 
     ``replace`` applies a full listing, ``put`` and ``remove`` single changes.
+    ``apply_leaving`` applies what endpoints state of themselves, which holds
+    whatever they are listed as.
     """
 
     def __init__(self) -> None:
         self._endpoints: dict[str, Endpoint] = {}
         self._by_service: dict[str, tuple[Endpoint, ...]] = {}
         self._generation = 0
+        self._leaving: frozenset[str] = frozenset()
+        self._last_resorts: frozenset[str] = frozenset()
 
     @property
     def generation(self) -> int:
@@ -71,7 +75,11 @@
         return self._endpoints.get(name)
 
     def ready(self, service: str) -> tuple[Endpoint, ...]:
-        """Return the endpoints of a service that accept new requests."""
+        """Return the endpoints of a service that accept new requests.
+
+        Endpoints that leave are among them only if there is no other, and only
+        for a time.
+        """
         return self._by_service.get(service, ())
 
     def replace(self, endpoints: dict[str, Endpoint]) -> None:
@@ -91,6 +99,18 @@
         if self._endpoints.pop(name, None):
             self._index()
 
+    def apply_leaving(
+        self, leaving: frozenset[str], last_resorts: frozenset[str]
+    ) -> None:
+        """Apply the incarnations of endpoints that leave.
+
+        ``last_resorts`` are those that may get work if there is no other.
+        """
+        if (leaving, last_resorts) != (self._leaving, self._last_resorts):
+            self._leaving = leaving
+            self._last_resorts = last_resorts
+            self._index()
+
     def _index(self) -> None:
         self._generation += 1
         grouped: dict[str, list[Endpoint]] = {}
@@ -98,6 +118,14 @@
             if endpoint.ready:
                 grouped.setdefault(endpoint.service, []).append(endpoint)
         self._by_service = {
-            service: tuple(sorted(found, key=lambda one: one.name))
+            service: tuple(
+                sorted(self._usable(found), key=lambda one: one.name)
+            )
             for service, found in grouped.items()
         }
+
+    def _usable(self, found: list[Endpoint]) -> list[Endpoint]:
+        staying = [one for one in found if one.incarnation not in self._leaving]
+        return staying or [
+            one for one in found if one.incarnation in self._last_resorts
+        ]
--- a/src/lentilspool/serving/_engine_waits.py
+++ b/src/lentilspool/serving/_engine_waits.py
@@ -6,14 +6,19 @@
 
 from collections.abc import Iterable
 
-from lentilspool.serving import _fleet, _jobs, _pacing
+from lentilspool.serving import _endpoint_statements, _fleet, _jobs, _pacing
 
 
 class EngineWaits:
     """Estimates when a request gets an engine, and when a refused one may."""
 
-    def __init__(self, fleet: _fleet.Fleet) -> None:
+    def __init__(
+        self,
+        fleet: _fleet.Fleet,
+        statements: _endpoint_statements.EndpointStatements,
+    ) -> None:
         self._fleet = fleet
+        self._statements = statements
         self._return_times = _pacing.ReturnTimes()
 
     def wait_s(
@@ -58,6 +63,8 @@
 
         Also returns the rest of each in seconds.
         """
+        if not self._statements.rests.known:
+            return []
         rests = ((job, self.rest_s(job, now)) for job in jobs if not job.begun)
         return [(job, rest_s) for job, rest_s in rests if rest_s is not None]
 
--- a/src/lentilspool/serving/_fleet.py
+++ b/src/lentilspool/serving/_fleet.py
@@ -87,6 +87,9 @@
         if self._endpoint_index.generation == self._applied_generation:
             return
         self._applied_generation = self._endpoint_index.generation
+        self.stages.apply_listed(
+            frozenset(one.incarnation for one in self._endpoint_index.endpoints)
+        )
         for name, service in self._services.items():
             endpoints = self._endpoint_index.ready(name)
             if service.batches:
--- a/src/lentilspool/serving/_planner.py
+++ b/src/lentilspool/serving/_planner.py
@@ -55,15 +55,13 @@
         self._limits = limits or _plan_types.PlanLimits()
         suspects = suspects or _suspects.NoSuspects()
         self._suspicions = _suspects.JobSuspicions(suspects)
+        statements = statements or _endpoint_statements.EndpointStatements()
         self._fleet = _fleet.Fleet(
-            endpoint_index,
-            self._limits,
-            suspects,
-            statements or _endpoint_statements.EndpointStatements(),
+            endpoint_index, self._limits, suspects, statements
         )
         self._stages = self._fleet.stages
         self._forecast = _forecast.Forecast()
-        self._engine_waits = _engine_waits.EngineWaits(self._fleet)
+        self._engine_waits = _engine_waits.EngineWaits(self._fleet, statements)
         self._jobs: dict[str, _jobs.Job] = {}
         self._outcomes: list[_plan_types.RunAt | _plan_types.Refuse] = []
         self._running: dict[str, tuple[_jobs.Job, _engines.Engine]] = {}
--- a/src/lentilspool/serving/_rests.py
+++ b/src/lentilspool/serving/_rests.py
@@ -23,6 +23,11 @@
         # When rests end, by gateway and incarnation.
         self._until: dict[str, dict[str, float]] = {}
 
+    @property
+    def known(self) -> bool:
+        """Whether any gateway must leave any endpoint alone."""
+        return bool(self._until)
+
     def until(self, gateway: str, incarnation: str) -> float:
         """Return when a rest ends, or ended; 0 if there was none."""
         rests = self._until.get(gateway)
--- a/src/lentilspool/serving/_stage_dispatch.py
+++ b/src/lentilspool/serving/_stage_dispatch.py
@@ -46,6 +46,7 @@
         self._statements = statements
         self._suspects = suspects
         self.services: _estimates.Services = {}
+        self._listed: frozenset[str] = frozenset()
         self._begun: list[_plan_types.Begun] = []
         self._outgoing_calls: list[_plan_types.StartCall] = []
         self.lost_calls = _lost_calls.LostCalls()
@@ -62,13 +63,17 @@
         limits: _configuration.BatchLimits,
         endpoints: tuple[_endpoints.Endpoint, ...],
     ) -> None:
-        """Apply the limits and the listed endpoints of a service."""
+        """Apply the limits of a service and its endpoints that take calls."""
         if name not in self.services:
             self.services[name] = _stage_service.StageService(
                 limits, self._limits, self._statements
             )
         self.services[name].update_endpoints(endpoints, limits)
 
+    def apply_listed(self, incarnations: frozenset[str]) -> None:
+        """Apply all endpoints that are listed, including those that leave."""
+        self._listed = incarnations
+
     def take_actions(self) -> list[_plan_types.Action]:
         """Return and clear the pending calls and orders to free results."""
         actions: list[_plan_types.Action] = [
@@ -149,11 +154,9 @@
     def retry_lost(self, now: float) -> None:
         """Retry the pieces of calls that are overdue or lost their endpoint."""
         for open_call in self._open_calls.values():
-            stage_endpoints = self.services[open_call.service].stage_endpoints
-            delisted = (
-                open_call.stage_endpoint.endpoint.incarnation
-                not in stage_endpoints
-            )
+            # An endpoint that leaves ends its calls.
+            incarnation = open_call.stage_endpoint.endpoint.incarnation
+            delisted = incarnation not in self._listed
             late = now >= self._due_at(open_call)
             if not open_call.overdue and (late or delisted):
                 open_call.overdue = True
--- a/src/lentilspool/settings/_gateway.py
+++ b/src/lentilspool/settings/_gateway.py
@@ -85,6 +85,10 @@
     max_answer_bytes: int = 8_388_608
     """Maximum size of an answer that is not streamed."""
 
+    drain_ms: float = 2000.0
+    """Milliseconds for which an endpoint that leaves certainly goes on serving;
+    in half of them it may get work if there is no other endpoint."""
+
     retry_share: float = 0.1
     """Retries of a service as a share of its successes; half of what the platform
     allows, because the platform counts clients' requests differently."""
