Keep what is owed to a limit when the limit changes

What is owed is now scaled by the two rates. The new test plays a limit that changes between 20 and 21 with each answer.

--- a/src/lentilspool/serving/_endpoint_statements.py
+++ b/src/lentilspool/serving/_endpoint_statements.py
@@ -237,8 +237,9 @@
             self._limits.pop(incarnation, None)
             self._pacer.end_limit(incarnation)
         else:
+            old = self._limits.get(incarnation, limit)
             self._limits[incarnation] = limit
-            self._pacer.apply_limit(incarnation, limit, now)
+            self._pacer.change_limit(incarnation, old, limit, now)
 
 
 def _is_more(limit: float | None, current: float | None) -> bool:
--- a/src/lentilspool/serving/_pacing.py
+++ b/src/lentilspool/serving/_pacing.py
@@ -62,10 +62,14 @@
             spaced_s = (total - known) / rate_per_s(limit_per_s)
             self._advance(name, spaced_s, now)
 
-    def apply_limit(self, name: str, limit_per_s: float, now: float) -> None:
-        """Apply a changed limit to the requests that were counted before."""
-        due_at = self._due_at.get(name, now)
-        self._due_at[name] = min(due_at, now + 1 / rate_per_s(limit_per_s))
+    def change_limit(
+        self, name: str, old_per_s: float, new_per_s: float, now: float
+    ) -> None:
+        """Space the requests that were counted before by a changed limit."""
+        owed_s = self._due_at.get(name, now) - now
+        if owed_s > 0:
+            scaled_s = owed_s * rate_per_s(old_per_s) / rate_per_s(new_per_s)
+            self._due_at[name] = now + min(scaled_s, _MAX_DEBT_S)
 
     def end_limit(self, name: str) -> None:
         """Space the requests to an endpoint no longer."""
--- a/src/lentilspool/serving/tests/test_pacing.py
+++ b/src/lentilspool/serving/tests/test_pacing.py
@@ -63,9 +63,21 @@
     def test_higher_limit_holds_at_once(self) -> None:
         pacer = _pacing.RequestPacer()
         pacer.record_sent(NAME, 0, 0)
-        pacer.apply_limit(NAME, 10, 1)
+        pacer.change_limit(NAME, 0, 10, 1)
         assert pacer.next_at(NAME, 1) < 1 + 1 / 5
 
+    def test_limit_that_changes_with_each_answer_is_kept(self) -> None:
+        statements = serving.EndpointStatements('g')
+        times = []
+        for tick in range(1200):
+            now = tick / 100
+            limit = 20 + tick % 2
+            statements.record_limit(NAME, limit, now, now)
+            if statements.next_at(NAME, now) <= now:
+                statements.record_sent(NAME, now)
+                times.append(now)
+        assert most_in_window(times) <= 21 * (WINDOW_S + 0.5) + 1
+
     @given(st.integers(1, 10**9), st.floats(0.2, 1e17))
     def test_told_totals_delay_for_some_seconds_at_most(
         self, total: int, limit: float
@@ -190,4 +202,6 @@
         assert isinstance(decision, serving.Refuse)
 
     def ask(self, key: str) -> serving.PlanRequest:
-        return builders.plan_request(key, service='desk', among=('e1/1',))
+        return builders.plan_request(
+            key, service='desk', among=('e1/1',)
+        )
