Ask for the rests of the gateway that a grant is for

Found by reading the fix again: the planner refused a plain request of another gateway because of a rest that it was asked for itself. The new test failed before.

--- a/src/lentilspool/gateway/_plain_placement.py
+++ b/src/lentilspool/gateway/_plain_placement.py
@@ -138,6 +138,7 @@
                 deadline_s=ask.time_left_s,
                 priority=0,
                 zone='',
+                gateway=self._planning.own_name,
                 among=tuple(sorted(limited)),
             )
         )
--- a/src/lentilspool/gateway/_planning.py
+++ b/src/lentilspool/gateway/_planning.py
@@ -224,6 +224,11 @@
         """Return a plan that has no decision yet."""
         return Plan(self, request)
 
+    @property
+    def own_name(self) -> str:
+        """Name of this gateway."""
+        return self._roster.own.name
+
     def unique_key(self, text: str) -> str:
         """Return a key for a plan that is unique among all processes."""
         own = self._roster.own
--- a/src/lentilspool/serving/_grants.py
+++ b/src/lentilspool/serving/_grants.py
@@ -45,7 +45,10 @@
             return _plan_types.Refuse(
                 plan_request.key, 'unknown_endpoint', _UNKNOWN_RETRY_AFTER_S
             )
-        next_at = {name: self._statements.next_at(name, now) for name in listed}
+        next_at = {
+            name: self._statements.next_at(name, now, plan_request.gateway)
+            for name in listed
+        }
         first = min(next_at, key=lambda name: next_at[name])
         if next_at[first] <= now:
             self._statements.record_sent(first, now)
--- a/src/lentilspool/serving/tests/test_pacing.py
+++ b/src/lentilspool/serving/tests/test_pacing.py
@@ -195,6 +195,13 @@
         ]
         assert waits == [0.75, 1.75, 2.75]
 
+    def test_rest_of_the_planner_is_not_that_of_others(self) -> None:
+        _, statements = planner({'e1': 1})
+        statements.record_rest('e1/1', 3, 0)
+        listed = builders.endpoint_index(builders.endpoint('e1', 'desk'))
+        decision = serving.Grants(listed, statements).decide(self.ask('r'), 0)
+        assert isinstance(decision, serving.RunAt)
+
     def test_endpoint_that_is_not_listed_is_not_granted(self) -> None:
         _, statements = planner({'e1': 1})
         grants = serving.Grants(builders.endpoint_index(), statements)
@@ -203,5 +210,5 @@
 
     def ask(self, key: str) -> serving.PlanRequest:
         return builders.plan_request(
-            key, service='desk', among=('e1/1',)
+            key, service='desk', gateway='h', among=('e1/1',)
         )
