--- a/soak/_endpoints.py
+++ b/soak/_endpoints.py
@@ -17,6 +17,7 @@
     _history,
     _proxy,
     _recorder,
+    _statements,
     _terms,
 )
 
@@ -72,6 +73,7 @@
         self.ready = True
         # Whether it rejects everything, as if it were full.
         self.rejects = False
+        self.statements = _statements.Statements(self.name, findings.recorder)
         self.work_s = _WORK_S
         self._sequence = 0
         self._silent_until = 0.0
@@ -152,10 +154,17 @@
         for unit in _units(request, sent.request_id):
             self._findings.received(self.service, unit)
         misdirected = sent.endpoint and sent.endpoint != self.name
-        if misdirected or self.rejects:
+        if misdirected:
             headers = stand_ins.rejection_headers(sent.request_id)
-            status = 421 if misdirected else 503
-            await reply.write_complete(status, headers, b'')
+            await reply.write_complete(421, headers, b'')
+            return
+        if self.rejects or self.statements.rest_s:
+            now = self._findings.recorder.now()
+            headers = [
+                *stand_ins.rejection_headers(sent.request_id),
+                *self.statements.headers(sent.request_id, now),
+            ]
+            await reply.write_complete(503, headers, b'')
         elif stand_ins.is_stage_run(request.target):
             await self._run_pieces(request.body, reply)
         elif stand_ins.is_stage_free(request.target):
@@ -215,12 +224,15 @@
     ) -> None:
         self._findings.ran(self, sent, request)
         await self._end_if_harmful(request, sent.request_id)
+        arrived_at = self._findings.recorder.now()
         headers = stand_ins.answer_headers(sent.request_id, self.name)
         if sent.results is None:
             await self._pause(self._lasts_s(request, sent))
             body = _findings.body_of(sent.request_id)
+            headers += self.statements.headers(sent.request_id, arrived_at)
             await self._whole(reply, headers, body)
             return
+        headers += self.statements.headers(sent.request_id, arrived_at)
         self._findings.read(sent.request_id, sent.results)
         stream = sent.resumed_id or sent.request_id
         await reply.write_head(200, headers, b'')
@@ -259,6 +271,7 @@
         await trio.sleep_until(self._silent_until)
 
     async def _run_pieces(self, body: bytes, reply: _http_server.Reply) -> None:
+        arrived_at = self._findings.recorder.now()
         pieces = stand_ins.decode_pieces(body)
         handles = [f'{self.address}/{next(self._handles)}' for _ in pieces]
         for piece, handle in zip(pieces, handles, strict=True):
@@ -275,7 +288,9 @@
         await trio.sleep(self.work_s)
         for piece, handle in zip(pieces, handles, strict=True):
             self._findings.made(handle, piece)
-        await self._whole(reply, [], stand_ins.encode_stage_answer(handles))
+        answer = stand_ins.encode_stage_answer(handles)
+        headers = self.statements.headers('', arrived_at)
+        await self._whole(reply, headers, answer)
 
     def _note_piece(self, piece: stand_ins.Piece, handle: str) -> None:
         recorder = self._findings.recorder
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -14,6 +14,7 @@
     _planned_work,
     _proxy,
     _published,
+    _statement_drills,
 )
 
 _SERVICES: Final = (('desk', 3), ('counter', 2), ('prepare', 3), ('model', 4))
@@ -29,7 +30,11 @@
 _UNPLANNED: Final = tuple(
     'kill pause link store_link crash restore harm fatal_part'.split()
 )
-NAMES: Final = (*_planned_work.NAMES, *_UNPLANNED)
+NAMES: Final = (
+    *_planned_work.NAMES,
+    *_statement_drills.NAMES,
+    *_UNPLANNED,
+)
 
 
 class World:
@@ -50,6 +55,7 @@
         self.endpoints: list[_endpoints.Endpoint] = []
         self.gone: list[_endpoints.Endpoint] = []
         self._drills = _drills.Drills(self, findings, rng, nursery)
+        self._stating = _statement_drills.StatementDrills(self, rng, nursery)
         self._planned = _planned_work.PlannedWork(self, rng, nursery)
 
     async def start(self) -> None:
@@ -82,8 +88,20 @@
         links = (self._hurt_link, self._hurt_store)
         requests = (drills.restore, drills.harm, drills.crash_by_part)
         unplanned = (*signals, *links, self.crash, *requests)
+        stating = self._stating
+        statements = dict(
+            zip(
+                _statement_drills.NAMES,
+                (stating.limit, stating.rest, stating.leave),
+                strict=True,
+            )
+        )
         planned = self._planned.kinds
-        return {**planned, **dict(zip(_UNPLANNED, unplanned, strict=True))}
+        return {
+            **planned,
+            **statements,
+            **dict(zip(_UNPLANNED, unplanned, strict=True)),
+        }
 
     @property
     def drawn(self) -> tuple[str, ...]:
--- a/soak/_history.py
+++ b/soak/_history.py
@@ -196,6 +196,28 @@
     """Key that it is told; empty for none."""
 
 
+class Answered(Observation, frozen=True, tag='answered'):
+    """An endpoint that has stated something of itself begins an answer."""
+
+    endpoint: str
+    """Endpoint that answers."""
+
+    request: str
+    """Attempt that it answers; empty for a call of pieces."""
+
+    arrived_at: float
+    """When the request reached it."""
+
+    limit_per_s: float | None = None
+    """Requests a second that it states to take; None for no limit."""
+
+    rest_s: float = 0
+    """Time for which it wants nothing from the machine; 0 for no rest."""
+
+    leaving: bool = False
+    """Whether it states that it leaves."""
+
+
 class Listed(Observation, frozen=True, tag='listed'):
     """The store has taken what an endpoint states of itself."""
 
@@ -275,6 +297,7 @@
     | Ran
     | Piece
     | Worked
+    | Answered
     | Listed
     | Process
     | Probed
--- a/soak/_planted_requests.py
+++ b/soak/_planted_requests.py
@@ -116,3 +116,35 @@
 def deny() -> None:
     """Deny what is refused."""
     setattr(_in_flight, 'UNAVAILABLE', _NOT_FOUND)  # noqa: B010
+
+
+def _ignore(changes: dict[str, object]) -> None:
+    """Read answers as if endpoints did not state something of themselves."""
+    usual = platform.decode_answer_head
+
+    def decode(
+        status: int, headers: Iterable[tuple[bytes, bytes]]
+    ) -> serving.AnswerHead:
+        head = usual(status, headers)
+        statement = dataclasses.replace(
+            head.statement,
+            **changes,  # type: ignore[arg-type]
+        )
+        return dataclasses.replace(head, statement=statement)
+
+    platform.decode_answer_head = decode
+
+
+def limit() -> None:
+    """Ignore the limits of endpoints."""
+    _ignore({'limit_per_s': None})
+
+
+def rest() -> None:
+    """Ignore the rest that endpoints ask for."""
+    _ignore({'rest_s': None})
+
+
+def leaving() -> None:
+    """Ignore that endpoints leave."""
+    _ignore({'leaving': False})
--- a/soak/_plants.py
+++ b/soak/_plants.py
@@ -45,6 +45,9 @@
     Plant('ROUTE', 'key', 'unknown keys are denied', ('slow',)),
     Plant('MIXED', 'sign', 'answers bear their signature', ('slow',)),
     Plant('UNASKED', 'team', 'endpoints are told the team', ('slow',)),
+    Plant('LIMIT', 'limit', 'limits of endpoints are kept', ('limit',)),
+    Plant('BUDGET', 'rest', 'endpoints are left at rest', ('rest',)),
+    Plant('DRAIN', 'leaving', 'stated leaving is kept', ('leaving',)),
     Plant('DENIED', 'deny', 'refusals are no denials', ('stop_many',)),
     Plant('RECOVER', 'deaf', 'the store is watched', ('crash',), 15, 40),
 )
--- a/soak/planted.py
+++ b/soak/planted.py
@@ -134,6 +134,9 @@
         'deny': _planted_requests.deny,
         'freeze': _freeze,
         'deaf': _deaf,
+        'limit': _planted_requests.limit,
+        'rest': _planted_requests.rest,
+        'leaving': _planted_requests.leaving,
     }
 )
 
--- a/soak/tests/test_plants.py
+++ b/soak/tests/test_plants.py
@@ -9,7 +9,7 @@
 
 RULES = {
     *('BUDGET', 'CONFIG', 'DENIED', 'DRAIN', 'GONE', 'LOST', 'MIXED'),
-    *('ORDER', 'RECOVER', 'REFUSED', 'ROUTE', 'TWICE', 'UNASKED'),
+    *('ORDER', 'RECOVER', 'REFUSED', 'ROUTE', 'TWICE', 'UNASKED', 'LIMIT'),
 }
 Played = tuple[_findings.Findings, str]
 
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -8,7 +8,7 @@
 
 from lentilspool.gateway import _http_server
 from lentilspool.platform.tests import stand_ins
-from soak import _findings, _planned_work, _run
+from soak import _findings, _planned_work, _run, _statement_drills
 
 # Findings about time; a busy machine may be late.
 _LIVENESS = ('recover', 'start')
@@ -19,6 +19,9 @@
     1, seconds=10, gateways=4, callers=16, only=('stop_many', 'slow')
 )
 PART = _run.Plan(3, seconds=18, gateways=3, callers=12, only=('fatal_part',))
+STATED = _run.Plan(
+    1, seconds=12, gateways=3, callers=12, only=_statement_drills.NAMES
+)
 ASKED = _findings.Asked('r', 'brides', b'/once/r', b'b', 'desk', False)
 
 
@@ -53,6 +56,8 @@
             pytest.param(STOPS, id='series of stops'),
             # New requests with one part ended engine after engine.
             pytest.param(PART, id='fatal part'),
+            # What endpoints state of themselves was not read.
+            pytest.param(STATED, id='statements'),
         ],
     )
     def test_plan_that_broke_a_rule_breaks_none(self, plan: _run.Plan) -> None:
