--- a/src/lentilspool/gateway/_plain_placement.py
+++ b/src/lentilspool/gateway/_plain_placement.py
@@ -124,6 +124,7 @@
     async def _ask_planner(
         self, ask: Ask, limited: set[str], endpoints: int
     ) -> serving.RunAt | serving.Refuse:
+        all_limited = len(limited) == endpoints
         key = f'{ask.request_id}/{next(_counter)}'
         plan = self._planning.plan(
             serving.PlanRequest(
@@ -140,12 +141,12 @@
                 zone='',
                 gateway=self._planning.own_name,
                 among=tuple(sorted(limited)),
+                has_others=not all_limited,
             )
         )
         decision: serving.RunAt | serving.Refuse = serving.Refuse(
             key, 'limited', _NO_ENDPOINT_RETRY_AFTER_S
         )
-        all_limited = len(limited) == endpoints
         with trio.move_on_after(_GRANT_S if all_limited else _QUICK_GRANT_S):
             decision = await plan.wait_for_decision()
         plan.report_event('cancelled')
--- a/src/lentilspool/serving/_grants.py
+++ b/src/lentilspool/serving/_grants.py
@@ -57,9 +57,11 @@
             _pacing.rate_per_s(self._statements.limit(name) or 0)
             for name in listed
         ]
-        return_s = self._return_times.next_s(
-            plan_request.service, next_at[first] - now, sum(rates), now
-        )
+        return_s = next_at[first] - now
+        if not plan_request.has_others:
+            return_s = self._return_times.next_s(
+                plan_request.service, return_s, sum(rates), now
+            )
         _events.GRANT_REFUSED.log(
             _logger,
             request_id=plan_request.request_id,
--- a/src/lentilspool/serving/_plan_types.py
+++ b/src/lentilspool/serving/_plan_types.py
@@ -81,6 +81,10 @@
     """Incarnations of endpoints with limits, one of which a plain request asks
     for; empty for all other requests."""
 
+    has_others: bool = False
+    """Whether the plain request goes to another endpoint if it gets none of
+    these; otherwise its caller is refused."""
+
     @property
     def shared_tokens(self) -> int:
         """Number of tokens in prompt parts that other requests may share."""
--- a/src/lentilspool/serving/tests/test_pacing.py
+++ b/src/lentilspool/serving/tests/test_pacing.py
@@ -202,13 +202,33 @@
         decision = serving.Grants(listed, statements).decide(self.ask('r'), 0)
         assert isinstance(decision, serving.RunAt)
 
+    def test_request_that_goes_elsewhere_is_promised_no_place(self) -> None:
+        _, statements = planner({'e1': 1})
+        listed = builders.endpoint_index(builders.endpoint('e1', 'desk'))
+        grants = serving.Grants(listed, statements)
+        grants.decide(self.ask('r0'), 0)
+        decisions = [
+            grants.decide(self.ask(f'r{number}', has_others=True), 0)
+            for number in range(5)
+        ]
+        waits = {
+            one.retry_after_s
+            for one in decisions
+            if isinstance(one, serving.Refuse)
+        }
+        assert waits == {0.75}
+
     def test_endpoint_that_is_not_listed_is_not_granted(self) -> None:
         _, statements = planner({'e1': 1})
         grants = serving.Grants(builders.endpoint_index(), statements)
         decision = grants.decide(self.ask('r'), 0)
         assert isinstance(decision, serving.Refuse)
 
-    def ask(self, key: str) -> serving.PlanRequest:
+    def ask(self, key: str, *, has_others: bool = False) -> serving.PlanRequest:
         return builders.plan_request(
-            key, service='desk', gateway='h', among=('e1/1',)
+            key,
+            service='desk',
+            gateway='h',
+            among=('e1/1',),
+            has_others=has_others,
         )
