Let plain requests wait for a place at an endpoint with a limit

If all endpoints of a service have limits, a plain request was refused though a place was free in time: 3 of 9 at once where each of three endpoints takes 6 a second, with 0.1 s to wait and 0.4 s to the target. It now waits for its place for up to half of the time to its target, as requests with stages do in the planner. The new test failed before (6 of 9 served).

--- a/src/lentilspool/gateway/_plain.py
+++ b/src/lentilspool/gateway/_plain.py
@@ -22,6 +22,8 @@
 _FIRST_SERVER_ERROR: Final = 500
 _NO_TIME_RETRY_AFTER_S: Final = 0.5
 _MIN_ATTEMPT_S: Final = 0.03
+# Share of the time to the target for which a request waits for an endpoint.
+_PATIENCE_SHARE: Final = 0.5
 _REPLACEMENT_POLL_S: Final = 0.05
 # Share of the time left after which an attempt is not left for another one.
 _LAST_RETRY_SHARE: Final = 0.7
@@ -101,6 +103,7 @@
         service,
         frozenset((*in_flight.tried_incarnations, *also_tried)),
         in_flight.time_left_s,
+        in_flight.target_time_left_s * _PATIENCE_SHARE,
     )
 
 
--- a/src/lentilspool/gateway/_plain_placement.py
+++ b/src/lentilspool/gateway/_plain_placement.py
@@ -14,6 +14,7 @@
 # Time for the planner to answer while other endpoints are free, and otherwise.
 _QUICK_GRANT_S: Final = 0.1
 _GRANT_S: Final = 0.5
+_MIN_WAIT_S: Final = 0.01
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,6 +44,9 @@
     time_left_s: float
     """Seconds until its answer is due."""
 
+    patience_s: float
+    """Seconds for which it may wait for an endpoint."""
+
 
 class PlainPlacement:
     """Chooses endpoints for requests that are not planned.
@@ -77,10 +81,7 @@
             if isinstance(decision, serving.RunAt):
                 return decision.endpoint
             if len(limited) == len(left):
-                return NoEndpoint(
-                    decision.reason,
-                    decision.retry_after_s or _NO_ENDPOINT_RETRY_AFTER_S,
-                )
+                return await self._wait_for_place(ask, decision)
         # The listing and the limits may have changed meanwhile.
         return self._choose_free(ask)
 
@@ -88,6 +89,19 @@
         """Whether an endpoint without a limit is left for another attempt."""
         return not isinstance(self._choose_free(ask), NoEndpoint)
 
+    async def _wait_for_place(
+        self, ask: Ask, refusal: serving.Refuse
+    ) -> serving.Endpoint | NoEndpoint:
+        """Ask again when the next place is free, if that is soon enough."""
+        wait_s = refusal.retry_after_s or _NO_ENDPOINT_RETRY_AFTER_S
+        patience_s = ask.patience_s - max(wait_s, _MIN_WAIT_S)
+        if patience_s < 0:
+            return NoEndpoint(refusal.reason, wait_s)
+        await trio.sleep(wait_s)
+        return await self.choose(
+            dataclasses.replace(ask, patience_s=patience_s)
+        )
+
     def _none_left(self, service: str) -> NoEndpoint:
         ready = self._published.endpoint_index.ready(service)
         rest_s = self._statements.rest_s(ready, _clock.now())
--- a/src/lentilspool/gateway/tests/test_endpoint_limits.py
+++ b/src/lentilspool/gateway/tests/test_endpoint_limits.py
@@ -130,3 +130,18 @@
         slow = [one for one in refused if one.after_s > 1 / 2]
         assert not slow
         assert all(one.retry_after_s for one in refused)
+
+    def test_requests_wait_for_a_place_that_is_free_in_time(self) -> None:
+        async def scenario(fleet: stating_fleet.StatingFleet) -> None:
+            for endpoint in fleet.endpoints[stating_fleet.PLAIN]:
+                endpoint.limit = '6'
+            await fleet.load(RATE, LEARN_S, ['plain'])
+            await trio.sleep(LEARN_S)
+            fleet.replies.clear()
+            async with trio.open_nursery() as nursery:
+                for _ in range(9):
+                    node = fleet.fleet.nodes[0]
+                    nursery.start_soon(fleet.request, node, 'plain')
+
+        fleet = stating_fleet.play(scenario, GATEWAYS, ENDPOINTS)
+        assert fleet.statuses('plain') == {200: 9}
