Let plain requests wait for a rest that ends in time

If all endpoints of a service rest, a plain request was refused though the first rest ends well before its target (0.15 s of 0.4 s; the new test failed with 503).

--- a/src/lentilspool/gateway/_plain_placement.py
+++ b/src/lentilspool/gateway/_plain_placement.py
@@ -15,6 +15,10 @@
 _QUICK_GRANT_S: Final = 0.1
 _GRANT_S: Final = 0.5
 _MIN_WAIT_S: Final = 0.01
+_LIMITED: Final = 'limited'
+_RESTING: Final = 'resting'
+# Reasons that end at the time which is told.
+_PASSING: Final = frozenset((_LIMITED, _RESTING))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -73,7 +77,7 @@
         """Return the endpoint for the next attempt, or why there is none."""
         left = self._left(ask)
         if not left:
-            return self._none_left(ask.service)
+            return await self._wait_for_place(ask, self._none_left(ask.service))
         limited = {one.incarnation for one in left if self._is_limited(one)}
         now = _clock.now()
         if limited and self._prefers_limited(left, limited, now):
@@ -81,7 +85,10 @@
             if isinstance(decision, serving.RunAt):
                 return decision.endpoint
             if len(limited) == len(left):
-                return await self._wait_for_place(ask, decision)
+                wait_s = decision.retry_after_s or _NO_ENDPOINT_RETRY_AFTER_S
+                return await self._wait_for_place(
+                    ask, NoEndpoint(decision.reason, wait_s)
+                )
         # The listing and the limits may have changed meanwhile.
         return self._choose_free(ask)
 
@@ -90,13 +97,13 @@
         return not isinstance(self._choose_free(ask), NoEndpoint)
 
     async def _wait_for_place(
-        self, ask: Ask, refusal: serving.Refuse
+        self, ask: Ask, missing: NoEndpoint
     ) -> serving.Endpoint | NoEndpoint:
-        """Ask again when the next place is free, if that is soon enough."""
-        wait_s = refusal.retry_after_s or _NO_ENDPOINT_RETRY_AFTER_S
-        patience_s = ask.patience_s - max(wait_s, _MIN_WAIT_S)
-        if patience_s < 0:
-            return NoEndpoint(refusal.reason, wait_s)
+        """Choose again when the next place is free, if that is soon enough."""
+        wait_s = max(missing.retry_after_s or 0, _MIN_WAIT_S)
+        patience_s = ask.patience_s - wait_s
+        if missing.reason not in _PASSING or patience_s < 0:
+            return missing
         await trio.sleep(wait_s)
         return await self.choose(
             dataclasses.replace(ask, patience_s=patience_s)
@@ -106,7 +113,7 @@
         ready = self._published.endpoint_index.ready(service)
         rest_s = self._statements.rest_s(ready, _clock.now())
         if rest_s:
-            return NoEndpoint('resting', rest_s)
+            return NoEndpoint(_RESTING, rest_s)
         return NoEndpoint('no_endpoint', _NO_ENDPOINT_RETRY_AFTER_S)
 
     def _choose_free(self, ask: Ask) -> serving.Endpoint | NoEndpoint:
@@ -114,7 +121,7 @@
             one for one in self._left(ask) if not self._is_limited(one)
         )
         chosen = self._loads.choose(free, (), _clock.now())
-        return chosen or NoEndpoint('limited', _NO_ENDPOINT_RETRY_AFTER_S)
+        return chosen or NoEndpoint(_LIMITED, _NO_ENDPOINT_RETRY_AFTER_S)
 
     def _left(self, ask: Ask) -> tuple[serving.Endpoint, ...]:
         ready = self._published.endpoint_index.ready(ask.service)
@@ -159,7 +166,7 @@
             )
         )
         decision: serving.RunAt | serving.Refuse = serving.Refuse(
-            key, 'limited', _NO_ENDPOINT_RETRY_AFTER_S
+            key, _LIMITED, _NO_ENDPOINT_RETRY_AFTER_S
         )
         with trio.move_on_after(_GRANT_S if all_limited else _QUICK_GRANT_S):
             decision = await plan.wait_for_decision()
--- a/src/lentilspool/gateway/tests/test_endpoint_rests.py
+++ b/src/lentilspool/gateway/tests/test_endpoint_rests.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 import pytest
+import trio
 
 from lentilspool.gateway.tests import stating_fleet
 
@@ -80,3 +81,23 @@
     def test_requests_are_served(self, route: str) -> None:
         statuses = resting().statuses(route)
         assert statuses[200] == statuses.total()
+
+
+class TestRestThatEndsInTime:
+    def test_request_waits_for_it(self) -> None:
+        async def scenario(fleet: stating_fleet.StatingFleet) -> None:
+            endpoints = fleet.endpoints[stating_fleet.PLAIN]
+            for endpoint in endpoints:
+                endpoint.rest = '0.15'
+            async with trio.open_nursery() as nursery:
+                for _ in range(2 * ENDPOINTS):
+                    node = fleet.fleet.nodes[0]
+                    nursery.start_soon(fleet.request, node, 'plain')
+            fleet.replies.clear()
+            for endpoint in endpoints:
+                endpoint.rest = ''
+            for _ in range(ENDPOINTS):
+                await fleet.request(fleet.fleet.nodes[0], 'plain')
+
+        fleet = stating_fleet.play(scenario, 1, ENDPOINTS)
+        assert fleet.statuses('plain') == {200: ENDPOINTS}
