Reserve the turns of plain requests that wait for an endpoint with a limit

The planner now counts a request that can wait when it decides, and tells it how long; nobody can take its turn.

--- a/src/lentilspool/gateway/_plain_placement.py
+++ b/src/lentilspool/gateway/_plain_placement.py
@@ -17,8 +17,6 @@
 _MIN_WAIT_S: Final = 0.01
 _LIMITED: Final = 'limited'
 _RESTING: Final = 'resting'
-# Reasons that end at the time which is told.
-_PASSING: Final = frozenset((_LIMITED, _RESTING))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -77,18 +75,16 @@
         """Return the endpoint for the next attempt, or why there is none."""
         left = self._left(ask)
         if not left:
-            return await self._wait_for_place(ask, self._none_left(ask.service))
+            return await self._wait_for_rest(ask, self._none_left(ask.service))
         limited = {one.incarnation for one in left if self._is_limited(one)}
         now = _clock.now()
         if limited and self._prefers_limited(left, limited, now):
             decision = await self._ask_planner(ask, limited, len(left))
             if isinstance(decision, serving.RunAt):
-                return decision.endpoint
+                return await self._take_turn(ask, decision)
             if len(limited) == len(left):
                 wait_s = decision.retry_after_s or _NO_ENDPOINT_RETRY_AFTER_S
-                return await self._wait_for_place(
-                    ask, NoEndpoint(decision.reason, wait_s)
-                )
+                return NoEndpoint(decision.reason, wait_s)
         # The listing and the limits may have changed meanwhile.
         return self._choose_free(ask)
 
@@ -96,13 +92,27 @@
         """Whether an endpoint without a limit is left for another attempt."""
         return not isinstance(self._choose_free(ask), NoEndpoint)
 
-    async def _wait_for_place(
+    async def _take_turn(
+        self, ask: Ask, decision: serving.RunAt
+    ) -> serving.Endpoint | NoEndpoint:
+        """Wait for the turn at an endpoint with a limit."""
+        if decision.wait_s:
+            await trio.sleep(decision.wait_s)
+        if decision.endpoint in self._left(ask):
+            return decision.endpoint
+        # It rests, leaves or has gone meanwhile.
+        patience_s = ask.patience_s - decision.wait_s
+        return await self.choose(
+            dataclasses.replace(ask, patience_s=patience_s)
+        )
+
+    async def _wait_for_rest(
         self, ask: Ask, missing: NoEndpoint
     ) -> serving.Endpoint | NoEndpoint:
-        """Choose again when the next place is free, if that is soon enough."""
+        """Choose again when the first rest ends, if that is soon enough."""
         wait_s = max(missing.retry_after_s or 0, _MIN_WAIT_S)
         patience_s = ask.patience_s - wait_s
-        if missing.reason not in _PASSING or patience_s < 0:
+        if missing.reason != _RESTING or patience_s < 0:
             return missing
         await trio.sleep(wait_s)
         return await self.choose(
@@ -146,6 +156,7 @@
         self, ask: Ask, limited: set[str], endpoints: int
     ) -> serving.RunAt | serving.Refuse:
         all_limited = len(limited) == endpoints
+        patience_s = max(ask.patience_s, 0) if all_limited else 0
         key = f'{ask.request_id}/{next(_counter)}'
         plan = self._planning.plan(
             serving.PlanRequest(
@@ -163,6 +174,7 @@
                 gateway=self._planning.own_name,
                 among=tuple(sorted(limited)),
                 has_others=not all_limited,
+                patience_s=patience_s,
             )
         )
         decision: serving.RunAt | serving.Refuse = serving.Refuse(
--- a/src/lentilspool/serving/_grants.py
+++ b/src/lentilspool/serving/_grants.py
@@ -50,14 +50,17 @@
             for name in listed
         }
         first = min(next_at, key=lambda name: next_at[name])
-        if next_at[first] <= now:
+        wait_s = max(next_at[first] - now, 0)
+        if wait_s <= plan_request.patience_s:
             self._statements.record_sent(first, now)
-            return _plan_types.RunAt(plan_request.key, listed[first], None, '')
+            return _plan_types.RunAt(
+                plan_request.key, listed[first], None, '', wait_s
+            )
         rates = [
             _pacing.rate_per_s(self._statements.limit(name) or 0)
             for name in listed
         ]
-        return_s = next_at[first] - now
+        return_s = wait_s
         if not plan_request.has_others:
             return_s = self._return_times.next_s(
                 plan_request.service, return_s, sum(rates), now
--- a/src/lentilspool/serving/_plan_types.py
+++ b/src/lentilspool/serving/_plan_types.py
@@ -85,6 +85,9 @@
     """Whether the plain request goes to another endpoint if it gets none of
     these; otherwise its caller is refused."""
 
+    patience_s: float = 0
+    """Seconds for which the plain request may wait for its turn at one."""
+
     @property
     def shared_tokens(self) -> int:
         """Number of tokens in prompt parts that other requests may share."""
@@ -145,6 +148,9 @@
     cache_source: str
     """Address of the engine to fetch cached parts from; empty for none."""
 
+    wait_s: float = 0
+    """Seconds until the turn of a plain request at an endpoint with a limit."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Refuse:
