--- a/src/lentilspool/gateway/_local_planning.py
+++ b/src/lentilspool/gateway/_local_planning.py
@@ -189,8 +189,8 @@
         )
         if producer is None:
             return
-        if self._statements.limit(producer.incarnation) is not None:
-            # It drops the results after a time; its limit is kept for calls.
+        if self._statements.wants_less(producer.incarnation, _clock.now()):
+            # It drops the results after a time.
             return
         answer: _Answer | _connection.ExchangeFailure | None = None
         with trio.move_on_after(_FREE_CALL_TIMEOUT_S):
--- a/src/lentilspool/gateway/_plain_placement.py
+++ b/src/lentilspool/gateway/_plain_placement.py
@@ -53,8 +53,9 @@
 class PlainPlacement:
     """Chooses endpoints for requests that are not planned.
 
-    The least loaded endpoint that does not rest is chosen here. If it states a limit, the planner
-    is asked for it, because the limit holds for all gateways together.
+    The least loaded endpoint that does not rest is chosen here. If it states a
+    limit, the planner is asked for it, because the limit holds for all gateways
+    together.
     """
 
     def __init__(
--- a/src/lentilspool/serving/_endpoint_statements.py
+++ b/src/lentilspool/serving/_endpoint_statements.py
@@ -1,8 +1,8 @@
 """What endpoints state of themselves, as known to one process.
 
 A limit is learnt from an answer at one gateway and needed wherever requests
-are placed, so gateways tell each other. It holds for one incarnation. A rest holds
-for one gateway.
+are placed, so gateways tell each other. It holds for one incarnation. A rest
+holds for one gateway.
 """
 
 import dataclasses
@@ -90,6 +90,11 @@
         """Return the limit of an endpoint in requests a second, if any."""
         return self._limits.get(incarnation)
 
+    def wants_less(self, incarnation: str, now: float) -> bool:
+        """Whether an endpoint has a limit, or wants rest from this process."""
+        rest_until = self.rests.until(self._gateway, incarnation)
+        return incarnation in self._limits or rest_until > now
+
     def next_at(
         self, incarnation: str, now: float, gateway: str | None = None
     ) -> float:
