--- a/soak/_planted_requests.py
+++ b/soak/_planted_requests.py
@@ -142,7 +142,7 @@
 
 def rest() -> None:
     """Ignore the rest that endpoints ask for."""
-    _ignore({'rest_s': None})
+    _ignore({'backoff_s': None})
 
 
 def leaving() -> None:
--- a/soak/_statements.py
+++ b/soak/_statements.py
@@ -26,7 +26,7 @@
         if self.limit_per_s is not None:
             headers += stand_ins.limit_headers(f'{self.limit_per_s:.2f}')
         if self.rest_s:
-            headers += stand_ins.rest_headers(f'{self.rest_s:.2f}')
+            headers += stand_ins.retry_after_headers(f'{self.rest_s:.2f}')
         headers += stand_ins.leaving_headers(leaving=self.leaving)
         self._has_stated = self._has_stated or bool(headers)
         if self._has_stated:
--- a/src/lentilspool/gateway/_events.py
+++ b/src/lentilspool/gateway/_events.py
@@ -106,8 +106,10 @@
 STATEMENT_UNREADABLE: Final = _declare(
     825, logging.WARNING, 'A statement of an endpoint cannot be read.'
 )
-REST_STATED: Final = _declare(
-    826, logging.INFO, 'An endpoint has rejected a request and wants a rest.'
+BACKOFF_STATED: Final = _declare(
+    826,
+    logging.INFO,
+    'An endpoint has rejected a request and asks for a backoff.',
 )
 LEAVING_STATED: Final = _declare(
     827, logging.INFO, 'An endpoint has stated that it is about to end.'
--- a/src/lentilspool/gateway/_gateway.py
+++ b/src/lentilspool/gateway/_gateway.py
@@ -189,7 +189,7 @@
             'connections_opened': self._pool.opened,
             'limits': len(self._statements.known.limits),
             'leaving': len(self._statements.known.leaving.incarnations),
-            'rests': len(self._statements.known.resting(_clock.now())),
+            'backoffs': len(self._statements.known.backed_off(_clock.now())),
             'store_calls': sum(reader.calls for reader in self._store_readers),
             'stopping': self._planned_stop.begun,
         }
--- a/src/lentilspool/gateway/_in_flight.py
+++ b/src/lentilspool/gateway/_in_flight.py
@@ -84,7 +84,7 @@
     """How long runs at endpoints have taken lately."""
 
     statements: serving.EndpointStatements
-    """Limits and rests of endpoints."""
+    """Limits and backoffs of endpoints."""
 
     placement: _plain_placement.PlainPlacement
     """Choice of endpoints for requests that are not planned."""
--- a/src/lentilspool/gateway/_next_attempt.py
+++ b/src/lentilspool/gateway/_next_attempt.py
@@ -70,14 +70,16 @@
     Those that were only silent may be chosen again.
     """
     tried = in_flight.tried_incarnations - left_silent
-    resting = in_flight.context.statements.resting(_clock.now())
-    return tuple(tried | resting)
+    backed_off = in_flight.context.statements.backed_off(_clock.now())
+    return tuple(tried | backed_off)
 
 
-def rest_s(in_flight: _in_flight.InFlightRequest, service: str) -> float | None:
-    """Return the seconds for which all endpoints rest; None if one does not."""
+def backoff_s(
+    in_flight: _in_flight.InFlightRequest, service: str
+) -> float | None:
+    """Return how long all endpoints ask to be left alone; None if one does not."""
     ready = in_flight.context.published.endpoint_index.ready(service)
-    return in_flight.context.statements.rest_s(ready, _clock.now()) or None
+    return in_flight.context.statements.backoff_s(ready, _clock.now()) or None
 
 
 def spend_retry(
--- a/src/lentilspool/gateway/_peers.py
+++ b/src/lentilspool/gateway/_peers.py
@@ -65,7 +65,7 @@
     """Incarnations of endpoints that have stated lately that they leave; all in
     some heartbeats."""
 
-    rests: tuple[tuple[str, float], ...] = ()
+    backoffs: tuple[tuple[str, float], ...] = ()
     """Incarnations of endpoints that want nothing from the sender, with the
     seconds left."""
 
@@ -138,7 +138,7 @@
             self.published.position[0],
             self.statements.known.reports(now, everything=gossips),
             self.statements.known.leaving.told(now, everything=gossips),
-            self.statements.known.own_rests(now),
+            self.statements.known.own_backoffs(now),
             self.statements.known.totals(),
         )
         return msgspec.msgpack.encode(view)
@@ -158,7 +158,7 @@
         self.published.store_era.hear(view.era)
         process = f'{view.own.name}/{view.own.incarnation}'
         self.statements.merge(process, view.limits, view.granted, view.leaving)
-        self.statements.known.rests.merge(view.own.name, view.rests, now)
+        self.statements.known.backoffs.merge(view.own.name, view.backoffs, now)
         own = (
             self.published.version,
             _listing_number(self.published.position),
--- a/src/lentilspool/gateway/_plain.py
+++ b/src/lentilspool/gateway/_plain.py
@@ -254,8 +254,8 @@
     ):
         await in_flight.deliver(head, answer.body)
     elif step is serving.AttemptStep.refuse:
-        rest_s = _next_attempt.rest_s(in_flight, service)
-        await in_flight.refuse('rejected', rest_s)
+        backoff_s = _next_attempt.backoff_s(in_flight, service)
+        await in_flight.refuse('rejected', backoff_s)
     else:
         late = in_flight.time_left_s < _MIN_ATTEMPT_S
         status = _in_flight.GATEWAY_TIMEOUT if late else _in_flight.BAD_GATEWAY
--- a/src/lentilspool/gateway/_plain_placement.py
+++ b/src/lentilspool/gateway/_plain_placement.py
@@ -16,7 +16,7 @@
 _GRANT_S: Final = 0.5
 _MIN_WAIT_S: Final = 0.01
 _LIMITED: Final = 'limited'
-_RESTING: Final = 'resting'
+_BACKOFF: Final = 'backoff'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -53,7 +53,7 @@
 class PlainPlacement:
     """Chooses endpoints for requests that are not planned.
 
-    The least loaded endpoint that does not rest is chosen here. If it states a
+    The least loaded endpoint that has not asked for a backoff is chosen here. If it states a
     limit, the planner is asked for it, because the limit holds for all gateways
     together.
     """
@@ -76,7 +76,9 @@
         """Return the endpoint for the next attempt, or why there is none."""
         left = self._left(ask)
         if not left:
-            return await self._wait_for_rest(ask, self._none_left(ask.service))
+            return await self._wait_for_backoff(
+                ask, self._none_left(ask.service)
+            )
         limited = {one.incarnation for one in left if self._is_limited(one)}
         now = _clock.now()
         if limited and self._prefers_limited(left, limited, now):
@@ -101,19 +103,19 @@
             await trio.sleep(decision.wait_s)
         if decision.endpoint in self._left(ask):
             return decision.endpoint
-        # It rests, leaves or has gone meanwhile.
+        # It has asked for a backoff, leaves, or has gone meanwhile.
         patience_s = ask.patience_s - decision.wait_s
         return await self.choose(
             dataclasses.replace(ask, patience_s=patience_s)
         )
 
-    async def _wait_for_rest(
+    async def _wait_for_backoff(
         self, ask: Ask, missing: NoEndpoint
     ) -> serving.Endpoint | NoEndpoint:
-        """Choose again when the first rest ends, if that is soon enough."""
+        """Choose again when the first backoff ends, if that is soon enough."""
         wait_s = max(missing.retry_after_s or 0, _MIN_WAIT_S)
         patience_s = ask.patience_s - wait_s
-        if missing.reason != _RESTING or patience_s < 0:
+        if missing.reason != _BACKOFF or patience_s < 0:
             return missing
         await trio.sleep(wait_s)
         return await self.choose(
@@ -122,9 +124,9 @@
 
     def _none_left(self, service: str) -> NoEndpoint:
         ready = self._published.endpoint_index.ready(service)
-        rest_s = self._statements.rest_s(ready, _clock.now())
-        if rest_s:
-            return NoEndpoint(_RESTING, rest_s)
+        backoff_s = self._statements.backoff_s(ready, _clock.now())
+        if backoff_s:
+            return NoEndpoint(_BACKOFF, backoff_s)
         return NoEndpoint('no_endpoint', _NO_ENDPOINT_RETRY_AFTER_S)
 
     def _choose_free(self, ask: Ask) -> serving.Endpoint | NoEndpoint:
@@ -136,7 +138,7 @@
 
     def _left(self, ask: Ask) -> tuple[serving.Endpoint, ...]:
         ready = self._published.endpoint_index.ready(ask.service)
-        excluded = ask.tried | self._statements.resting(_clock.now())
+        excluded = ask.tried | self._statements.backed_off(_clock.now())
         return tuple(one for one in ready if one.incarnation not in excluded)
 
     def _is_limited(self, endpoint: serving.Endpoint) -> bool:
--- a/src/lentilspool/gateway/_statements.py
+++ b/src/lentilspool/gateway/_statements.py
@@ -49,16 +49,16 @@
             )
         if statement.leaving:
             self._record_leaving([endpoint.incarnation], head.request_id)
-        if statement.rest_s is not None:
-            _events.REST_STATED.log(
+        if statement.backoff_s is not None:
+            _events.BACKOFF_STATED.log(
                 _logger,
                 endpoint=endpoint.incarnation,
                 request_id=head.request_id,
-                rest_ms=round(statement.rest_s * _MS_PER_S),
+                backoff_ms=round(statement.backoff_s * _MS_PER_S),
             )
-            self._metrics.record_statement('rest')
-            self.known.record_rest(
-                endpoint.incarnation, statement.rest_s, _clock.now()
+            self._metrics.record_statement('backoff')
+            self.known.record_backoff(
+                endpoint.incarnation, statement.backoff_s, _clock.now()
             )
         limit = statement.limit_per_s
         if self.known.record_limit(
--- a/src/lentilspool/gateway/_streams.py
+++ b/src/lentilspool/gateway/_streams.py
@@ -30,7 +30,7 @@
 _PLAN_AGAIN_S: Final = 0.2
 # Reasons of a planner to which more time would be the remedy.
 _TIME_REFUSALS: Final = frozenset(('no_time', 'deadline'))
-_RESTING: Final = 'resting'
+_BACKOFF: Final = 'backoff'
 _STOP_REFUSAL: Final = serving.Refuse('', _stop_check.REASON, None)
 # Reasons for which a planner will not plan a request in the next seconds.
 _FINAL_REFUSALS: Final = frozenset(('quarantined', 'no_engine_of_version'))
@@ -113,7 +113,7 @@
         if not problem:
             return await self._send(decision, plan)
         plan.report_event('cancelled')
-        if problem == _RESTING:
+        if problem == _BACKOFF:
             # Learnt while the request was planned: another engine may take it.
             return True
         await self._fail(problem)
@@ -128,8 +128,8 @@
             return 'quarantined'
         if not _stop_check.admits(self._in_flight, endpoint):
             return _stop_check.REASON
-        resting = self._in_flight.context.statements.resting(_clock.now())
-        return _RESTING if endpoint.incarnation in resting else ''
+        backed_off = self._in_flight.context.statements.backed_off(_clock.now())
+        return _BACKOFF if endpoint.incarnation in backed_off else ''
 
     async def _wait_for_decision(
         self, plan: _planning.Plan
@@ -378,8 +378,8 @@
         ):
             await self._deliver_failure(answer)
         elif step is serving.AttemptStep.refuse:
-            rest_s = _next_attempt.rest_s(in_flight, endpoint.service)
-            await in_flight.refuse('rejected', rest_s)
+            backoff_s = _next_attempt.backoff_s(in_flight, endpoint.service)
+            await in_flight.refuse('rejected', backoff_s)
         else:
             await self._fail('unknown')
         return False
--- a/src/lentilspool/platform/_statements.py
+++ b/src/lentilspool/platform/_statements.py
@@ -22,21 +22,25 @@
     limit_per_s = None if limit is None else _digits.decode_decimal(limit)
     if limit is not None and limit_per_s is None:
         unreadable.append(limit)
-    rest_s = None
+    backoff_s = None
     if status == http.HTTPStatus.SERVICE_UNAVAILABLE:
-        rest = _one(headers, _names.RETRY_AFTER, unreadable)
-        rest_s = None if rest is None else _decode_rest(rest, headers)
-        if rest is not None and rest_s is None:
-            unreadable.append(rest)
+        retry_after = _one(headers, _names.RETRY_AFTER, unreadable)
+        backoff_s = (
+            None
+            if retry_after is None
+            else _decode_backoff(retry_after, headers)
+        )
+        if retry_after is not None and backoff_s is None:
+            unreadable.append(retry_after)
     leaving = _one(headers, _names.LEAVING, unreadable)
     if leaving not in {None, *_FLAGS}:
         unreadable.append(str(leaving))
     return serving.Statement(
-        limit_per_s, rest_s, leaving == _SET, tuple(unreadable)
+        limit_per_s, backoff_s, leaving == _SET, tuple(unreadable)
     )
 
 
-def _decode_rest(text: str, headers: _Headers) -> float | None:
+def _decode_backoff(text: str, headers: _Headers) -> float | None:
     """Return seconds, stated as such or as a date (RFC 9110, 10.2.3)."""
     seconds = _digits.decode_decimal(text)
     if seconds is not None:
--- a/src/lentilspool/serving/_answers.py
+++ b/src/lentilspool/serving/_answers.py
@@ -27,7 +27,7 @@
     """Requests a second that it takes from all hosts together; None for no
     limit."""
 
-    rest_s: float | None = None
+    backoff_s: float | None = None
     """Seconds for which it wants nothing from this host, if it has rejected a
     request; None if it does not say."""
 
--- a/src/lentilspool/serving/_endpoint_statements.py
+++ b/src/lentilspool/serving/_endpoint_statements.py
@@ -1,15 +1,15 @@
 """What endpoints state of themselves, as known to one process.
 
 A limit is learnt from an answer at one gateway and needed wherever requests
-are placed, so gateways tell each other. It holds for one incarnation. A rest
-holds for one gateway.
+are placed, so gateways tell each other. It holds for one incarnation. A
+backoff holds for one gateway.
 """
 
 import dataclasses
 from collections.abc import Container, Iterable
 from typing import Final
 
-from lentilspool.serving import _endpoints, _leaving, _pacing, _rests
+from lentilspool.serving import _backoffs, _endpoints, _leaving, _pacing
 
 # Seconds for which reports are told at once; afterwards only from time to time.
 _RECENT_S: Final = 2.0
@@ -55,11 +55,11 @@
 
 
 class EndpointStatements:
-    """Limits, rests and ends of endpoints, and the requests within limits.
+    """Limits, backoffs and ends of endpoints, and the requests within limits.
 
     ``record_limit`` is called with each answer to this process, and
-    ``record_rest`` if the answer asks for it. ``reports``, ``totals`` and
-    ``rests`` are told to other processes, which merge them. Before a request is
+    ``record_backoff`` if the answer asks for it. ``reports``, ``totals`` and
+    ``backoffs`` are told to other processes, which merge them. Before a request is
     sent to an endpoint, ``next_at`` must have passed, and ``record_sent``
     follows. ``gateway`` is the name of this process among gateways, and
     ``leaving_serves_s`` is for how long endpoints that leave go on serving.
@@ -75,7 +75,7 @@
         self._gateway = gateway
         self.leaving = _leaving.LeavingEndpoints(leaving_serves_s)
         self._origin = f'{gateway}/{started_ms}'
-        self.rests = _rests.Rests()
+        self.backoffs = _backoffs.Backoffs()
         self._pacer = _pacing.RequestPacer()
         self._known: dict[str, _Known] = {}
         self._limits: dict[str, float] = {}
@@ -91,9 +91,9 @@
         return self._limits.get(incarnation)
 
     def wants_less(self, incarnation: str, now: float) -> bool:
-        """Whether an endpoint has a limit, or wants rest from this process."""
-        rest_until = self.rests.until(self._gateway, incarnation)
-        return incarnation in self._limits or rest_until > now
+        """Whether an endpoint has a limit, or has asked this process for a backoff."""
+        backoff_until = self.backoffs.until(self._gateway, incarnation)
+        return incarnation in self._limits or backoff_until > now
 
     def next_at(
         self, incarnation: str, now: float, gateway: str | None = None
@@ -103,38 +103,40 @@
         The request is sent by this process unless a gateway is named.
         """
         sender = self._gateway if gateway is None else gateway
-        rest_until = self.rests.until(sender, incarnation)
+        backoff_until = self.backoffs.until(sender, incarnation)
         if incarnation not in self._limits:
-            return rest_until
-        return max(self._pacer.next_at(incarnation, now), rest_until)
+            return backoff_until
+        return max(self._pacer.next_at(incarnation, now), backoff_until)
 
-    def rest_s(
+    def backoff_s(
         self,
         endpoints: Iterable[_endpoints.Endpoint],
         now: float,
         gateway: str | None = None,
     ) -> float:
-        """Return the seconds for which all endpoints rest; 0 if one does not."""
-        if not self.rests.known:
+        """Return how long all endpoints ask to be left alone; 0 if one does not."""
+        if not self.backoffs.known:
             return 0
         sender = self._gateway if gateway is None else gateway
         first = min(
-            (self.rests.until(sender, one.incarnation) for one in endpoints),
+            (self.backoffs.until(sender, one.incarnation) for one in endpoints),
             default=0,
         )
         return max(first - now, 0)
 
-    def resting(self, now: float) -> set[str]:
+    def backed_off(self, now: float) -> set[str]:
         """Return the endpoints that this process must leave alone."""
-        return self.rests.incarnations(self._gateway, now)
+        return self.backoffs.incarnations(self._gateway, now)
 
-    def record_rest(self, incarnation: str, rest_s: float, now: float) -> None:
-        """Record a rest that an endpoint asks of this process."""
-        self.rests.record(self._gateway, incarnation, rest_s, now)
+    def record_backoff(
+        self, incarnation: str, backoff_s: float, now: float
+    ) -> None:
+        """Record a backoff that an endpoint asks of this process."""
+        self.backoffs.record(self._gateway, incarnation, backoff_s, now)
 
-    def own_rests(self, now: float) -> tuple[tuple[str, float], ...]:
-        """Return the rests asked of this process, with the seconds left."""
-        return self.rests.told(self._gateway, now)
+    def own_backoffs(self, now: float) -> tuple[tuple[str, float], ...]:
+        """Return the backoffs asked of this process, with the seconds left."""
+        return self.backoffs.told(self._gateway, now)
 
     def record_sent(self, incarnation: str, now: float) -> None:
         """Count a request that is sent to an endpoint, or granted."""
@@ -225,7 +227,7 @@
 
     def forget_unlisted(self, listed: Container[str], now: float) -> None:
         """Forget what is no longer needed of endpoints."""
-        self.rests.forget_ended(now)
+        self.backoffs.forget_ended(now)
         self.leaving.forget_unlisted(listed, now)
         for incarnation, known in list(self._known.items()):
             holds = incarnation in listed and incarnation in self._limits
--- a/src/lentilspool/serving/_engine_waits.py
+++ b/src/lentilspool/serving/_engine_waits.py
@@ -1,7 +1,7 @@
-"""Waits for the engines of a service, which may all have limits or rest.
+"""Waits for the engines of a service, which may have limits or ask for backoffs.
 
-Load pattern: all engines of a service are in need and take a few requests a
-second, or shed load, while the stages before them have room.
+Load pattern: all engines of a service are overloaded and take a few requests
+a second, or shed load, while the stages before them have room.
 """
 
 from collections.abc import Iterable
@@ -39,34 +39,42 @@
         ]
         return pool.wait_s(job.plan_request.gateway, ready_at, len(ahead))
 
-    def rest_s(self, job: _jobs.Job, now: float) -> float | None:
-        """Return the rest for which a request is refused; None if it is not.
+    def backoff_s(self, job: _jobs.Job, now: float) -> float | None:
+        """Return the backoff for which a request is refused; None if it is not.
 
-        It is if all endpoints of a service that it needs rest for so long that
+        It is if all endpoints of a service that it needs ask for so long that
         it would be late.
         """
         plan_request = job.plan_request
         pool = self._fleet.pool(plan_request.service)
-        rest_s = pool.rest_s(plan_request.gateway, now)
+        backoff_s = pool.backoff_s(plan_request.gateway, now)
         for stage in job.stages:
             service = self._fleet.stages.services.get(
                 stage.stage_request.service
             )
             if service and not stage.done:
-                rest_s = max(rest_s, service.rest_s(now))
-        return rest_s if rest_s and now + rest_s > job.target_at else None
+                backoff_s = max(backoff_s, service.backoff_s(now))
+        return (
+            backoff_s if backoff_s and now + backoff_s > job.target_at else None
+        )
 
     def without_endpoint(
         self, jobs: Iterable[_jobs.Job], now: float
     ) -> list[tuple[_jobs.Job, float]]:
-        """Return requests that rests refuse before they have begun.
+        """Return requests that backoffs refuse before they have begun.
 
-        Also returns the rest of each in seconds.
+        Also returns the backoff of each in seconds.
         """
-        if not self._statements.rests.known:
+        if not self._statements.backoffs.known:
             return []
-        rests = ((job, self.rest_s(job, now)) for job in jobs if not job.begun)
-        return [(job, rest_s) for job, rest_s in rests if rest_s is not None]
+        backoffs = (
+            (job, self.backoff_s(job, now)) for job in jobs if not job.begun
+        )
+        return [
+            (job, backoff_s)
+            for job, backoff_s in backoffs
+            if backoff_s is not None
+        ]
 
     def refusal(
         self,
--- a/src/lentilspool/serving/_engines.py
+++ b/src/lentilspool/serving/_engines.py
@@ -320,10 +320,10 @@
             return None
         return sum(_pacing.rate_per_s(one) for one in known)
 
-    def rest_s(self, gateway: str, now: float) -> float:
+    def backoff_s(self, gateway: str, now: float) -> float:
         """Return the seconds for which a gateway must leave all engines alone."""
         endpoints = (engine.endpoint for engine in self.engines.values())
-        return self._statements.rest_s(endpoints, now, gateway)
+        return self._statements.backoff_s(endpoints, now, gateway)
 
     def _limit(self, engine: Engine) -> float | None:
         return self._statements.limit(engine.endpoint.incarnation)
--- a/src/lentilspool/serving/_grants.py
+++ b/src/lentilspool/serving/_grants.py
@@ -1,7 +1,7 @@
 """Grants plain requests to endpoints with limits, for all gateways.
 
-Load pattern: each gateway places its plain requests alone, so that an endpoint
-in need would get its limit from every one of them.
+Load pattern: each gateway places its plain requests alone, so that an
+overloaded endpoint would get its limit from every one of them.
 """
 
 import logging
--- a/src/lentilspool/serving/_pacing.py
+++ b/src/lentilspool/serving/_pacing.py
@@ -1,6 +1,6 @@
 """Paces the requests to endpoints that state how many a second they take.
 
-Load pattern: a few endpoints in need get the full load of all gateways, which
+Load pattern: a few overloaded endpoints get the full load of all gateways, which
 each know only what they sent themselves.
 """
 
--- a/src/lentilspool/serving/_planner.py
+++ b/src/lentilspool/serving/_planner.py
@@ -28,7 +28,7 @@
 # Suggested to refused callers; also the wait for an engine past the target.
 _RETRY_AFTER_S: Final = 0.5
 _QUARANTINED: Final = 'quarantined'
-_RESTING: Final = 'resting'
+_BACKOFF: Final = 'backoff'
 _NO_VERSION: Final = 'no_engine_of_version'
 
 
@@ -95,9 +95,9 @@
         )
         job.rank = _ranking.rank(job)
         job.zone = self._fleet.likely_engine_zone(job, now)
-        rest_s = self._engine_waits.rest_s(job, now)
-        if rest_s is not None:
-            self._refuse(job, _RESTING, rest_s, now)
+        backoff_s = self._engine_waits.backoff_s(job, now)
+        if backoff_s is not None:
+            self._refuse(job, _BACKOFF, backoff_s, now)
             return
         expected_s = self._expected_s(job, now)
         if expected_s > plan_request.deadline_s * self._limits.admit_share:
@@ -217,8 +217,8 @@
         for suspect, refusal_s in refused:
             self._refuse(suspect, _QUARANTINED, refusal_s, now)
         refused = self._engine_waits.without_endpoint(self._jobs.values(), now)
-        for resting, rest_s in refused:
-            self._refuse(resting, _RESTING, rest_s, now)
+        for backed_off, backoff_s in refused:
+            self._refuse(backed_off, _BACKOFF, backoff_s, now)
         services = self._stages.services
         for job in list(self._jobs.values()):
             min_s = _estimates.min_remaining_s(job, services, self._limits)
--- a/src/lentilspool/serving/_stage_service.py
+++ b/src/lentilspool/serving/_stage_service.py
@@ -342,10 +342,10 @@
             return full_call_piece_s / (sum(capacity) or 1)
         return full_call_piece_s / max(endpoints, 1)
 
-    def rest_s(self, now: float) -> float:
+    def backoff_s(self, now: float) -> float:
         """Return the seconds for which all endpoints must be left alone."""
         endpoints = (one.endpoint for one in self.stage_endpoints.values())
-        return self._statements.rest_s(endpoints, now)
+        return self._statements.backoff_s(endpoints, now)
 
     def wait_s(self, pieces_ahead: float, now: float) -> float:
         """Return the seconds until a piece starts after ``pieces_ahead``."""
