Believe no answer that may be an earlier one of its connection

What callers saw: with endpoints that write an earlier answer once more where the next one is due, engines read stage results that were made for other requests, and callers were told 503 for requests that ran, or such a request ran at a second endpoint.

Cause: an answer was taken for a request's own because it came next. Calls of pieces share the connections with requests and expected no identity, so any answer was theirs; a failure without a request id was believed whatever came before it. The store's reader took any page for the one that it had asked for.

Checks of endpoints only connect.

Change: what tells the answers of one connection apart is decided in _answer_identities.py. A request is not sent twice on a connection; a refusal without an id counts only as the first answer and ends its connection; results are told apart by their handles and copies are skipped; the reader of the store lists on a new connection and takes from a watch only what is newer. The calls of stage endpoints and the connection to the store have modules of their own.

Conclusion: the fault is gone from the gateway; the older entry path is not changed.

--- a/soak/_endpoints.py
+++ b/soak/_endpoints.py
@@ -158,12 +158,9 @@
             headers = stand_ins.rejection_headers(sent.request_id)
             await reply.write_complete(421, headers, b'')
             return
-        if self.rejects or self.statements.rest_s:
+        if self.rejects or self.statements.rejects():
             now = self._findings.recorder.now()
-            headers = [
-                *stand_ins.rejection_headers(sent.request_id),
-                *self.statements.headers(sent.request_id, now),
-            ]
+            headers = self.statements.rejection_headers(sent.request_id, now)
             await reply.write_complete(503, headers, b'')
         elif stand_ins.is_stage_run(request.target):
             await self._run_pieces(request.body, reply)
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -14,6 +14,7 @@
     _planned_work,
     _proxy,
     _published,
+    _repeat_drills,
     _statement_drills,
 )
 
@@ -33,6 +34,7 @@
 NAMES: Final = (
     *_planned_work.NAMES,
     *_statement_drills.NAMES,
+    _repeat_drills.NAME,
     *_UNPLANNED,
 )
 
@@ -56,6 +58,7 @@
         self.gone: list[_endpoints.Endpoint] = []
         self._drills = _drills.Drills(self, findings, rng, nursery)
         self._stating = _statement_drills.StatementDrills(self, rng, nursery)
+        self._repeating = _repeat_drills.RepeatDrill(self, rng, nursery)
         self._planned = _planned_work.PlannedWork(self, rng, nursery)
 
     async def start(self) -> None:
@@ -100,6 +103,7 @@
         return {
             **planned,
             **statements,
+            _repeat_drills.NAME: self._repeating.begin,
             **dict(zip(_UNPLANNED, unplanned, strict=True)),
         }
 
--- a/soak/_plants.py
+++ b/soak/_plants.py
@@ -48,6 +48,8 @@
     Plant('LIMIT', 'limit', 'limits of endpoints are kept', ('limit',)),
     Plant('BUDGET', 'rest', 'endpoints are left at rest', ('rest',)),
     Plant('DRAIN', 'leaving', 'stated leaving is kept', ('leaving',)),
+    Plant('REFUSED', 'believe', 'refusals state their ids', ('repeated',)),
+    Plant('MIXED', 'copies', 'copies of results are skipped', ('repeated',)),
     Plant('DENIED', 'deny', 'refusals are no denials', ('stop_many',)),
     Plant('RECOVER', 'deaf', 'the store is watched', ('crash',), 15, 40),
 )
--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -7,6 +7,8 @@
 
 import trio
 
+from soak import _repeats
+
 _BYTES: Final = 65536
 _DELAY_S: Final = 0.15
 _GARBAGE: Final = b'garbage ' * 1024
@@ -24,6 +26,7 @@
     silent = 'silent'
     one_way = 'one_way'
     endless = 'endless'
+    repeated = 'repeated'
 
 
 class Proxy:
@@ -44,6 +47,11 @@
         """Port at which it listens."""
         return int(self.listener.socket.getsockname()[1])
 
+    @property
+    def mode(self) -> Mode:
+        """What happens to bytes."""
+        return self._mode
+
     def set_mode(self, mode: Mode) -> None:
         """Change what happens to bytes; ``reset`` also ends connections."""
         self._mode = mode
@@ -68,8 +76,9 @@
         try:
             async with trio.open_nursery() as nursery:
                 scope = nursery.cancel_scope
-                nursery.start_soon(self._pass, near, far, True, scope)
-                nursery.start_soon(self._pass, far, near, False, scope)
+                last = _repeats.LastAnswer()
+                nursery.start_soon(self._pass, near, far, True, scope, last)
+                nursery.start_soon(self._pass, far, near, False, scope, last)
         finally:
             self._open -= {near, far}
             await trio.aclose_forcefully(near)
@@ -81,6 +90,7 @@
         sink: trio.SocketStream,
         forward: bool,
         scope: trio.CancelScope,
+        last: _repeats.LastAnswer,
     ) -> None:
         # A connection that has lost bytes brings no later ones.
         lost = False
@@ -90,6 +100,8 @@
                     await self._garble(chunk, sink)
                 if self._mode is Mode.delayed:
                     await trio.sleep(_DELAY_S)
+                if self._mode is Mode.repeated:
+                    await self._repeat(last, chunk, sink, forward)
                 lost = lost or self._drops(forward=forward)
                 if not lost:
                     await sink.send_all(chunk)
@@ -98,6 +110,22 @@
             return
         scope.cancel()
 
+    async def _repeat(
+        self,
+        last: _repeats.LastAnswer,
+        chunk: bytes | bytearray,
+        sink: trio.SocketStream,
+        forward: bool,
+    ) -> None:
+        """Write the answer before once more, ahead of the next one."""
+        if forward:
+            last.request_begins()
+            return
+        copy = last.take_copy()
+        if copy:
+            await sink.send_all(copy)
+        last.add(chunk)
+
     def _drops(self, *, forward: bool) -> bool:
         """Whether bytes of a direction are lost now."""
         one_way = self._mode is Mode.one_way and not forward
--- a/soak/_statements.py
+++ b/soak/_statements.py
@@ -1,5 +1,7 @@
 """What an endpoint states of itself in its answers, noted in the history."""
 
+import itertools
+
 from lentilspool.platform.tests import stand_ins
 from soak import _history, _recorder
 
@@ -15,8 +17,26 @@
         # Rest that it asks for, rejecting everything; 0 if it serves.
         self.rest_s = 0.0
         self.leaving = False
+        # Of so many requests it rejects one, without its id; 0 for none.
+        self.rejects_every = 0
+        self._asked = itertools.count(1)
         self._has_stated = False
 
+    def rejects(self) -> bool:
+        """Whether the next request is rejected."""
+        every = self.rejects_every
+        drawn = bool(every) and not next(self._asked) % every
+        return bool(self.rest_s) or drawn
+
+    def rejection_headers(
+        self, request: str, arrived_at: float
+    ) -> stand_ins.Headers:
+        """Return the headers of a rejection, and note what they state."""
+        headers = stand_ins.rejection_headers(request)
+        if self.rejects_every:
+            headers = stand_ins.unnamed_headers(headers)
+        return [*headers, *self.headers(request, arrived_at)]
+
     def headers(self, request: str, arrived_at: float) -> stand_ins.Headers:
         """Return the headers of an answer, and note what they state.
 
--- a/soak/planted.py
+++ b/soak/planted.py
@@ -18,7 +18,7 @@
 )
 from lentilspool.programs import gateway
 from lentilspool.serving import _inputs
-from soak import _planted_requests
+from soak import _planted_answers, _planted_requests
 
 
 def _blind() -> None:
@@ -137,6 +137,8 @@
         'limit': _planted_requests.limit,
         'rest': _planted_requests.rest,
         'leaving': _planted_requests.leaving,
+        'believe': _planted_answers.believe,
+        'copies': _planted_answers.copies,
     }
 )
 
--- a/src/lentilspool/gateway/_connection.py
+++ b/src/lentilspool/gateway/_connection.py
@@ -5,7 +5,6 @@
 """
 
 import dataclasses
-import http
 import logging
 from collections.abc import Callable
 from typing import Final
@@ -14,25 +13,21 @@
 import trio
 
 from lentilspool import platform, serving
-from lentilspool.gateway import _clock, _events, _parser, _sockets
+from lentilspool.gateway import (
+    _answer_bounds,
+    _answer_identities,
+    _clock,
+    _events,
+    _parser,
+    _sockets,
+)
 
 _logger: Final = logging.getLogger(__name__)
 _RECEIVE_BYTES: Final = 65536
 _MAX_HEAD_BYTES: Final = 16384
-# Answers that an endpoint may send before the one that is due: informational
-# ones, and late ones to earlier requests.
-_MAX_IGNORED_ANSWERS: Final = 16
-_MAX_IGNORED_BYTES: Final = 1_048_576
-# Chunks cost processor time whatever their size. An answer may have this many
-# of any size; more need this mean size, which every event exceeds.
-_MAX_SMALL_CHUNKS: Final = 50_000
-_MIN_MEAN_CHUNK_BYTES: Final = 8
 # h11 quotes the bytes that it cannot parse.
 _MAX_LOGGED_CHARACTERS: Final = 200
 _FRAMING_HEADERS: Final = (b'content-length', b'transfer-encoding')
-_SUCCESS_STATUSES: Final = range(
-    http.HTTPStatus.OK, http.HTTPStatus.MULTIPLE_CHOICES
-)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -76,46 +71,11 @@
     """Whole body."""
 
     request_id: str = ''
-    """Identity that the answer must repeat; empty if it need not."""
-
-
-class _IgnoredAnswers:
-    """Bounds what an endpoint sends before the answer that is due."""
-
-    def __init__(self) -> None:
-        self._answers = 0
-        self._body_bytes = 0
-
-    def add_answer(self) -> ExchangeFailure | None:
-        """Count an answer; return a failure if there are too many."""
-        self._answers += 1
-        if self._answers > _MAX_IGNORED_ANSWERS:
-            return ExchangeFailure('too many other answers', sent=True)
-        return None
-
-    def add_bytes(self, size: int) -> ExchangeFailure | None:
-        """Count bytes of a body; return a failure if there are too many."""
-        self._body_bytes += size
-        if self._body_bytes > _MAX_IGNORED_BYTES:
-            return ExchangeFailure('other answers are too large', sent=True)
-        return None
-
-
-class _ChunkSizes:
-    """Bounds the number of chunks of an answer by its size."""
-
-    def __init__(self) -> None:
-        self._chunks = 0
-        self._body_bytes = 0
+    """Identity that the answer must repeat.
 
-    def add(self, size: int) -> ExchangeFailure | None:
-        """Count a chunk; return a failure if there are too many."""
-        self._chunks += 1
-        self._body_bytes += size
-        excess = self._chunks - _MAX_SMALL_CHUNKS
-        if excess * _MIN_MEAN_CHUNK_BYTES > self._body_bytes:
-            return ExchangeFailure('too many small chunks', sent=True)
-        return None
+    If it is empty, the answer must have none, and the connection is not used
+    again unless it is recognized, see ``AnswerIdentities``.
+    """
 
 
 HeadListener = Callable[[serving.AnswerHead, float], None]
@@ -125,6 +85,7 @@
 class Connection:
     """An open connection that carries one request at a time.
 
+    ``identities`` tells its answers apart.
     ``on_head`` is called with the head of each answer to a request.
     """
 
@@ -136,9 +97,10 @@
         self._sent_at = 0.0
         self._parser = _new_parser()
         self._outgoing: Outgoing | None = None
-        self._sent = False
         self._answer_complete = False
-        self._chunk_sizes = _ChunkSizes()
+        self._ignored = _answer_bounds.IgnoredAnswers()
+        self._chunk_sizes = _answer_bounds.ChunkSizes()
+        self.identities = _answer_identities.AnswerIdentities()
         # When the request was sent or the last bytes arrived.
         self.last_active_at = _clock.now()
         self.idle_since = _clock.now()
@@ -149,22 +111,12 @@
     @property
     def reusable(self) -> bool:
         """Whether another request may be sent on the connection."""
-        http_states = {
-            self._parser.http.our_state,
-            self._parser.http.their_state,
-        }
         return (
             self._answer_complete
-            and http_states == {h11.DONE}
-            and not self._parser.ended
-            and not self._parser.rest_size
+            and not self.identities.exhausted
+            and self._parser.is_between_messages
         )
 
-    @property
-    def sent(self) -> bool:
-        """Whether the endpoint may have read any byte of the request."""
-        return self._sent
-
     def is_stale(self, max_idle_s: float, now: float) -> bool:
         """Whether an idle connection is unsafe for another request.
 
@@ -185,18 +137,17 @@
     async def send(self, outgoing: Outgoing) -> ExchangeFailure | None:
         """Write a request; its body may still be in transit on return."""
         self._outgoing = outgoing
-        self._sent = False
+        self._ignored = _answer_bounds.IgnoredAnswers()
+        self.identities.start_request(outgoing.request_id)
         head = self._start_request(outgoing)
         if head is None:
             return ExchangeFailure('the request is not valid HTTP', sent=False)
         self._sent_at = _clock.now()
         self.last_active_at = self._sent_at
         try:
-            # Set before the write, because a failed write may still have
-            # reached the endpoint.
-            self._sent = True
             await self._stream.send_all(head + outgoing.body)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            # A failed write may still have reached the endpoint.
             return ExchangeFailure(f'broken while sending: {error}', sent=True)
         return None
 
@@ -205,21 +156,17 @@
 
         Answers to other requests are skipped.
         """
-        ignored = _IgnoredAnswers()
-        self._chunk_sizes = _ChunkSizes()
+        self._chunk_sizes = _answer_bounds.ChunkSizes()
         while True:
-            event = await self._next_final_head(ignored)
+            event = await self._next_final_head()
             if isinstance(event, ExchangeFailure):
                 return event
             head = platform.decode_answer_head(event.status_code, event.headers)
-            if self._answers_request(head):
-                self.keep_alive_s = head.keep_alive_s
+            if self.identities.belongs(head):
                 names = {name for name, _ in event.headers}
                 self.framed = not names.isdisjoint(_FRAMING_HEADERS)
-                if self._on_head:
-                    self._on_head(head, self._sent_at)
-                return head
-            skipped = await self._skip_mismatched(head, ignored)
+                return self._accept(head)
+            skipped = await self._skip_mismatched(head)
             if skipped:
                 return skipped
 
@@ -227,8 +174,10 @@
         """Return the next part of the body."""
         event = await self._next_event()
         if isinstance(event, h11.Data):
-            failure = self._chunk_sizes.add(len(event.data))
-            return failure or Chunk(bytes(event.data))
+            problem = self._chunk_sizes.add(len(event.data))
+            if problem:
+                return ExchangeFailure(problem, sent=True)
+            return Chunk(bytes(event.data))
         if isinstance(event, h11.EndOfMessage):
             self._answer_complete = True
             self.idle_since = _clock.now()
@@ -253,15 +202,30 @@
                     f'answer larger than {limit} bytes', sent=True
                 )
 
+    def skip_copy(self, body_bytes: int) -> ExchangeFailure | None:
+        """Expect another answer after one that was a copy.
+
+        ``body_bytes`` is the size of its body. Returns a failure if there are
+        too many copies, or if the connection ended with this one.
+        """
+        _events.REPEATED_ANSWER.log(_logger, body_bytes=body_bytes)
+        return self._count_ignored(body_bytes) or self._expect_answer()
+
     async def close(self) -> None:
         """Close at once, which makes an endpoint stop the request."""
         await trio.aclose_forcefully(self._stream)
 
-    def _answers_request(self, head: serving.AnswerHead) -> bool:
-        expected = self._outgoing.request_id if self._outgoing else ''
-        if not expected or head.request_id == expected:
-            return True
-        return not head.request_id and head.status not in _SUCCESS_STATUSES
+    def _accept(
+        self, head: serving.AnswerHead
+    ) -> serving.AnswerHead | ExchangeFailure:
+        """Take an answer for the one that is due, if it can be no other."""
+        problem = self.identities.problem(head)
+        if problem:
+            return ExchangeFailure(problem, sent=True)
+        self.keep_alive_s = head.keep_alive_s
+        if self._on_head:
+            self._on_head(head, self._sent_at)
+        return head
 
     def _start_request(self, outgoing: Outgoing) -> bytes | None:
         """Pass the whole request to h11; return the bytes of its head.
@@ -286,12 +250,10 @@
             return None
         return bytes(head or b'')
 
-    async def _next_final_head(
-        self, ignored: _IgnoredAnswers
-    ) -> h11.Response | ExchangeFailure:
+    async def _next_final_head(self) -> h11.Response | ExchangeFailure:
         event = await self._next_event()
         while isinstance(event, h11.InformationalResponse):
-            event = ignored.add_answer() or await self._next_event()
+            event = self._count_ignored() or await self._next_event()
         if isinstance(event, (h11.Response, ExchangeFailure)):
             return event
         return ExchangeFailure(
@@ -299,31 +261,37 @@
         )
 
     async def _skip_mismatched(
-        self, head: serving.AnswerHead, ignored: _IgnoredAnswers
+        self, head: serving.AnswerHead
     ) -> ExchangeFailure | None:
-        if not head.request_id:
-            return ExchangeFailure('success without a request id', sent=True)
         _events.FOREIGN_ANSWER.log(
             _logger,
             request_id=self._outgoing.request_id if self._outgoing else '',
             answered=head.request_id[:_MAX_LOGGED_CHARACTERS],
             status=head.status,
         )
-        return ignored.add_answer() or await self._skip_answer(ignored)
+        return self._count_ignored() or await self._skip_body()
 
-    async def _skip_answer(
-        self, ignored: _IgnoredAnswers
-    ) -> ExchangeFailure | None:
+    async def _skip_body(self) -> ExchangeFailure | None:
         """Read the rest of another request's answer, then expect ours."""
         while True:
             part = await self.receive_chunk()
             if isinstance(part, ExchangeFailure):
                 return part
             if isinstance(part, EndOfBody):
-                break
-            failure = ignored.add_bytes(len(part.content))
-            if failure:
-                return failure
+                return self._expect_answer()
+            problem = self._ignored.add_bytes(len(part.content))
+            if problem:
+                return ExchangeFailure(problem, sent=True)
+
+    def _count_ignored(self, body_bytes: int = 0) -> ExchangeFailure | None:
+        """Count an answer that is not ours; return a failure if too many."""
+        problem = self._ignored.add_answer() or self._ignored.add_bytes(
+            body_bytes
+        )
+        return ExchangeFailure(problem, sent=True) if problem else None
+
+    def _expect_answer(self) -> ExchangeFailure | None:
+        """Parse what follows an answer as another answer to our request."""
         self._answer_complete = False
         if self._parser.http.their_state is not h11.DONE or not self._outgoing:
             return ExchangeFailure(
--- a/src/lentilspool/gateway/_events.py
+++ b/src/lentilspool/gateway/_events.py
@@ -114,6 +114,12 @@
 LEAVING_STATED: Final = _declare(
     827, logging.INFO, 'An endpoint has stated that it is about to end.'
 )
+REPEATED_ANSWER: Final = _declare(
+    828, logging.WARNING, 'An endpoint sent an earlier answer once more.'
+)
+NO_RESULTS: Final = _declare(
+    829, logging.WARNING, 'The answer to a call states no results.'
+)
 CALLER_BROKEN: Final = _declare(
     822, logging.INFO, 'A connection of a caller violated HTTP.'
 )
--- a/src/lentilspool/gateway/_exchange.py
+++ b/src/lentilspool/gateway/_exchange.py
@@ -28,7 +28,9 @@
     call = in_flight.call
     pool = in_flight.context.pool
     connection = await pool.acquire(
-        endpoint, repeatable=in_flight.route.repeatable
+        endpoint,
+        repeatable=in_flight.route.repeatable,
+        request_id=call.request_id,
     )
     if isinstance(connection, _connection.ExchangeFailure):
         yield connection
--- a/src/lentilspool/gateway/_local_planning.py
+++ b/src/lentilspool/gateway/_local_planning.py
@@ -1,35 +1,29 @@
 """The planner of this process, and the calls that it requests."""
 
-import logging
 from collections.abc import Callable
 from typing import Final
 
 import trio
 
-from lentilspool import platform, serving
+from lentilspool import serving
 from lentilspool.gateway import (
     _clock,
     _connection,
     _endpoint_checks,
-    _events,
     _pool,
     _published,
+    _stage_calls,
 )
 
-_logger: Final = logging.getLogger(__name__)
-_OK: Final = 200
 _STAGE_CALL_TIMEOUT_S: Final = 8.0
 _FREE_CALL_TIMEOUT_S: Final = 1.0
 _MANY_WAITING_PLANS: Final = 20
 _CHANGE_BATCH_S: Final = 0.004
 # By then a new configuration has probably arrived.
 CONFIGURATION_RETRY_AFTER_S: Final = 0.2
-_MAX_ANSWER_BYTES: Final = 1_048_576
 
 PlanDecision = serving.RunAt | serving.Refuse
 DecisionCallback = Callable[[PlanDecision | serving.Begun], None]
-_Message = tuple[bytes, list[tuple[bytes, bytes]], bytes]
-_Answer = tuple[serving.AnswerHead, bytes]
 
 
 class LocalPlanning:
@@ -48,7 +42,7 @@
         statements: serving.EndpointStatements,
     ) -> None:
         self._published = published
-        self._pool = pool
+        self._stage_calls = _stage_calls.StageCalls(pool)
         self._checks = checks
         self._nursery = nursery
         self._statements = statements
@@ -142,33 +136,21 @@
             callback(action)
 
     async def _call(self, call: serving.StartCall) -> None:
-        message = platform.encode_stage_request(
-            call.endpoint.name,
-            [
-                platform.PieceOrder(
-                    piece.request_id,
-                    piece.stage,
-                    piece.piece,
-                    piece.time_left_s,
-                    piece.key,
-                    piece.inputs,
-                )
-                for piece in call.pieces
-            ],
-        )
-        answer: _Answer | _connection.ExchangeFailure = (
+        answer: _stage_calls.CallAnswer | _connection.ExchangeFailure = (
             _connection.ExchangeFailure('no answer in time', sent=True)
         )
         with trio.move_on_after(_STAGE_CALL_TIMEOUT_S):
-            answer = await self._exchange(call.endpoint, message)
+            answer = await self._stage_calls.run_pieces(call)
         sent, ran = True, True
+        results: tuple[serving.PieceResult, ...] | None = None
         if isinstance(answer, _connection.ExchangeFailure):
             sent = answer.sent
         else:
-            ran = not answer[0].not_run
+            ran = not answer.head.not_run
+            results = answer.results
             self._checks.record_answer()
         self._planner.call_ended(
-            call.number, _results(answer), _clock.now(), ran=ran, sent=sent
+            call.number, results, _clock.now(), ran=ran, sent=sent
         )
         self._changed.set()
 
@@ -192,53 +174,11 @@
         if self._statements.wants_less(producer.incarnation, _clock.now()):
             # It drops the results after a time.
             return
-        answer: _Answer | _connection.ExchangeFailure | None = None
+        freed = False
         with trio.move_on_after(_FREE_CALL_TIMEOUT_S):
-            answer = await self._exchange(
-                producer, platform.encode_free_request(action.handles)
+            freed = await self._stage_calls.free_results(
+                producer, action.handles
             )
-        if isinstance(answer, tuple) and answer[0].status == _OK:
+        if freed:
             self._planner.results_freed(action.number)
             self._changed.set()
-
-    async def _exchange(
-        self, endpoint: serving.Endpoint, message: _Message
-    ) -> _Answer | _connection.ExchangeFailure:
-        connection = await self._pool.acquire(endpoint, repeatable=True)
-        if isinstance(connection, _connection.ExchangeFailure):
-            return connection
-        try:
-            return await self._send_and_receive(connection, message)
-        finally:
-            with trio.CancelScope(shield=True):
-                await self._pool.release(endpoint, connection)
-
-    async def _send_and_receive(
-        self, connection: _connection.Connection, message: _Message
-    ) -> _Answer | _connection.ExchangeFailure:
-        target, headers, body = message
-        failure = await connection.send(
-            _connection.Outgoing('POST', target, headers, body)
-        )
-        head = failure or await connection.receive_head()
-        if isinstance(head, _connection.ExchangeFailure):
-            return head
-        answer = await connection.receive_body(_MAX_ANSWER_BYTES)
-        if isinstance(answer, _connection.ExchangeFailure):
-            return answer
-        return head, answer
-
-
-def _results(
-    answer: _Answer | _connection.ExchangeFailure,
-) -> tuple[serving.PieceResult, ...] | None:
-    if not isinstance(answer, tuple) or answer[0].status != _OK:
-        return None
-    try:
-        outcomes = platform.decode_stage_answer(answer[1])
-    except platform.FormatError as error:
-        _events.BAD_REQUEST.log(_logger, problem=str(error))
-        return None
-    return tuple(
-        serving.PieceResult(one.handle, one.reason) for one in outcomes
-    )
--- a/src/lentilspool/gateway/_parser.py
+++ b/src/lentilspool/gateway/_parser.py
@@ -40,6 +40,14 @@
         """Whether the end of the connection was received."""
         return self._ended
 
+    @property
+    def is_between_messages(self) -> bool:
+        """Whether request and answer are complete, and no byte follows."""
+        http_states = {self.http.our_state, self.http.their_state}
+        return (
+            http_states == {h11.DONE} and not self.ended and not self.rest_size
+        )
+
     def receive(self, received: bytes) -> None:
         """Add received bytes; no bytes are the end of the connection."""
         self._received += received
--- a/src/lentilspool/gateway/_pool.py
+++ b/src/lentilspool/gateway/_pool.py
@@ -45,32 +45,29 @@
         return self._limits
 
     async def acquire(
-        self, endpoint: serving.Endpoint, *, repeatable: bool
+        self,
+        endpoint: serving.Endpoint,
+        *,
+        repeatable: bool,
+        request_id: str | None = None,
     ) -> _connection.Connection | _connection.ExchangeFailure:
         """Return an idle connection that is not stale, or a new one.
 
         The idle limit is ``idle_s`` for repeatable requests and
-        ``idle_unsafe_s`` for others.
+        ``idle_unsafe_s`` for others. ``request_id`` is the identity that the
+        answer will repeat, empty if it will state none; None if the sender
+        recognizes the answer by its content.
         """
         limits = self._limits
         max_idle_s = limits.idle_s if repeatable else limits.idle_unsafe_s
-        idle = self._idle.get(endpoint.incarnation, [])
-        while idle:
-            connection = idle.pop()
+        while True:
+            connection = self._take_idle(endpoint.incarnation, request_id)
+            if connection is None:
+                return await self._open(endpoint)
             if not connection.is_stale(max_idle_s, _clock.now()):
                 connection.next_request()
                 return connection
             await connection.close()
-        stream = await _sockets.connect(
-            endpoint.host, endpoint.port, limits.connect_s
-        )
-        if stream is None:
-            return _connection.ExchangeFailure('no connection', sent=False)
-        self._opened += 1
-        on_head = self._on_answer and functools.partial(
-            self._on_answer, endpoint
-        )
-        return _connection.Connection(stream, on_head)
 
     async def release(
         self, endpoint: serving.Endpoint, connection: _connection.Connection
@@ -95,3 +92,32 @@
     async def clear(self) -> None:
         """Close all idle connections, for example after a suspension."""
         await self.retain(set())
+
+    def _take_idle(
+        self, incarnation: str, request_id: str | None
+    ) -> _connection.Connection | None:
+        """Return the idle connection used last that may carry a request."""
+        idle = self._idle.get(incarnation, [])
+        if request_id == '':
+            return None
+        for connection in reversed(idle):
+            if request_id is None or connection.identities.may_carry(
+                request_id
+            ):
+                idle.remove(connection)
+                return connection
+        return None
+
+    async def _open(
+        self, endpoint: serving.Endpoint
+    ) -> _connection.Connection | _connection.ExchangeFailure:
+        stream = await _sockets.connect(
+            endpoint.host, endpoint.port, self._limits.connect_s
+        )
+        if stream is None:
+            return _connection.ExchangeFailure('no connection', sent=False)
+        self._opened += 1
+        on_head = self._on_answer and functools.partial(
+            self._on_answer, endpoint
+        )
+        return _connection.Connection(stream, on_head)
--- a/src/lentilspool/gateway/_store.py
+++ b/src/lentilspool/gateway/_store.py
@@ -6,27 +6,15 @@
 import trio
 
 from lentilspool import platform, serving, settings
-from lentilspool.gateway import (
-    _clock,
-    _connection,
-    _events,
-    _published,
-    _sockets,
-)
+from lentilspool.gateway import _clock, _events, _published, _store_connection
 
 _logger: Final = logging.getLogger(__name__)
 _OK: Final = 200
 _GONE: Final = 410
-_MAX_ANSWER_BYTES: Final = 16_777_216
 _MAX_LISTED_BYTES: Final = 33_554_432
 # Memory that an item takes beside its key and content.
 _ITEM_BYTES: Final = 512
-_CONNECT_TIMEOUT_S: Final = 0.5
 _WATCH_MARGIN_S: Final = 1.0
-# A connection that the store closed after an answer breaks the next read
-# within this time; a watch that is cut later has been waiting.
-_CLOSED_WITHIN_S: Final = 0.2
-_NO_ANSWER: Final = (0, b'')
 
 
 class StoreReader:
@@ -41,7 +29,9 @@
         self._prefix = prefix
         self._settings = store_settings
         self._published = published
-        self._connection: _connection.Connection | None = None
+        self._connection = _store_connection.StoreConnection(
+            store_settings.address, self._accepts
+        )
         self._revision: int | None = None
         # Eras of the last listing and of the last answer.
         self._era: int | None = None
@@ -96,11 +86,12 @@
                 nursery.start_soon(self._stop_at_era, scope)
                 answer = await self._get(target, _WATCH_MARGIN_S, watch_s)
                 nursery.cancel_scope.cancel()
+        if isinstance(answer, platform.Page) and answer.revision <= revision:
+            # Nothing has changed, or it is an earlier answer once more.
+            return platform.Page((), revision, more=False)
         if answer is not None:
             return answer
-        if self._connection:
-            await self._connection.close()
-            self._connection = None
+        await self._connection.close()
         return _GONE
 
     async def _stop_at_era(self, scope: trio.CancelScope) -> None:
@@ -112,6 +103,8 @@
 
     async def _list(self) -> bool:
         items: list[platform.Item] = []
+        # On a new connection the first page is no earlier answer.
+        await self._connection.close()
         # Pages are not one snapshot, so the watch starts at the revision of
         # the first page.
         position: serving.Position | None = None
@@ -231,59 +224,37 @@
         timeout_s = wait_s + self._patience.factor * limit_s
         scope = trio.CancelScope(deadline=trio.current_time() + timeout_s)
         with scope:
-            status, body = await self._exchange(target)
+            status, body = await self._connection.exchange(target)
         late_s = _clock.now() - due_at
         ended = not scope.cancelled_caught
         self._patience.record(late_s, limit_s, ended=ended)
-        if self._connection and not self._connection.reusable:
-            with trio.CancelScope(shield=True):
-                await self._connection.close()
-            self._connection = None
+        page = self._decode(status, body)
+        with trio.CancelScope(shield=True):
+            await self._connection.close_if_spent()
+        return page
+
+    def _decode(self, status: int, body: bytes) -> platform.Page | int:
+        """Return a page, or the status; 0 if it is not readable.
+
+        The connection carries another request if no answer before it was the
+        same.
+        """
         if status != _OK:
             return status
         try:
-            return platform.decode_page(body)
+            page = platform.decode_page(body)
         except platform.FormatError as error:
             _events.STORE_LOST.log(
                 _logger, prefix=self._prefix, problem=str(error)
             )
             return 0
-
-    async def _exchange(self, target: str) -> tuple[int, bytes]:
-        """Return a status and body; status 0 if there is no whole answer."""
-        kept = self._connection
-        if kept:
-            began_at = _clock.now()
-            answer = await self._send_and_receive(kept, target)
-            if answer or _clock.now() - began_at > _CLOSED_WITHIN_S:
-                return answer or _NO_ANSWER
-            await kept.close()
-        self._connection = await _connect(self._settings.address)
-        if self._connection is None:
-            return _NO_ANSWER
-        answer = await self._send_and_receive(self._connection, target)
-        return answer or _NO_ANSWER
-
-    async def _send_and_receive(
-        self, connection: _connection.Connection, target: str
-    ) -> tuple[int, bytes] | None:
-        """Return a status and body; None if no answer has begun."""
-        if connection.reusable:
-            connection.next_request()
-        failure = await connection.send(
-            _connection.Outgoing('GET', target.encode(), list(_HEADERS), b'')
+        first = page.items[0].key if page.items else ''
+        self._connection.recognize(
+            f'{self._answered_era}/{page.revision}/{first}'
         )
-        head = failure or await connection.receive_head()
-        if not isinstance(head, serving.AnswerHead):
-            return None
-        if self._order_of(head) is serving.EraOrder.older:
-            return _NO_ANSWER
-        body = await connection.receive_body(_MAX_ANSWER_BYTES)
-        if isinstance(body, _connection.ExchangeFailure):
-            return _NO_ANSWER
-        return head.status, body
+        return page
 
-    def _order_of(self, head: serving.AnswerHead) -> serving.EraOrder:
+    def _accepts(self, head: serving.AnswerHead) -> bool:
         """Record the era of an answer; an older one is late or stale."""
         era: int | None = None
         problem = ''
@@ -302,17 +273,8 @@
                 _logger, prefix=self._prefix, problem=problem
             )
         self._answered_era = self._published.store_era.number
-        return order
-
-
-_HEADERS: Final = ((b'host', b'store'),)
+        return order is not serving.EraOrder.older
 
 
 def _stored_item(item: platform.Item, era: int) -> _published.StoredItem:
     return _published.StoredItem(item.key, item.payload, item.revision, era)
-
-
-async def _connect(address: str) -> _connection.Connection | None:
-    host, port = _sockets.split_address(address)
-    stream = await _sockets.connect(host, port, _CONNECT_TIMEOUT_S)
-    return _connection.Connection(stream) if stream else None
--- a/src/lentilspool/gateway/tests/stating_fleet.py
+++ b/src/lentilspool/gateway/tests/stating_fleet.py
@@ -52,6 +52,7 @@
     }
     kinds: dict[str, dict[str, Any]] = {
         'plain': {'kind': 'safe', 'service': PLAIN},
+        'order': {'kind': 'unsafe', 'service': PLAIN},
         'talk': {'kind': 'streaming', 'service': ENGINE},
         'draft': {
             'kind': 'streaming',
@@ -103,10 +104,15 @@
             '127.0.0.1:0', self._serve, lambda: _LIMITS
         )
 
+    @property
+    def port(self) -> int:
+        """Port at which gateways reach it."""
+        return self._server.port
+
     @property
     def entry(self) -> bytes:
         """Entry that it publishes."""
-        address = f'127.0.0.1:{self._server.port}'
+        address = f'127.0.0.1:{self.port}'
         return stand_ins.encode_entry(
             self.service, address, _SLOTS, 1, ready=True
         )
@@ -198,8 +204,7 @@
         if not stand_ins.is_stage_run(request.target):
             return b'ok'
         pieces = stand_ins.decode_pieces(request.body)
-        address = f'127.0.0.1:{self._server.port}'
-        handles = [f'{address}/{next(_numbers)}' for _ in pieces]
+        handles = [f'127.0.0.1:{self.port}/{next(_numbers)}' for _ in pieces]
         return stand_ins.encode_stage_answer(handles)
 
 
@@ -228,6 +233,12 @@
     at: float
     """When it was read."""
 
+    request_id: str
+    """Identity of the request."""
+
+    received: bytes
+    """Whole answer."""
+
 
 class StatingFleet:
     """Gateways over endpoints of three services, with a steady load."""
@@ -238,11 +249,19 @@
         self.endpoints: dict[str, list[Endpoint]] = {}
         self.replies: list[Reply] = []
 
-    async def start(self, gateways: int, endpoints: int) -> None:
-        """Start gateways over so many endpoints of each service."""
+    async def start(
+        self,
+        gateways: int,
+        endpoints: int,
+        make: Callable[[str, int], Endpoint] = Endpoint,
+    ) -> None:
+        """Start gateways over so many endpoints of each service.
+
+        ``make`` makes an endpoint of a service.
+        """
         for service in SERVICES:
             self.endpoints[service] = [
-                Endpoint(service, number) for number in range(endpoints)
+                make(service, number) for number in range(endpoints)
             ]
         listed = itertools.chain(*self.endpoints.values())
         await self.fleet.start(gateways, *listed)
@@ -263,8 +282,9 @@
         """Send one request and read its answer."""
         began_at = trio.current_time()
         received = b''
+        number = next(_numbers)
         try:
-            received = await self._exchange(node, route)
+            received = await self._exchange(node, route, number)
         except OSError:
             # The gateway has been killed.
             received = b''
@@ -277,6 +297,8 @@
             now - began_at,
             float(found[1]) if found else None,
             now,
+            f'r{number}',
+            received,
         )
         self.replies.append(reply)
         return reply
@@ -289,8 +311,9 @@
             if one.route == route and one.at >= since
         )
 
-    async def _exchange(self, node: stream_fleet.Node, route: str) -> bytes:
-        number = next(_numbers)
+    async def _exchange(
+        self, node: stream_fleet.Node, route: str, number: int
+    ) -> bytes:
         pieces = '2' if route == 'draft' else ''
         lines = [
             f'GET /{route}/{node.name}-{number} HTTP/1.1'.encode(),
@@ -317,13 +340,18 @@
 Scenario = Callable[[StatingFleet], Awaitable[None]]
 
 
-def play(scenario: Scenario, gateways: int, endpoints: int) -> StatingFleet:
+def play(
+    scenario: Scenario,
+    gateways: int,
+    endpoints: int,
+    make: Callable[[str, int], Endpoint] = Endpoint,
+) -> StatingFleet:
     """Play a scenario with gateways over endpoints of each service."""
 
     async def main() -> StatingFleet:
         async with trio.open_nursery() as nursery:
             fleet = StatingFleet(nursery)
-            await fleet.start(gateways, endpoints)
+            await fleet.start(gateways, endpoints, make)
             await scenario(fleet)
             nursery.cancel_scope.cancel()
         return fleet
--- a/src/lentilspool/gateway/tests/test_exchange.py
+++ b/src/lentilspool/gateway/tests/test_exchange.py
@@ -63,7 +63,11 @@
         """Ignore the log line."""
 
     async def acquire(
-        self, endpoint: serving.Endpoint, *, repeatable: bool
+        self,
+        endpoint: serving.Endpoint,
+        *,
+        repeatable: bool,
+        request_id: str | None = None,
     ) -> _connection.Connection:
         return self.connection
 
--- a/src/lentilspool/gateway/tests/test_store.py
+++ b/src/lentilspool/gateway/tests/test_store.py
@@ -43,11 +43,16 @@
                 self.event(revision)
                 for revision in range(after + 1, self.revision + 1)
             ]
-        answer = {'current_rev': self.revision, 'items': [], 'events': events}
-        body = msgspec.json.encode(answer)
+        body = self.page(events)
         length = str(len(body)).encode()
         await reply.write_complete(200, [(b'content-length', length)], body)
 
+    def page(self, entries: list[dict[str, object]]) -> bytes:
+        """Return the answer to a read or watch."""
+        return msgspec.json.encode(
+            {'current_rev': self.revision, 'items': [], 'events': entries}
+        )
+
     def event(self, revision: int) -> dict[str, object]:
         entry = {
             'service': 's',
--- a/src/lentilspool/gateway/tests/test_stream_versions.py
+++ b/src/lentilspool/gateway/tests/test_stream_versions.py
@@ -5,6 +5,7 @@
 
 from collections.abc import Awaitable, Callable
 
+import pytest
 import trio
 
 from lentilspool.gateway.tests import stream_fleet
@@ -230,3 +231,49 @@
             assert not again.runs
 
         run(check)
+
+
+class TestAllGatewaysKilled:
+    """All gateways lose power at once, and none remembers a stream."""
+
+    @pytest.mark.parametrize('old_leaves', ['never', 'before', 'meanwhile'])
+    def test_stream_is_never_joined_from_two_versions(
+        self, old_leaves: str
+    ) -> None:
+        async def check(fleet: stream_fleet.Fleet) -> None:
+            old, new = engines('v1.1', 'v1.2')
+            await fleet.start(3, old)
+            begun = [stream_fleet.Caller(f'r{index}') for index in range(6)]
+            await fleet.add(new)
+            await fleet.until_listed()
+            async with trio.open_nursery() as nursery:
+                for index, caller in enumerate(begun):
+                    node = fleet.nodes[index % len(fleet.nodes)]
+                    nursery.start_soon(caller.read_some, node, BEGUN)
+            if old_leaves == 'before':
+                fleet.delist(old)
+                await fleet.until_listed()
+            for node in tuple(fleet.nodes):
+                fleet.kill(node)
+            if old_leaves == 'meanwhile':
+                fleet.delist(old)
+            for index in range(3):
+                await fleet.add_node(f'back{index}')
+            again = [
+                stream_fleet.Caller(f'{one.request_id}-2') for one in begun
+            ]
+            async with trio.open_nursery() as nursery:
+                for index, caller in enumerate(again):
+                    node = fleet.nodes[index % len(fleet.nodes)]
+                    nursery.start_soon(
+                        caller.take_up, node, begun[index].request_id, BEGUN
+                    )
+            assert any(caller.versions for caller in begun)
+            for first, second in zip(begun, again, strict=True):
+                assert second.versions <= first.versions
+                assert second.status in {200, 503}
+            if old_leaves == 'never':
+                # The records died with the gateways.
+                assert {one.status for one in again} == {503}
+
+        run(check)
--- a/src/lentilspool/gateway/tests/test_unframed_answers.py
+++ b/src/lentilspool/gateway/tests/test_unframed_answers.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import dataclasses
+import itertools
 import re
 from typing import Final
 
@@ -11,6 +12,7 @@
 from lentilspool.gateway.tests import application
 
 RECEIVE_BYTES: Final = 65536
+_numbers: Final = itertools.count(1)
 BODY: Final = b'the whole body'
 EVENTS: Final = application.events(0)
 CRLF_EVENTS: Final = EVENTS.replace(b'\n', b'\r\n')
@@ -99,9 +101,13 @@
 ) -> Received:
     """Send one request on a connection; return its answer."""
     stream = await trio.open_tcp_stream('127.0.0.1', running.server.port)
-    head = f'GET {path}/x HTTP/{version}\r\nHost: h\r\nRequest-Id: 9c\r\n'
-    close = 'Connection: close\r\n' if version == '1.1' else ''
-    await stream.send_all(f'{head}{close}\r\n'.encode())
+    lines = [
+        f'GET {path}/x HTTP/{version}',
+        'Host: h',
+        f'Request-Id: {next(_numbers)}',
+        *(['Connection: close'] if version == '1.1' else []),
+    ]
+    await stream.send_all('\r\n'.join([*lines, '', '']).encode())
     received = bytearray()
     reset = True
     async with stream:
--- a/src/lentilspool/gateway/tests/works.py
+++ b/src/lentilspool/gateway/tests/works.py
@@ -1,5 +1,6 @@
 """Work of the endpoints that tests run: streams, answers and stage calls."""
 
+import itertools
 from collections.abc import Awaitable, Callable, Iterator
 from typing import Final
 
@@ -11,6 +12,7 @@
 EVENTS: Final = 4
 _OK: Final = 200
 _UNAVAILABLE: Final = 503
+_handles: Final = itertools.count(1)
 Work = Callable[[_http_server.Request, _http_server.Reply], Awaitable[None]]
 
 
@@ -103,9 +105,7 @@
         if stand_ins.is_stage_run(request.target):
             await trio.sleep(pause_s)
             pieces = stand_ins.decode_pieces(request.body)
-            handles = [
-                f'127.0.0.1:9/{one.request_id}-{one.piece}' for one in pieces
-            ]
+            handles = [f'127.0.0.1:9/{next(_handles)}' for _ in pieces]
             body = stand_ins.encode_stage_answer(handles)
         length = (b'content-length', str(len(body)).encode())
         await reply.write_complete(_OK, [length], body)
--- a/src/lentilspool/platform/tests/stand_ins.py
+++ b/src/lentilspool/platform/tests/stand_ins.py
@@ -98,6 +98,11 @@
     ]
 
 
+def unnamed_headers(headers: Headers) -> Headers:
+    """Return the headers without the identity of the request."""
+    return [pair for pair in headers if pair[0] != _names.REQUEST_ID]
+
+
 def caller_headers(
     request_id: str, api_key: str, deadline_s: float, pieces: str = ''
 ) -> Headers:
