Give each request of the older entry path a connection of its own

Callers could be told that a request had not run, or get the answer of another one: an endpoint that writes an earlier answer once more on a kept connection was believed, since its answers state no request and the client of httpcore's pool takes what comes next.

Ruled out: the check for readable idle connections, which httpcore makes, does not help when the copy comes with the next answer.

Change: the pool keeps no idle connection. Before: 2 of 2 cases of dialects/tests/test_repeated_answers.py failed ([503, 503] for 503 and 200, and [200, 200] for 200 and 503). What a connection for each request costs was not measured.

--- a/src/lentilspool/dialects/_http.py
+++ b/src/lentilspool/dialects/_http.py
@@ -15,7 +15,6 @@
 _UNAVAILABLE: Final = 503
 _OK: Final = 200
 _NOT_MODIFIED: Final = 304
-_KEEPALIVE_EXPIRY_S: Final = 30
 _MAX_REASON_BYTES: Final = 200
 _MAX_ANSWER_BYTES: Final = 8_388_608
 # The time limit of a resource covers each read; all of them may take longer.
@@ -75,7 +74,8 @@
 
     Use ``post`` for a complete answer, which returns errors as values, or
     ``stream`` to read an answer as it arrives, which raises httpcore's
-    errors. Both reuse connections.
+    errors. Answers do not state their request, and a faulty server may write
+    an earlier one once more, so each request has a connection of its own.
     """
 
     def __init__(self, base_url: str, max_connections: int) -> None:
@@ -83,8 +83,7 @@
         self._cached = _CachedResource('', '', None)
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=max_connections,
-            max_keepalive_connections=max_connections,
-            keepalive_expiry=_KEEPALIVE_EXPIRY_S,
+            max_keepalive_connections=0,
         )
 
     async def post(
