Known red: requests wait for a retry budget until their deadline

Cause: a rejected piece is deferred until the retry budget of its service allows it, without asking whether that can be in time.

--- a/src/lentilspool/serving/tests/test_retried_pieces.py
+++ b/src/lentilspool/serving/tests/test_retried_pieces.py
@@ -1,5 +1,7 @@
 """Tests of retried pieces after calls without results."""
 
+import pytest
+
 from lentilspool import serving
 from lentilspool.serving.tests import builders
 
@@ -133,3 +135,21 @@
         fail_calls(planner, 0)
         assert not builders.refusals(planner.step(1))
         assert builders.refusals(planner.step(7.9))
+
+
+class TestRetriesThatComeTooLate:
+    """A piece was rejected, and the retry budget refills after the deadline."""
+
+    @pytest.mark.known_red
+    def test_request_is_refused_at_once(self) -> None:
+        limits = serving.PlanLimits(retry_reserve=0, retry_calls=0)
+        planner = builders.planner(
+            builders.endpoint_index(SEARCH, ENGINE), limits
+        )
+        plan_request = builders.plan_request(
+            'late', builders.stage(1), target_s=2, deadline_s=8
+        )
+        planner.submit(plan_request, 0)
+        assert fail_calls(planner, 0, ran=False) == 1
+        (refusal,) = builders.refusals(planner.step(0.1))
+        assert refusal.retry_after_s
