--- a/review/standins/runner.py
+++ b/review/standins/runner.py
@@ -46,6 +46,11 @@
         self.open_runs: dict[str, float] = {}
         self.server = http.Server(self._serve)
 
+    @property
+    def writer(self) -> str:
+        """What its events say of who wrote them."""
+        return f'{self.name}@{self.version}'
+
     def entry(self, state: str = 'ready') -> dict[str, Any]:
         """Return the entry that it writes into the store."""
         self._sequence += 1
@@ -110,6 +115,6 @@
             await asyncio.sleep(pause_s)
             if number == first:
                 await exchange.write(http.head(200, headers))
-            event = f'id: {number}\ndata: {self.name}/{number}\n\n'.encode()
+            event = f'id: {number}\ndata: {self.writer}\n\n'.encode()
             await exchange.write(b'%x\r\n%b\r\n' % (len(event), event))
         await exchange.write(b'0\r\n\r\n')
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -13,6 +13,7 @@
 class Store:
     """Serves ``/kv-key``, ``/kv-range`` and ``/kv-watch``; writes are calls.
 
+    While it is ``down`` it answers 503, also where a watch waits.
     While ``lost_share`` is above zero, it loses that share of its answers:
     the connection stays open and returns nothing further.
     """
@@ -25,6 +26,7 @@
         self._changed = asyncio.Event()
         self.lost_share = 0.0
         self.answered = 0
+        self.down = False
         self.lost = 0
         self.server = http.Server(self._serve)
 
@@ -39,6 +41,9 @@
         return self._revision
 
     async def _serve(self, exchange: http.Exchange) -> None:
+        if self.down:
+            await exchange.answer(503, {})
+            return
         path, _, query_text = exchange.request.target.partition('?')
         query = dict(parse.parse_qsl(query_text))
         if path == '/kv-watch':
@@ -50,6 +55,9 @@
         else:
             await exchange.answer(404, {})
             return
+        if self.down:
+            await exchange.answer(503, {})
+            return
         if self.lost_share and self._rng.random() < self.lost_share:
             self.lost += 1
             # Nothing further comes on this connection.
