--- a/review/1/play.py
+++ b/review/1/play.py
@@ -1,52 +1,126 @@
-"""Answers of the store are lost; later configurations are not applied."""
+"""A prompt part that crashes runners is never recognized if it stands late."""
 
 import asyncio
+import os
 import time
 from typing import Any
 
 from standins import case, gateways, http, runner, store
 
-GATEWAYS = 3
-LOST_SHARE = 0.35
-LOST_S = 4.5
-STORM_GAP_S = 0.33
-STORM_S = 4.0
-STORM_LEAD_S = 0.8
+ENGINES = 8
+FATAL_PER_S = 1.0
+SOUND_PER_S = 6.0
+BACK_S = 3.0
+HEARTBEAT_S = 1.2
 STABLE_WINDOW_S = 3.0
-CONFIG_APPLY_S = 2.0
-RATE_PER_S = 20.0
-WATCHED_S = 12.0
-OLD, NEW = 'deposits', 'deposits-next'
+WATCHED_S = 40.0
+EVENTS, EVENT_S = 10, 0.1
+# Shared parts of each prompt, and the place of the fatal one among them.
+PARTS, PLACE = 20, int(os.environ.get('PLACE', '18'))
+FATAL = 'fa7a1fa7'
+SERVICE = 'llm'
+DEATHS, ALLOWED = 5, 3
 
 
-def _configuration(version: int, service: str) -> dict[str, Any]:
+class Engine(runner.Runner):
+    """Crashes when it begins to write an answer on the fatal part."""
+
+    fleet: 'Fleet'
+
+    async def _stream(
+        self,
+        exchange: http.Exchange,
+        headers: dict[str, str],
+        plan: tuple[int, float],
+    ) -> None:
+        if FATAL in exchange.request.get('Prompt-Prefix'):
+            await asyncio.sleep(plan[1])
+            self.fleet.crash(self)
+            await asyncio.sleep(3600)
+        await super()._stream(exchange, headers, plan)
+
+
+class Fleet:
+    """All engines; one that crashes is back some seconds later."""
+
+    def __init__(self, record: case.Record, shop: store.Store) -> None:
+        self._record = record
+        self._shop = shop
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.engines: list[Engine] = []
+        self.crashes: list[float] = []
+
+    async def start(self, zone: str) -> None:
+        """Start an engine under a new name."""
+        engine = Engine(
+            SERVICE,
+            self._record,
+            zone=zone,
+            plan=lambda request: (EVENTS, EVENT_S),
+        )
+        engine.fleet = self
+        await engine.server.start()
+        self.engines.append(engine)
+        self._shop.put(f'servers/{engine.name}', engine.entry())
+
+    def crash(self, engine: Engine) -> None:
+        """End an engine with all its connections."""
+        self.crashes.append(time.time())
+        lost = len(engine.open_runs) - 1
+        self._record(f'{engine.name} crashes with {lost} other streams')
+        self._tasks.add(asyncio.create_task(self._replace(engine)))
+
+    async def _replace(self, engine: Engine) -> None:
+        await engine.server.stop()
+        await asyncio.sleep(BACK_S)
+        await self.start('ab'[len(self.engines) % 2])
+        await asyncio.sleep(max(3 * HEARTBEAT_S - BACK_S, 0))
+        self._shop.put(f'servers/{engine.name}', None)
+
+    async def stop(self) -> None:
+        """Stop all engines."""
+        for task in self._tasks:
+            task.cancel()
+        for engine in self.engines:
+            await engine.server.stop()
+
+
+def _configuration() -> dict[str, Any]:
     route = {
-        'name': 'deposit-confirm',
-        'hostname': 'deposit.example',
-        'prefix': '/deposit/',
-        'kind': 'unsafe',
-        'timeout_ms': 1500,
-        'target_latency_ms': 400,
-        'priority': 1,
-        'service': service,
-        'attempts': 2,
+        'name': 'style-brief',
+        'hostname': 'brief.example',
+        'prefix': '/brief/',
+        'kind': 'streaming',
+        'timeout_ms': 8000,
+        'target_latency_ms': 1600,
+        'priority': 0,
+        'service': SERVICE,
+        'attempts': 1,
         'public': False,
+        'sticky': True,
+        'resumable': False,
+        'max_gap_ms': 300,
     }
-    # Each change of the storm moves another route.
-    other = {
-        **route,
-        'name': 'other',
-        'prefix': '/other/',
-        'service': (OLD, NEW)[version % 2],
+    engine = {
+        'slots': 64,
+        'kv_capacity': 631045,
+        'token_kv_bytes': 163840,
+        'link_mbps': 1100000.0,
+        'moves': False,
+        'handle_s': 5.0,
+        'models': [{'name': 'm'}],
     }
-    services = [
-        {'name': name, 'health_path': '/healthz', 'max_connections': 100}
-        for name in (OLD, NEW)
-    ]
     return {
-        'version': version,
-        'routes': [route, other],
-        'services': services,
+        'version': 1,
+        'routes': [route],
+        'services': [
+            {
+                'name': SERVICE,
+                'health_path': '/healthz',
+                'max_connections': 370,
+                'engine': engine,
+            }
+        ],
         'limits': {
             'max_header_bytes': 16384,
             'max_body_bytes': 4194304,
@@ -58,65 +132,76 @@
 
 
 class Traffic:
-    """Sends requests to the gateways in turn; the runners tell who ran them."""
+    """Callers whose prompts share all parts but one and the last."""
 
     def __init__(
         self, record: case.Record, nodes: list[gateways.Gateway]
     ) -> None:
         self._record = record
         self._nodes = nodes
-        self.sent: dict[str, tuple[float, str]] = {}
-        self.statuses: dict[str, int] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self.fatal: dict[str, float] = {}
+        self.sound: dict[str, tuple[float, http.Answer]] = {}
 
-    async def run(self, seconds: float) -> None:
-        """Send requests for a time, and await their answers."""
+    async def run(self, per_s: float, seconds: float, *, fatal: bool) -> None:
+        """Send requests for a time."""
         until = time.time() + seconds
         number = 0
         while time.time() < until:
             node = self._nodes[number % len(self._nodes)]
+            task = self._send(node, number, fatal=fatal)
+            self._tasks.add(asyncio.create_task(task))
             number += 1
-            self._tasks.add(asyncio.create_task(self._send(node)))
-            await asyncio.sleep(1 / RATE_PER_S)
+            await asyncio.sleep(1 / per_s)
         await asyncio.gather(*self._tasks)
 
-    async def _send(self, node: gateways.Gateway) -> None:
+    async def _send(
+        self, node: gateways.Gateway, number: int, *, fatal: bool
+    ) -> None:
         request_id = case.new_id()
-        self.sent[request_id] = (time.time(), node.name)
-        self._record(f'{request_id} is sent to {node.name}')
+        sent_at = time.time()
+        parts = [f'{place:08x}:100' for place in range(1, PARTS + 1)]
+        own = FATAL if fatal else f'{number % 5 + 0xA0:08x}'
+        parts[PLACE - 1] = f'{own}:100'
+        parts.append(f'{request_id[:8]}:250')
+        if fatal:
+            self.fatal[request_id] = sent_at
         answer = await http.call(
             node.callers,
             'POST',
-            '/deposit/1',
+            f'/brief/{request_id}',
             {
-                'Host': 'deposit.example',
+                'Host': 'brief.example',
                 'Request-Id': request_id,
-                'Deadline-Ms': '1500',
+                'Deadline-Ms': '8000',
+                'Model': 'm',
+                'Token-Counts': f'{PARTS * 100 + 250},50',
+                'Prompt-Prefix': ','.join(parts),
                 'Key': 'key-of-brides',
             },
-            b'deposit',
-            timeout_s=1.5,
+            request_id.encode(),
+            timeout_s=8,
+        )
+        if not fatal:
+            self.sound[request_id] = (sent_at, answer)
+        self._record(
+            f'{request_id} ({"fatal" if fatal else "sound"}) gets '
+            f'{answer.status}, '
+            f'{"complete" if answer.complete else "not complete"}'
         )
-        self.statuses[request_id] = answer.status
-        self._record(f'{request_id} gets {answer.status} {answer.note}')
 
 
 async def play(record: case.Record) -> int:
     """Play the case."""
-    shop = store.Store(seed=0)
+    shop = store.Store()
     await shop.server.start()
-    runners = [
-        runner.Runner(service, record, slots=6, work_s=0.03)
-        for service in (OLD, OLD, NEW, NEW)
-    ]
-    for one in runners:
-        await one.server.start()
-        shop.put(f'servers/{one.name}', one.entry())
-    version = 1
-    shop.put('op/config', _configuration(version, OLD))
+    fleet = Fleet(record, shop)
+    for number in range(ENGINES):
+        await fleet.start('ab'[number % 2])
+    shop.put('op/config', _configuration())
     nodes = [
-        gateways.Gateway(f'front-{number}', 'abc'[number], shop.server.port)
-        for number in range(GATEWAYS)
+        gateways.Gateway(f'front-{zone}-1', zone, shop.server.port)
+        for zone in 'ab'
     ]
     try:
         for node in nodes:
@@ -125,75 +210,49 @@
         for node in nodes:
             if not await node.wait_until_ready():
                 raise case.CouldNotRunError(f'{node.name} is not ready')
-        await asyncio.sleep(3)
-        record('the operator changes the configuration in quick succession')
-        storm_until = time.time() + STORM_S
-        lost_from = time.time() + STORM_LEAD_S
-        lost_until = lost_from + LOST_S
-        while time.time() < storm_until:
-            if time.time() >= lost_from and case.trouble():
-                shop.lost_share = LOST_SHARE
-            version += 1
-            shop.put('op/config', _configuration(version, OLD))
-            await asyncio.sleep(STORM_GAP_S)
-        await asyncio.sleep(max(lost_until - time.time(), 0))
-        shop.lost_share = 0.0
-        record(
-            f'the store loses no more: {shop.lost} answers were lost, '
-            f'{shop.answered} were not'
-        )
-        await asyncio.sleep(STABLE_WINDOW_S + 0.2)
-        version += 1
-        shop.put('op/config', _configuration(version, NEW))
-        acknowledged_at = time.time()
-        record(f'the store acknowledges version {version}: {OLD} -> {NEW}')
+        await asyncio.sleep(2)
         traffic = Traffic(record, nodes)
-        await traffic.run(WATCHED_S)
-        for node in nodes:
-            for line in node.events(220):
-                record(
-                    f'{node.name} has version {line["version"]} at '
-                    f'{record.at(line["time"])} from {line["source"]}'
+        async with asyncio.TaskGroup() as group:
+            group.create_task(
+                traffic.run(SOUND_PER_S, WATCHED_S + 5, fatal=False)
+            )
+            await asyncio.sleep(5)
+            if case.trouble():
+                group.create_task(
+                    traffic.run(FATAL_PER_S, WATCHED_S, fatal=True)
                 )
-        return _judge(record, traffic, runners, acknowledged_at)
+        return _judge(record, traffic, fleet)
     finally:
         for node in nodes:
             node.end()
-        for one in runners:
-            await one.server.stop()
+        await fleet.stop()
         await shop.server.stop()
 
 
-def _judge(
-    record: case.Record,
-    traffic: Traffic,
-    runners: list[runner.Runner],
-    acknowledged_at: float,
-) -> int:
-    late = acknowledged_at + CONFIG_APPLY_S
-    ran_at_old = [
-        (traffic.sent[request_id], at)
-        for one in runners
-        if one.service == OLD
-        for at, request_id, _, _ in one.runs
-        if request_id in traffic.sent and traffic.sent[request_id][0] > late
-    ]
-    served = sum(
-        status == 200
-        for request_id, status in traffic.statuses.items()
-        if traffic.sent[request_id][0] > late
+def _judge(record: case.Record, traffic: Traffic, fleet: Fleet) -> int:
+    arrived = sorted(
+        at
+        for engine in fleet.engines
+        for at, request_id, _, _ in engine.runs
+        if request_id in traffic.fatal
+    )
+    late = []
+    if len(fleet.crashes) >= DEATHS:
+        since = sorted(fleet.crashes)[DEATHS - 1] + STABLE_WINDOW_S
+        late = [at for at in arrived if at > since]
+    broken_off = sum(
+        answer.status == 200 and not answer.complete
+        for _, answer in traffic.sound.values()
     )
-    total = sum(sent[0] > late for sent in traffic.sent.values())
+    refused = sum(answer.status == 503 for _, answer in traffic.sound.values())
     record(
-        f'{total} requests were sent later than {CONFIG_APPLY_S} s after the '
-        f'acknowledgement; {served} were served, {len(ran_at_old)} of all '
-        f'were run by {OLD}, which only an older version allows'
+        f'{len(traffic.fatal)} requests with the fatal part at place {PLACE} '
+        f'of {PARTS}; {len(fleet.crashes)} crashes; {len(late)} such requests '
+        f'reached runners later than {STABLE_WINDOW_S} s after the fifth; of '
+        f'{len(traffic.sound)} sound streams {broken_off} were broken off, '
+        f'{refused} refused'
     )
-    if ran_at_old:
-        last = max(sent[0] for sent, _ in ran_at_old) - acknowledged_at
-        record(f'the last of them was sent {last:.2f} s after it')
-        return case.BROKEN
-    return case.HELD
+    return case.BROKEN if len(late) > ALLOWED else case.HELD
 
 
 if __name__ == '__main__':
--- a/review/2/play.py
+++ b/review/2/play.py
@@ -1,37 +1,39 @@
-"""A planned stop cuts streams that it admitted late."""
+"""After all gateways were killed, broken streams cannot be taken up again."""
 
 import asyncio
+import re
 import signal
 import time
 from typing import Any
 
 from standins import case, gateways, http, runner, store
 
-RATE_PER_S = 40.0
-GRACE_S = 8.0
-EXCUSED_S = 3.0
-# A stream of few events, and one in this many that is as long as it may be.
-EVENTS, LONG_EVENTS, LONG_ONE_IN = 10, 80, 20
-EVENT_S = 0.05
-TOKENS_PER_EVENT = 5
-TIMEOUT_S = 10.0
-WARM_S = 8.0
+STREAMS = 24
+EVENTS, EVENT_S = 40, 0.2
+LEAD_S, BEFORE_S = 15.0, 3.0
+RESTART_S, STABLE_WINDOW_S = 0.5, 3.0
+DEADLINE_S = 12.0
+# Seconds before each retry of a caller.
+PAUSES_S = (0.1, 1.0, 3.0)
+NEW_PER_S, NEW_S = 4.0, 4.0
+SERVICE = 'llm'
+_EVENT = re.compile(rb'id: (\d+)\ndata: (\S+)\n\n')
 
 
 def _configuration() -> dict[str, Any]:
     route = {
-        'name': 'quick-reply',
-        'hostname': 'chat.example',
-        'prefix': '/chat/',
+        'name': 'style-brief',
+        'hostname': 'brief.example',
+        'prefix': '/brief/',
         'kind': 'streaming',
-        'timeout_ms': int(TIMEOUT_S * 1000),
-        'target_latency_ms': 1500,
-        'priority': 2,
-        'service': 'llm',
-        'attempts': 1,
+        'timeout_ms': int(DEADLINE_S * 1000),
+        'target_latency_ms': 1600,
+        'priority': 0,
+        'service': SERVICE,
+        'attempts': 2,
         'public': False,
         'sticky': True,
-        'resumable': False,
+        'resumable': True,
         'max_gap_ms': 300,
     }
     engine = {
@@ -40,7 +42,6 @@
         'token_kv_bytes': 163840,
         'link_mbps': 1100000.0,
         'moves': False,
-        'backups': False,
         'handle_s': 5.0,
         'models': [{'name': 'm'}],
     }
@@ -49,7 +50,7 @@
         'routes': [route],
         'services': [
             {
-                'name': 'llm',
+                'name': SERVICE,
                 'health_path': '/healthz',
                 'max_connections': 370,
                 'engine': engine,
@@ -65,62 +66,93 @@
     }
 
 
-def _plan(request: http.Request) -> tuple[int, float]:
-    """Return how long a runner's stream is: most of them are short."""
-    number = int(request.target.rpartition('/')[2])
-    is_long = number % LONG_ONE_IN == 0
-    return (LONG_EVENTS if is_long else EVENTS), EVENT_S
+class Stream:
+    """A stream over all tries of its caller."""
+
+    def __init__(self, number: int) -> None:
+        self.number = number
+        self.events: list[tuple[int, str]] = []
+        # When each try was sent, and whether it brought events.
+        self.tries: list[tuple[float, bool]] = []
+        self.complete = False
 
 
 class Traffic:
-    """Callers in the zone of one gateway, each on a connection of its own."""
+    """Callers that take a broken stream up again at the next gateway."""
 
-    def __init__(self, record: case.Record, node: gateways.Gateway) -> None:
+    def __init__(
+        self, record: case.Record, nodes: list[gateways.Gateway]
+    ) -> None:
         self._record = record
-        self._node = node
-        self.sent: dict[str, float] = {}
-        self.ended: dict[str, tuple[float, http.Answer]] = {}
+        self._nodes = nodes
         self._tasks: set[asyncio.Task[None]] = set()
+        self.streams: list[Stream] = []
 
-    async def run(self, until: float, first: int) -> int:
-        """Send requests until a time; return the number of the next one."""
-        number = first
-        while time.time() < until:
-            self._tasks.add(asyncio.create_task(self._send(number)))
-            number += 1
-            await asyncio.sleep(1 / RATE_PER_S)
-        return number
+    def begin(self) -> Stream:
+        """Begin a stream."""
+        stream = Stream(len(self.streams) + 1)
+        self.streams.append(stream)
+        self._tasks.add(asyncio.create_task(self._run(stream)))
+        return stream
 
     async def finish(self) -> None:
-        """Await all answers."""
+        """Await the ends of all streams."""
         await asyncio.gather(*self._tasks)
 
-    async def _send(self, number: int) -> None:
+    async def _run(self, stream: Stream) -> None:
+        until = time.time() + DEADLINE_S
+        resumes = await self._try(stream, until, '')
+        for pause_s in PAUSES_S:
+            if stream.complete or until - time.time() < pause_s + 0.2:
+                return
+            await asyncio.sleep(pause_s)
+            had_events = bool(stream.events)
+            request_id = await self._try(stream, until, resumes)
+            resumes = resumes if had_events else request_id
+
+    async def _try(self, stream: Stream, until: float, resumes: str) -> str:
         request_id = case.new_id()
-        self.sent[request_id] = time.time()
-        tokens = LONG_EVENTS * TOKENS_PER_EVENT
+        left_s = until - time.time()
+        place = (stream.number + len(stream.tries)) % len(self._nodes)
+        node = self._nodes[place]
+        headers = {
+            'Host': 'brief.example',
+            'Request-Id': request_id,
+            'Deadline-Ms': str(int(left_s * 1000)),
+            'Model': 'm',
+            'Token-Counts': f'1460,{EVENTS * 5}',
+            'Prompt-Prefix': f'5c1e07a2:350,{stream.number:08x}:1110',
+            'Key': 'key-of-brides',
+        }
+        if stream.events:
+            headers['Last-Event-Id'] = str(stream.events[-1][0])
+            headers['Resumes'] = resumes
+        sent_at = time.time()
+        self._record(
+            f'stream {stream.number}: {request_id} is sent to {node.name} after '
+            f'event {headers.get("Last-Event-Id", "-")}'
+        )
         answer = await http.call(
-            self._node.callers,
+            node.callers,
             'POST',
-            f'/chat/{number}',
-            {
-                'Host': 'chat.example',
-                'Request-Id': request_id,
-                'Deadline-Ms': str(int(TIMEOUT_S * 1000)),
-                'Model': 'm',
-                'Token-Counts': f'1460,{tokens}',
-                'Prompt-Prefix': f'5c1e07a2:350,{request_id}:1110',
-                'Key': 'key-of-brides',
-            },
-            b'hello',
-            timeout_s=TIMEOUT_S,
+            f'/brief/{stream.number}',
+            headers,
+            str(stream.number).encode(),
+            timeout_s=left_s,
         )
-        self.ended[request_id] = (time.time(), answer)
+        found = [
+            (int(number), writer.decode())
+            for number, writer in _EVENT.findall(answer.body)
+        ]
+        stream.tries.append((sent_at, bool(found)))
+        stream.events += found
+        stream.complete = answer.status == 200 and answer.complete
         self._record(
-            f'{request_id} (/chat/{number}) gets {answer.status}, '
-            f'{answer.body.count(b"id: ")} events, '
+            f'stream {stream.number}: {request_id} gets {answer.status} with '
+            f'{len(found)} events, '
             f'{"complete" if answer.complete else "not complete"} {answer.note}'
         )
+        return request_id
 
 
 async def play(record: case.Record) -> int:
@@ -128,8 +160,13 @@
     shop = store.Store()
     await shop.server.start()
     engines = [
-        runner.Runner('llm', record, zone=zone, plan=_plan)
-        for zone in ('a', 'b')
+        runner.Runner(
+            SERVICE,
+            record,
+            zone=zone,
+            plan=lambda request: (EVENTS, EVENT_S),
+        )
+        for zone in 'ab'
     ]
     for engine in engines:
         await engine.server.start()
@@ -137,7 +174,7 @@
     shop.put('op/config', _configuration())
     nodes = [
         gateways.Gateway(f'front-{zone}-1', zone, shop.server.port)
-        for zone in ('a', 'b')
+        for zone in 'ab'
     ]
     try:
         for node in nodes:
@@ -146,19 +183,31 @@
         for node in nodes:
             if not await node.wait_until_ready():
                 raise case.CouldNotRunError(f'{node.name} is not ready')
-        await asyncio.sleep(2)
-        traffic = Traffic(record, nodes[0])
-        first = await traffic.run(time.time() + WARM_S, 1)
-        stopped_at = time.time()
-        if case.trouble():
-            record(f'{nodes[0].name} gets SIGTERM')
-            nodes[0].send_signal(signal.SIGTERM)
-        # It is the only gateway of its zone, so the platform goes on using it.
-        await traffic.run(stopped_at + GRACE_S, first)
+        await asyncio.sleep(LEAD_S)
+        traffic = Traffic(record, nodes)
+        old = []
+        for _ in range(STREAMS):
+            old.append(traffic.begin())
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(BEFORE_S)
         if case.trouble():
-            nodes[0].send_signal(signal.SIGKILL)
+            record('all gateways are killed')
+            for node in nodes:
+                node.send_signal(signal.SIGKILL)
+            await asyncio.sleep(RESTART_S)
+            for node in nodes:
+                node.start()
+            record('all gateways are started again')
+        started_at = time.time()
+        for node in nodes:
+            await node.wait_until_ready()
+        await asyncio.sleep(max(started_at + STABLE_WINDOW_S - time.time(), 0))
+        new = []
+        for _ in range(int(NEW_PER_S * NEW_S)):
+            new.append(traffic.begin())
+            await asyncio.sleep(1 / NEW_PER_S)
         await traffic.finish()
-        return _judge(record, traffic, engines, stopped_at)
+        return _judge(record, old, new, started_at + STABLE_WINDOW_S)
     finally:
         for node in nodes:
             node.end()
@@ -168,29 +217,25 @@
 
 
 def _judge(
-    record: case.Record,
-    traffic: Traffic,
-    engines: list[runner.Runner],
-    stopped_at: float,
+    record: case.Record, old: list[Stream], new: list[Stream], touch_at: float
 ) -> int:
-    ran = {one[1]: one[0] for engine in engines for one in engine.runs}
-    lost = []
-    for request_id, (ended_at, answer) in traffic.ended.items():
-        sent_after_s = traffic.sent[request_id] - stopped_at
-        cut = request_id in ran and not answer.complete
-        if cut and answer.note != 'gave up':
-            record(
-                f'{request_id}: sent {sent_after_s:.2f} s after the signal, '
-                f'run by a runner, cut off {ended_at - stopped_at:.2f} s after '
-                f'it with {answer.body.count(b"id: ")} events'
-            )
-            if sent_after_s > EXCUSED_S:
-                lost.append(request_id)
+    # Streams that were taken up again at gateways in touch, and went on.
+    again = [
+        any(went_on for at, went_on in one.tries[1:] if at >= touch_at)
+        for one in old
+        if any(at >= touch_at for at, _ in one.tries[1:])
+    ]
+    begun = [one.tries[0][1] for one in new if one.tries]
+    share_again = sum(again) / max(len(again), 1)
+    share_new = sum(begun) / max(len(begun), 1)
+    complete = sum(one.complete for one in old)
     record(
-        f'{len(lost)} requests that were sent later than {EXCUSED_S} s after '
-        'the signal were passed on to a runner and cut off'
+        f'{len(again)} of {len(old)} streams were taken up again at gateways in '
+        f'touch, {sum(again)} went on; of {len(begun)} new ones {sum(begun)} '
+        f'began; {complete} of the old ones came to their end'
     )
-    return case.BROKEN if lost else case.HELD
+    broken = len(again) >= 12 and share_again < share_new / 2
+    return case.BROKEN if broken else case.HELD
 
 
 if __name__ == '__main__':
--- a/review/5/play.py
+++ b/review/5/play.py
@@ -1,74 +1,58 @@
-"""A runner fails after it has run a request; callers are told it has not run."""
+"""A planned stop cuts streams that it admitted late."""
 
 import asyncio
-import random
+import signal
 import time
 from typing import Any
 
 from standins import case, gateways, http, runner, store
 
-GATEWAYS = 2
 RATE_PER_S = 40.0
-WATCHED_S = 15.0
-FAILED_SHARE = 0.45
-RUNNERS, GREY_RUNNERS = 7, 1
-SERVICE = 'booking-api'
-KINDS = {'/deposit/': 'unsafe'}
-PROMISES = (408, 421, 429, 503)
-
-
-class GreyRunner(runner.Runner):
-    """Runs each request, and then fails a part of them with 503.
-
-    It does not state ``Not-Executed``, as it has worked on them.
-    """
-
-    rng: random.Random
-
-    async def _serve(self, exchange: http.Exchange) -> None:
-        write = exchange.write
-        request_id = exchange.request.get('Request-Id')
-
-        async def fail(raw: bytes) -> None:
-            if case.trouble() and self.rng.random() < FAILED_SHARE:
-                headers = {
-                    'Request-Id': request_id,
-                    'Server-Stamp': f'{self.name}.{request_id}',
-                    'Content-Length': '0',
-                }
-                self._record(f'{self.name} fails {request_id} after its run')
-                await write(http.head(503, headers))
-            else:
-                await write(raw)
-
-        exchange.write = fail  # type: ignore[method-assign]
-        await super()._serve(exchange)
+GRACE_S = 8.0
+EXCUSED_S = 3.0
+# A stream of few events, and one in this many that is as long as it may be.
+EVENTS, LONG_EVENTS, LONG_ONE_IN = 10, 80, 20
+EVENT_S = 0.05
+TOKENS_PER_EVENT = 5
+TIMEOUT_S = 10.0
+WARM_S = 8.0
 
 
 def _configuration() -> dict[str, Any]:
-    routes = [
-        {
-            'name': f'r-{kind}',
-            'hostname': 'booking.example',
-            'prefix': prefix,
-            'kind': kind,
-            'timeout_ms': 1500,
-            'target_latency_ms': 400,
-            'priority': 1,
-            'service': SERVICE,
-            'attempts': 2,
-            'public': False,
-        }
-        for prefix, kind in KINDS.items()
-    ]
+    route = {
+        'name': 'quick-reply',
+        'hostname': 'chat.example',
+        'prefix': '/chat/',
+        'kind': 'streaming',
+        'timeout_ms': int(TIMEOUT_S * 1000),
+        'target_latency_ms': 1500,
+        'priority': 2,
+        'service': 'llm',
+        'attempts': 1,
+        'public': False,
+        'sticky': True,
+        'resumable': False,
+        'max_gap_ms': 300,
+    }
+    engine = {
+        'slots': 64,
+        'kv_capacity': 631045,
+        'token_kv_bytes': 163840,
+        'link_mbps': 1100000.0,
+        'moves': False,
+        'backups': False,
+        'handle_s': 5.0,
+        'models': [{'name': 'm'}],
+    }
     return {
         'version': 1,
-        'routes': routes,
+        'routes': [route],
         'services': [
             {
-                'name': SERVICE,
+                'name': 'llm',
                 'health_path': '/healthz',
-                'max_connections': 110,
+                'max_connections': 370,
+                'engine': engine,
             }
         ],
         'limits': {
@@ -81,50 +65,79 @@
     }
 
 
-async def _send(
-    record: case.Record,
-    node: gateways.Gateway,
-    number: int,
-    answers: dict[str, http.Answer],
-) -> None:
-    request_id = case.new_id()
-    prefix = list(KINDS)[number // GATEWAYS % len(KINDS)]
-    record(f'{request_id} ({KINDS[prefix]}) is sent to {node.name}')
-    answers[request_id] = await http.call(
-        node.callers,
-        'POST' if KINDS[prefix] == 'unsafe' else 'GET',
-        f'{prefix}{number}',
-        {
-            'Host': 'booking.example',
-            'Request-Id': request_id,
-            'Deadline-Ms': '1500',
-            'Key': 'key-of-brides',
-        },
-        b'deposit' if KINDS[prefix] == 'unsafe' else b'',
-        timeout_s=1.5,
-    )
-    answer = answers[request_id]
-    stamp = answer.headers.get('server-stamp', 'none')
-    record(f'{request_id} gets {answer.status}, stamp {stamp}')
+def _plan(request: http.Request) -> tuple[int, float]:
+    """Return how long a runner's stream is: most of them are short."""
+    number = int(request.target.rpartition('/')[2])
+    is_long = number % LONG_ONE_IN == 0
+    return (LONG_EVENTS if is_long else EVENTS), EVENT_S
+
+
+class Traffic:
+    """Callers in the zone of one gateway, each on a connection of its own."""
+
+    def __init__(self, record: case.Record, node: gateways.Gateway) -> None:
+        self._record = record
+        self._node = node
+        self.sent: dict[str, float] = {}
+        self.ended: dict[str, tuple[float, http.Answer]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self, until: float, first: int) -> int:
+        """Send requests until a time; return the number of the next one."""
+        number = first
+        while time.time() < until:
+            self._tasks.add(asyncio.create_task(self._send(number)))
+            number += 1
+            await asyncio.sleep(1 / RATE_PER_S)
+        return number
+
+    async def finish(self) -> None:
+        """Await all answers."""
+        await asyncio.gather(*self._tasks)
+
+    async def _send(self, number: int) -> None:
+        request_id = case.new_id()
+        self.sent[request_id] = time.time()
+        tokens = LONG_EVENTS * TOKENS_PER_EVENT
+        answer = await http.call(
+            self._node.callers,
+            'POST',
+            f'/chat/{number}',
+            {
+                'Host': 'chat.example',
+                'Request-Id': request_id,
+                'Deadline-Ms': str(int(TIMEOUT_S * 1000)),
+                'Model': 'm',
+                'Token-Counts': f'1460,{tokens}',
+                'Prompt-Prefix': f'5c1e07a2:350,{request_id}:1110',
+                'Key': 'key-of-brides',
+            },
+            b'hello',
+            timeout_s=TIMEOUT_S,
+        )
+        self.ended[request_id] = (time.time(), answer)
+        self._record(
+            f'{request_id} (/chat/{number}) gets {answer.status}, '
+            f'{answer.body.count(b"id: ")} events, '
+            f'{"complete" if answer.complete else "not complete"} {answer.note}'
+        )
 
 
 async def play(record: case.Record) -> int:
     """Play the case."""
     shop = store.Store()
     await shop.server.start()
-    grey = GreyRunner(SERVICE, record, zone='a', slots=6, work_s=0.09)
-    grey.rng = random.Random(1)
-    runners = [grey] + [
-        runner.Runner(SERVICE, record, zone='ab'[number % 2], slots=6)
-        for number in range(RUNNERS - GREY_RUNNERS)
+    engines = [
+        runner.Runner('llm', record, zone=zone, plan=_plan)
+        for zone in ('a', 'b')
     ]
-    for one in runners:
-        await one.server.start()
-        shop.put(f'servers/{one.name}', one.entry())
+    for engine in engines:
+        await engine.server.start()
+        shop.put(f'servers/{engine.name}', engine.entry())
     shop.put('op/config', _configuration())
     nodes = [
         gateways.Gateway(f'front-{zone}-1', zone, shop.server.port)
-        for zone in 'ab'
+        for zone in ('a', 'b')
     ]
     try:
         for node in nodes:
@@ -133,43 +146,51 @@
         for node in nodes:
             if not await node.wait_until_ready():
                 raise case.CouldNotRunError(f'{node.name} is not ready')
-        await asyncio.sleep(3)
-        answers: dict[str, http.Answer] = {}
-        tasks = []
-        until = time.time() + WATCHED_S
-        while time.time() < until:
-            node = nodes[len(tasks) % GATEWAYS]
-            tasks.append(
-                asyncio.create_task(_send(record, node, len(tasks), answers))
-            )
-            await asyncio.sleep(1 / RATE_PER_S)
-        await asyncio.gather(*tasks)
-        ran = {run[1] for one in runners for run in one.runs}
-        return _judge(record, answers, ran)
+        await asyncio.sleep(2)
+        traffic = Traffic(record, nodes[0])
+        first = await traffic.run(time.time() + WARM_S, 1)
+        stopped_at = time.time()
+        if case.trouble():
+            record(f'{nodes[0].name} gets SIGTERM')
+            nodes[0].send_signal(signal.SIGTERM)
+        # It is the only gateway of its zone, so the platform goes on using it.
+        await traffic.run(stopped_at + GRACE_S, first)
+        if case.trouble():
+            nodes[0].send_signal(signal.SIGKILL)
+        await traffic.finish()
+        return _judge(record, traffic, engines, stopped_at)
     finally:
         for node in nodes:
             node.end()
-        for one in runners:
-            await one.server.stop()
+        for engine in engines:
+            await engine.server.stop()
         await shop.server.stop()
 
 
 def _judge(
-    record: case.Record, answers: dict[str, http.Answer], ran: set[str]
+    record: case.Record,
+    traffic: Traffic,
+    engines: list[runner.Runner],
+    stopped_at: float,
 ) -> int:
-    refused = [
-        request_id
-        for request_id, answer in answers.items()
-        if answer.status in PROMISES and request_id in ran
-    ]
-    for request_id in refused:
-        status = answers[request_id].status
-        record(f'{request_id}: answered {status}, and has run')
+    ran = {one[1]: one[0] for engine in engines for one in engine.runs}
+    lost = []
+    for request_id, (ended_at, answer) in traffic.ended.items():
+        sent_after_s = traffic.sent[request_id] - stopped_at
+        cut = request_id in ran and not answer.complete
+        if cut and answer.note != 'gave up':
+            record(
+                f'{request_id}: sent {sent_after_s:.2f} s after the signal, '
+                f'run by a runner, cut off {ended_at - stopped_at:.2f} s after '
+                f'it with {answer.body.count(b"id: ")} events'
+            )
+            if sent_after_s > EXCUSED_S:
+                lost.append(request_id)
     record(
-        f'{len(answers)} requests that may run once; {len(refused)} were '
-        'answered with a promise that they have not run, and have run'
+        f'{len(lost)} requests that were sent later than {EXCUSED_S} s after '
+        'the signal were passed on to a runner and cut off'
     )
-    return case.BROKEN if refused else case.HELD
+    return case.BROKEN if lost else case.HELD
 
 
 if __name__ == '__main__':
