--- a/review/4/play.py
+++ b/review/4/play.py
@@ -1,6 +1,7 @@
 """A runner spoils a few answers; callers get successes that nobody signed."""
 
 import asyncio
+import codecs
 import random
 import time
 from typing import Any
@@ -16,8 +17,22 @@
 KINDS = {'/deposit/': 'unsafe', '/slots/': 'safe'}
 
 
+def _spoil(raw: bytes) -> bytes:
+    """Return an answer with wrong letters in its signature and its body."""
+    head, _, body = raw.partition(b'\r\n\r\n')
+    lines = [
+        _wrong(line) if line.startswith(b'Server-Stamp') else line
+        for line in head.split(b'\r\n')
+    ]
+    return b'\r\n'.join(lines) + b'\r\n\r\n' + _wrong(body)
+
+
+def _wrong(text: bytes) -> bytes:
+    return codecs.encode(text.decode(), 'rot13').encode()
+
+
 class FaultyRunner(runner.Runner):
-    """Spoils a few of its answers: one letter of a header's name is wrong."""
+    """Hands out wrong bytes in a few of its answers."""
 
     spoiled: dict[str, bytes]
     rng: random.Random
@@ -28,7 +43,7 @@
 
         async def spoil(raw: bytes) -> None:
             if case.trouble() and self.rng.random() < SPOILED_SHARE:
-                raw = raw.replace(b'Server-Stamp:', b'Server-Stomp:', 1)
+                raw = _spoil(raw)
                 self.spoiled[request_id] = raw
                 self._record(f'{self.name} spoils its answer to {request_id}')
             await write(raw)
@@ -97,7 +112,7 @@
     )
     answer = answers[request_id]
     stamp = answer.headers.get('server-stamp', 'none')
-    record(f'{request_id} gets {answer.status}, stamp {stamp}')
+    record(f'{request_id} gets {answer.status}, stamp {stamp}, {answer.body!r}')
 
 
 async def play(record: case.Record) -> int:
