--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -5,6 +5,7 @@
 import pathlib
 import sys
 import time
+import traceback
 import uuid
 from collections.abc import Awaitable, Callable
 
@@ -54,8 +55,9 @@
 
     try:
         verdict = asyncio.run(limited())
-    except (CouldNotRunError, TimeoutError) as error:
-        record(f'could not run: {error!r}')
+    except Exception as error:
+        # Python would end with 1, which means that the rule was broken.
+        record(f'could not run: {error!r}\n{traceback.format_exc()}')
         verdict = COULD_NOT_RUN
     record(f'exit {verdict} (0 held, 1 broken, 2 could not run)')
     sys.exit(verdict)
--- a/review/standins/http.py
+++ b/review/standins/http.py
@@ -3,21 +3,26 @@
 import asyncio
 import contextlib
 import dataclasses
+import random
 import socket
 from collections.abc import Awaitable, Callable
 
 HOST = '127.0.0.1'
+# Below the ports that the system gives to outgoing connections.
+_PORTS = range(20_000, 32_000)
 _drawn: set[int] = set()
 
 
 def free_port() -> int:
     """Return a port at which nothing listens and that was not drawn before."""
     while True:
-        with socket.socket() as probe:
-            probe.bind((HOST, 0))
-            port = int(probe.getsockname()[1])
-        if port not in _drawn:
-            _drawn.add(port)
+        port = random.choice(_PORTS)
+        if port in _drawn:
+            continue
+        _drawn.add(port)
+        with contextlib.suppress(OSError), socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            probe.bind((HOST, port))
             return port
 
 
