--- a/review/1/play.py
+++ b/review/1/play.py
@@ -166,6 +166,8 @@
         parts.append(f'{request_id[:8]}:250')
         if fatal:
             self.fatal[request_id] = sent_at
+        kind = 'fatal' if fatal else 'sound'
+        self._record(f'{request_id} ({kind}) is sent to {node.name}')
         answer = await http.call(
             node.callers,
             'POST',
@@ -185,7 +187,7 @@
         if not fatal:
             self.sound[request_id] = (sent_at, answer)
         self._record(
-            f'{request_id} ({"fatal" if fatal else "sound"}) gets '
+            f'{request_id} ({kind}) gets '
             f'{answer.status}, '
             f'{"complete" if answer.complete else "not complete"}'
         )
--- a/review/5/play.py
+++ b/review/5/play.py
@@ -98,6 +98,7 @@
     async def _send(self, number: int) -> None:
         request_id = case.new_id()
         self.sent[request_id] = time.time()
+        self._record(f'{request_id} (/chat/{number}) is sent')
         tokens = LONG_EVENTS * TOKENS_PER_EVENT
         answer = await http.call(
             self._node.callers,
