--- a/review/2/play.py
+++ b/review/2/play.py
@@ -186,7 +186,9 @@
             node.start()
         for node in nodes:
             if not await node.wait_until_ready():
-                raise case.CouldNotRunError(f'{node.name} is not ready')
+                raise case.CouldNotRunError(
+                    f'{node.name} is not ready: {node.last_lines}'
+                )
         await asyncio.sleep(LEAD_S)
         traffic = Traffic(record, nodes)
         old = []
--- a/review/4/play.py
+++ b/review/4/play.py
@@ -153,7 +153,9 @@
             node.start()
         for node in nodes:
             if not await node.wait_until_ready():
-                raise case.CouldNotRunError(f'{node.name} is not ready')
+                raise case.CouldNotRunError(
+                    f'{node.name} is not ready: {node.last_lines}'
+                )
         await asyncio.sleep(3)
         answers: dict[str, wire.Answer] = {}
         tasks = []
--- a/review/gateways.py
+++ b/review/gateways.py
@@ -114,6 +114,12 @@
             await asyncio.sleep(0.2)
         return False
 
+    @property
+    def last_lines(self) -> str:
+        """The end of its log, and its exit status if it has ended."""
+        ended = self.process.poll() if self.process else None
+        return f'exit {ended}, {self.log.read_text(errors="replace")[-600:]!r}'
+
     def events(self, number: int) -> list[dict[str, Any]]:
         """Return the log records of an event."""
         found = []
--- a/review/wire.py
+++ b/review/wire.py
@@ -3,23 +3,24 @@
 import asyncio
 import contextlib
 import dataclasses
-import random
+import itertools
+import os
 import socket
 from collections.abc import Awaitable, Callable
 
 HOST = '127.0.0.1'
-# Below the ports that the system gives to outgoing connections.
-_PORTS = range(20_000, 32_000)
-_drawn: set[int] = set()
+# Below the ports that the system gives to outgoing connections. Each script has a
+# block of its own, so that scripts side by side don't draw the same port.
+_FIRST_PORT, _BLOCKS, _BLOCK_PORTS = 20_000, 300, 40
+_drawn = itertools.count()
 
 
 def free_port() -> int:
     """Return a port at which nothing listens and that was not drawn before."""
+    block = os.getpid() % _BLOCKS
     while True:
-        port = random.choice(_PORTS)
-        if port in _drawn:
-            continue
-        _drawn.add(port)
+        place = block * _BLOCK_PORTS + next(_drawn)
+        port = _FIRST_PORT + place % (_BLOCKS * _BLOCK_PORTS)
         with contextlib.suppress(OSError), socket.socket() as probe:
             probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             probe.bind((HOST, port))
