Believe no success that its endpoint has not signed

Cause: the connection took any answer that repeats its request's id. The signature was passed on but never looked at.

Ruled out: copies of earlier answers (the ids were right) and bodies cut short (the lengths were right).

Change: serving/_answer_defects.py says for every kind of answer whether it counts: a success of any status needs a signature, has no content coding and does not state that its request did not run. An attempt without such an answer has an unknown outcome, so a repeatable request has its other attempts, any other gets 502, and the endpoint counts as failing. Related: handles of stage results that are repeated, or would become two inputs or another header, make the call's answer invalid.

Conclusion: an answer is checked in one place before any code of a kind of request sees it, so a new kind has the check as well.

--- a/src/lentilspool/gateway/_answer_identities.py
+++ b/src/lentilspool/gateway/_answer_identities.py
@@ -4,16 +4,12 @@
 due. So an answer counts as a request's own only if it can be no earlier one.
 """
 
-import http
 from typing import Final
 
 from lentilspool import serving
 
 # Memory of a connection; it is replaced when these are used up.
 _MAX_IDENTITIES: Final = 256
-_SUCCESS_STATUSES: Final = range(
-    http.HTTPStatus.OK, http.HTTPStatus.MULTIPLE_CHOICES
-)
 
 
 class AnswerIdentities:
@@ -71,7 +67,7 @@
         self._distinct = bool(head.request_id)
         if head.request_id or not self._expected:
             return ''
-        if head.status in _SUCCESS_STATUSES:
+        if head.status in serving.SUCCESS_STATUSES:
             return 'success without a request id'
         if self.is_first:
             return ''
--- a/src/lentilspool/gateway/_connection.py
+++ b/src/lentilspool/gateway/_connection.py
@@ -77,6 +77,9 @@
     again unless it is recognized, see ``AnswerIdentities``.
     """
 
+    expects_signature: bool = False
+    """Whether the answer must be signed to count as a success."""
+
 
 HeadListener = Callable[[serving.AnswerHead, float], None]
 """Takes the head of an answer, and when its request was sent."""
@@ -218,8 +221,13 @@
     def _accept(
         self, head: serving.AnswerHead
     ) -> serving.AnswerHead | ExchangeFailure:
-        """Take an answer for the one that is due, if it can be no other."""
-        problem = self.identities.problem(head)
+        """Take an answer for the one that is due, if it counts as such."""
+        expects_signature = bool(
+            self._outgoing and self._outgoing.expects_signature
+        )
+        problem = self.identities.problem(head) or serving.answer_defect(
+            head, expects_signature=expects_signature
+        )
         if problem:
             return ExchangeFailure(problem, sent=True)
         self.keep_alive_s = head.keep_alive_s
--- a/src/lentilspool/gateway/_exchange.py
+++ b/src/lentilspool/gateway/_exchange.py
@@ -41,6 +41,7 @@
         platform.endpoint_headers(call, options, len(in_flight.body)),
         in_flight.body,
         call.request_id,
+        expects_signature=True,
     )
     in_flight.record_sent(endpoint, options.time_left_s)
     cancelled = True
--- a/src/lentilspool/gateway/tests/application.py
+++ b/src/lentilspool/gateway/tests/application.py
@@ -105,7 +105,7 @@
     request = await read_request(stream)
     while request:
         found = REQUEST_ID.search(request)
-        begin = b'HTTP/1.1 200 OK\r\nRequest-Id: %b\r\n' % (
+        begin = b'HTTP/1.1 200 OK\r\nServer-Stamp: 1\r\nRequest-Id: %b\r\n' % (
             found[1] if found else b''
         )
         body = b'ok'
--- a/src/lentilspool/gateway/tests/test_endless_bytes.py
+++ b/src/lentilspool/gateway/tests/test_endless_bytes.py
@@ -8,7 +8,7 @@
 from lentilspool.gateway import _events
 from lentilspool.gateway.tests import application
 
-OK = b'HTTP/1.1 200 OK\r\nRequest-Id: ID\r\n'
+OK = b'HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nServer-Stamp: 1\r\n'
 CHUNKED = b'%bTransfer-Encoding: chunked\r\n\r\n' % OK
 EVENT = b'10\r\nid: 1\ndata: x\n\n\n\r\n'
 # Bytes before, and bytes that are repeated.
--- a/src/lentilspool/gateway/tests/test_prompt_parts.py
+++ b/src/lentilspool/gateway/tests/test_prompt_parts.py
@@ -169,7 +169,7 @@
 
     async def _answer(self, stream: trio.SocketStream) -> None:
         await application.read_request(stream)
-        head = b'HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\n'
+        head = b'HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Stamp: 1\r\n\r\n'
         await stream.send_all(head + self._body)
         await stream.aclose()
 
--- a/src/lentilspool/platform/_answers.py
+++ b/src/lentilspool/platform/_answers.py
@@ -37,9 +37,19 @@
         keep_alive_s=_keep_alive(by_name.get(b'keep-alive', b'')),
         length=_digits.decode_number(length.decode('latin-1')),
         statement=_statements.decode_statement(status, pairs),
+        signed=_is_signed(pairs),
+        encoded=b'content-encoding' in by_name,
     )
 
 
+def _is_signed(pairs: list[tuple[bytes, bytes]]) -> bool:
+    """Whether there is one signature; several different ones are none."""
+    found = {
+        content.strip() for name, content in pairs if name == _names.SIGNATURE
+    }
+    return len(found) == 1 and b'' not in found
+
+
 def _load(text: bytes) -> serving.ReportedLoad | None:
     fields = text.split(b',')
     if len(fields) != _LOAD_FIELDS:
--- a/src/lentilspool/platform/_stage_calls.py
+++ b/src/lentilspool/platform/_stage_calls.py
@@ -1,6 +1,7 @@
 """Formats of the calls that run stage pieces and free their results."""
 
 import dataclasses
+import re
 from collections.abc import Sequence
 from typing import Final
 
@@ -9,6 +10,8 @@
 from lentilspool.platform import _errors, _names
 
 _MS_PER_S: Final = 1000.0
+# Handles are passed on in a header, with commas between them.
+_HANDLE: Final = re.compile(r'[!-+\--~]{0,256}')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -100,6 +103,11 @@
         answer = _ANSWERS.decode(body)
     except _errors.UNREADABLE as error:
         raise _errors.FormatError('answer of a stage call', str(error))
+    handles = [one.handle for one in answer.items if one.handle]
+    if not all(map(_HANDLE.fullmatch, handles)):
+        raise _errors.FormatError('answer of a stage call', 'invalid handle')
+    if len(set(handles)) < len(handles):
+        raise _errors.FormatError('answer of a stage call', 'handle repeated')
     return tuple(PieceOutcome(one.handle, one.reason) for one in answer.items)
 
 
--- a/src/lentilspool/platform/tests/test_formats.py
+++ b/src/lentilspool/platform/tests/test_formats.py
@@ -208,6 +208,53 @@
             is None
         )
 
+    @pytest.mark.parametrize(
+        ('headers', 'signed', 'encoded'),
+        [
+            ([], False, False),
+            ([(b'Server-Stamp', b'3e1b')], True, False),
+            ([(b'Server-Stamp', b' ')], False, False),
+            (
+                [(b'Server-Stamp', b'3e1b'), (b'server-stamp', b'3e1b')],
+                True,
+                False,
+            ),
+            (
+                [(b'Server-Stamp', b'3e1b'), (b'server-stamp', b'4')],
+                False,
+                False,
+            ),
+            ([(b'Content-Encoding', b'gzip')], False, True),
+        ],
+    )
+    def test_signature_and_coding_are_decoded(
+        self,
+        headers: list[tuple[bytes, bytes]],
+        signed: bool,
+        encoded: bool,
+    ) -> None:
+        head = platform.decode_answer_head(200, headers)
+        assert (head.signed, head.encoded) == (signed, encoded)
+
+    @pytest.mark.parametrize(
+        'handles',
+        [
+            ['h:1/a,h:1/b'],
+            ['h:1/a\r\nModel: other'],
+            ['h:1/a b'],
+            ['h:1/\N{LATIN SMALL LETTER E WITH ACUTE}'],
+            ['h:1/a', 'h:1/b', 'h:1/a'],
+            ['h' * 300],
+        ],
+    )
+    def test_unusable_handles_are_a_format_error(
+        self, handles: list[str]
+    ) -> None:
+        """Guards against inputs that an engine reads as several or twice."""
+        items = [{'handle': handle} for handle in handles]
+        with pytest.raises(platform.FormatError):
+            platform.decode_stage_answer(msgspec.json.encode({'items': items}))
+
 
 class TestConfiguration:
     def test_document_is_decoded(self) -> None:
--- a/src/lentilspool/serving/__init__.py
+++ b/src/lentilspool/serving/__init__.py
@@ -4,6 +4,10 @@
 current time as ``now`` and returns decisions, which the gateway carries out.
 """
 
+from lentilspool.serving._answer_defects import (
+    SUCCESS_STATUSES as SUCCESS_STATUSES,
+)
+from lentilspool.serving._answer_defects import answer_defect as answer_defect
 from lentilspool.serving._answers import AnswerHead as AnswerHead
 from lentilspool.serving._answers import ReportedLoad as ReportedLoad
 from lentilspool.serving._answers import Statement as Statement
--- a/src/lentilspool/serving/_answers.py
+++ b/src/lentilspool/serving/_answers.py
@@ -65,3 +65,9 @@
 
     statement: Statement = Statement()
     """What the endpoint states of itself."""
+
+    signed: bool = False
+    """Whether the endpoint has signed the answer."""
+
+    encoded: bool = False
+    """Whether the body has a content coding, for which no caller asks."""
