Admit late requests of a stop by the most that they may take

Streams of which one in 50 is long were cut as well.

Cause: a late stream was admitted if twice the 0.9 quantile of the recent lengths of its route fitted, so a tenth of a route's streams may be longer by any factor.

Ruled out: engines that turn slow (50 ms an event throughout); asking too early (asked on arrival and before the send, and allowed each time).

Change: after the excused time a stream is taken to have an event for each token that it asks for, at the slowest recent pace, or to last for the time limit of its route if it states no tokens. That is a bound of the request, not of recent ones, so no share of long streams and no short history breaks it. Requests within the excused time are foreseen as before.

TestSilentEngineBesideStop sent a late stream without tokens, whose length nothing bounds any more; it now states 20 tokens, its assertions are the same.

Conclusion: late streams that may not fit are refused on arrival; those that fit, plain requests and stages are still served.

--- a/src/lentilspool/gateway/tests/test_late_stop.py
+++ b/src/lentilspool/gateway/tests/test_late_stop.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import itertools
 from collections.abc import Callable, Iterator
 from typing import Any, Final
 
@@ -21,6 +22,15 @@
 SLOW_STREAM: Final = works.streaming(
     {number: EVENT_S for number in range(1, works.EVENTS + 1)}
 )
+# All requests count as late.
+LATE_STOP: Final = settings.StopSettings(usual_s=0, grace_s=4.0, exit_s=0.2)
+# Leaves time for stage calls as well.
+LONG_LATE_STOP: Final = settings.StopSettings(
+    usual_s=0, grace_s=6.5, exit_s=0.2
+)
+# Tokens that a request with pieces asks for.
+TOKENS: Final = 20
+SHORT_EVENTS: Final = 2
 
 
 @dataclasses.dataclass(frozen=True)
@@ -155,6 +165,89 @@
         builders.run(scenario, stop=STOP)
 
 
+def steady(pace_s: float, events: int) -> works.Work:
+    """Return work that streams events at a pace."""
+    return works.streaming(dict.fromkeys(range(1, events + 1), pace_s), events)
+
+
+class TestLateRequest:
+    """Guards against late streams that are cut off since most are shorter."""
+
+    @pytest.mark.parametrize(
+        ('short', 'long_before'),
+        [(1, 0), (19, 0), (19, 1), (49, 0), (49, 1)],
+    )
+    def test_stream_that_may_be_long_is_refused(
+        self, short: int, long_before: int
+    ) -> None:
+        lengths = [
+            *itertools.repeat(TOKENS, long_before),
+            *itertools.repeat(SHORT_EVENTS, short),
+            TOKENS,
+        ]
+
+        async def scenario(gateway: builders.Gateway) -> None:
+            engine = builders.Endpoint(
+                'e',
+                builders.ENGINE,
+                works.in_turn(steady(EVENT_S, events) for events in lengths),
+            )
+            await gateway.start([engine], [self.route()])
+            async with trio.open_nursery() as nursery:
+                for _ in lengths[1:]:
+                    nursery.start_soon(gateway.request, '/draft/', '1')
+            before = len(engine.received)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(stop_after, gateway, 0)
+                received = await gateway.request('/draft/', '1')
+                nursery.cancel_scope.cancel()
+            assert (received.status, received.whole) == (503, True)
+            assert len(engine.received) == before
+
+        builders.run(scenario, stop=LATE_STOP)
+
+    @pytest.mark.parametrize('events', [SHORT_EVENTS, TOKENS])
+    @pytest.mark.parametrize('staged', [False, True])
+    def test_stream_that_fits_is_served(
+        self, events: int, staged: bool
+    ) -> None:
+        async def scenario(gateway: builders.Gateway) -> None:
+            endpoints = [
+                builders.Endpoint('e', builders.ENGINE, steady(0.02, events)),
+                builders.Endpoint(
+                    's', builders.STAGE, works.staging_each(itertools.repeat(0))
+                ),
+            ]
+            await gateway.start(endpoints, [self.route(staged=staged)])
+            assert (await gateway.request('/draft/', '1')).whole
+            gateway.context.stop.begin()
+            received = await gateway.request('/draft/', '1')
+            assert (received.status, received.whole) == (200, True)
+
+        builders.run(scenario, stop=LONG_LATE_STOP if staged else LATE_STOP)
+
+    @pytest.mark.parametrize('kind', ['safe', 'unsafe'])
+    def test_plain_request_is_served_until_its_time_is_over(
+        self, kind: str
+    ) -> None:
+        async def scenario(gateway: builders.Gateway) -> None:
+            desk = builders.Endpoint('d', 'desk', works.answering(0.05))
+            await gateway.start([desk], [builders.route('look', kind, 'desk')])
+            for _ in range(3):
+                assert (await gateway.request('/look/')).whole
+            gateway.context.stop.begin()
+            last_s = 0.5
+            while gateway.context.stop.left_s > last_s:
+                received = await gateway.request('/look/')
+                assert (received.status, received.body) == (200, b'ok')
+
+        builders.run(scenario, stop=LATE_STOP)
+
+    def route(self, *, staged: bool = False) -> dict[str, Any]:
+        """Return a route whose deadline is later than the end of the stop."""
+        return {**draft(staged=staged), 'timeout_ms': 60_000}
+
+
 class TestSilentEngineBesideStop:
     def test_keeps_the_stream_if_its_replacement_comes_too_late(self) -> None:
         async def scenario(gateway: builders.Gateway) -> None:
@@ -169,9 +262,9 @@
             ]
             route = {**draft(staged=False), 'resumable': True, 'attempts': 2}
             await gateway.start(engines, [{**route, 'target_latency_ms': 100}])
-            assert (await gateway.request('/draft/')).whole
+            assert (await gateway.request('/draft/', '1')).whole
             gateway.context.stop.begin()
-            received = await gateway.request('/draft/')
+            received = await gateway.request('/draft/', '1')
             assert (received.status, received.whole) == (200, True)
             assert sum(len(one.received) for one in engines) == 2
 
--- a/src/lentilspool/serving/_run_times.py
+++ b/src/lentilspool/serving/_run_times.py
@@ -42,9 +42,11 @@
     incarnation: str = ''
     """Incarnation of the endpoint; empty if none is chosen."""
 
-    assumes_pace: bool = True
-    """Whether a stream of a route without recent ones has the usual pace; it may
-    last for the time limit of its route otherwise."""
+    usual_length: bool = True
+    """Whether a stream has as many events as recent ones of its route, and the
+    usual pace if there are none. Otherwise it has an event for each token that it
+    asks for, and may last for the time limit of its route if its pace or its
+    tokens are unknown."""
 
     def is_at(self, observation: _run_observations.RunObservation) -> bool:
         """Whether a run was at the chosen endpoint."""
@@ -108,14 +110,11 @@
         if route.kind is not _configuration.RouteKind.streaming:
             return ExpectedRun(first_event_s, 0)
         event_s = _event_s(recent, estimate)
-        events_per_token = _quantile(
-            (one.events_per_token for one in of_route), estimate.quantile
-        )
-        if event_s is None or events_per_token is None:
+        events = _events(of_route, output_tokens, estimate)
+        if event_s is None or events is None:
             return ExpectedRun(
                 first_event_s, _unknown_rest_s(route, output_tokens, estimate)
             )
-        events = events_per_token * max(output_tokens, 1)
         return ExpectedRun(first_event_s, events * event_s)
 
     def _recent(self, now: float) -> Iterator[_run_observations.RunObservation]:
@@ -162,11 +161,30 @@
     return max(anywhere_s, there_s or 0)
 
 
+def _events(
+    of_route: Sequence[_run_observations.RunObservation],
+    output_tokens: int,
+    estimate: Estimate,
+) -> float | None:
+    """Return the number of events of a stream; None if it is unknown.
+
+    An event holds one token or more, so there are no more events than tokens.
+    """
+    if not estimate.usual_length:
+        return output_tokens or None
+    events_per_token = _quantile(
+        (one.events_per_token for one in of_route), estimate.quantile
+    )
+    if events_per_token is None:
+        return None
+    return events_per_token * max(output_tokens, 1)
+
+
 def _unknown_rest_s(
     route: _configuration.Route, output_tokens: int, estimate: Estimate
 ) -> float:
     """Return the rest of a stream if no recent one shows it."""
-    if output_tokens and estimate.assumes_pace:
+    if output_tokens and estimate.usual_length:
         return output_tokens * _UNKNOWN_TOKEN_S
     return route.timeout_s
 
--- a/src/lentilspool/serving/_stop_admission.py
+++ b/src/lentilspool/serving/_stop_admission.py
@@ -3,7 +3,9 @@
 While many hosts of an availability zone stop at the same time, requests keep
 coming to each of them until its process ends. Those that end in time are
 served; the others are refused before any endpoint has them, since a stream
-that has begun can only be cut off.
+that has begun can only be cut off. What recent streams took says little about
+the next one, as a few are many times longer than the others: what a request may take at
+most decides, once balancers know of the stop.
 """
 
 import dataclasses
@@ -15,7 +17,7 @@
 _CAREFUL_MARGIN: Final = 2.0
 _ANSWER_S: Final = 0.1
 _USUAL_QUANTILE: Final = 0.5
-_CAREFUL_QUANTILE: Final = 0.9
+_CAREFUL_QUANTILE: Final = 1.0
 # A sound endpoint may be silent for a second or so and then go on.
 _SILENCE_S: Final = 1.5
 
@@ -36,15 +38,15 @@
     silence_s: float
     """Reserve for an endpoint that is silent for a while and goes on."""
 
-    assumes_pace: bool
-    """Whether streams of a route without recent ones have the usual pace."""
+    usual_length: bool
+    """Whether a stream is as long as recent ones; else as long as it may be."""
 
     def estimate(
         self, service: str, incarnation: str = ''
     ) -> _run_times.Estimate:
         """Return the estimate of runs at a service, or at one endpoint."""
         return _run_times.Estimate(
-            service, self.quantile, incarnation, self.assumes_pace
+            service, self.quantile, incarnation, self.usual_length
         )
 
     def needed_s(
@@ -71,9 +73,9 @@
 # For requests that come while balancers may not know of the stop. Most of them
 # end in time, and other gateways may be stopping too.
 USUAL: Final = StopAdmission(
-    _USUAL_QUANTILE, _USUAL_MARGIN, silence_s=0, assumes_pace=True
+    _USUAL_QUANTILE, _USUAL_MARGIN, silence_s=0, usual_length=True
 )
 # For requests that come later, which must not be cut off.
 CAREFUL: Final = StopAdmission(
-    _CAREFUL_QUANTILE, _CAREFUL_MARGIN, _SILENCE_S, assumes_pace=False
+    _CAREFUL_QUANTILE, _CAREFUL_MARGIN, _SILENCE_S, usual_length=False
 )
--- a/src/lentilspool/serving/tests/test_run_times.py
+++ b/src/lentilspool/serving/tests/test_run_times.py
@@ -35,11 +35,12 @@
     *,
     first_s: float = 0.1,
     pace_s: float = PACE_S,
+    events: int = EVENTS,
 ) -> float:
     """Record a complete stream; return when it ended."""
     run = times.begin('draft', at, TOKENS, begun_at)
     now = begun_at + first_s
-    for _ in range(EVENTS):
+    for _ in range(events):
         run.add_events(1, now)
         now += pace_s
     times.end(run, now, complete=True)
@@ -72,6 +73,36 @@
         expected = serving.RunTimes().expected(route(), TOKENS, 0, estimate)
         assert expected.rest_s == route().timeout_s
 
+    @pytest.mark.parametrize('long_streams', [0, 1, 50])
+    @pytest.mark.parametrize('tokens', [1, TOKENS, 10 * TOKENS])
+    def test_careful_estimate_has_an_event_for_each_token(
+        self, long_streams: int, tokens: int
+    ) -> None:
+        """Guards against lengths that follow those of recent streams."""
+        times = serving.RunTimes()
+        for number in range(50 + long_streams):
+            events = EVENTS if number < 50 else TOKENS
+            now = stream(times, endpoint('e'), 0, events=events)
+        estimate = serving.CAREFUL.estimate('model')
+        expected = times.expected(route(), tokens, now, estimate)
+        assert expected.rest_s == pytest.approx(tokens * PACE_S)
+
+    def test_careful_estimate_follows_the_slowest_stream(self) -> None:
+        times = serving.RunTimes()
+        for _ in range(99):
+            stream(times, endpoint('e'), 0)
+        now = stream(times, endpoint('e'), 0, pace_s=0.2)
+        estimate = serving.CAREFUL.estimate('model')
+        expected = times.expected(route(), TOKENS, now, estimate)
+        assert expected.rest_s == pytest.approx(TOKENS * 0.2)
+
+    def test_careful_estimate_without_tokens_is_the_timeout(self) -> None:
+        times = serving.RunTimes()
+        now = stream(times, endpoint('e'), 0)
+        estimate = serving.CAREFUL.estimate('model')
+        expected = times.expected(route(), 0, now, estimate)
+        assert expected.rest_s == route().timeout_s
+
     def test_stream_without_a_prompt_follows_recent_ones(self) -> None:
         times = serving.RunTimes()
         run = times.begin('draft', endpoint('e'), 0, 0)
