Confirm the listing before a stream without a record goes on

Cause: without a record the only version that was listed lately was taken for the one that began the stream, and "lately" ended with the last answer of the store, up to 13 s ago. What others have used since was not known.

Ruled out: records (they state the version), late entries (the store had the entry before the stream began).

Change: such a stream needs a read of the store that begins after its request has arrived; without it the answer is 503. The history of versions follows revisions, not time, so that pauses leave no gap and a listing that is read anew does. A history of another gateway counts if it reaches to where the own one begins. The model check cuts gateways off without letting time pass, which it did to suit the 13 s.

Tests that named the 13 s or a restart of the history after a suspension are replaced by those of gaps by revision: a suspension leaves none.

Conclusion: the version is inferred only from what the store has listed up to the request itself.

--- a/soak/_published.py
+++ b/soak/_published.py
@@ -249,7 +249,8 @@
             await reply.write_complete(status, headers, b'')
             return
         if watches:
-            with trio.move_on_after(_WATCH_S):
+            watch_s = stand_ins.parse_watch_s(request.target, _WATCH_S)
+            with trio.move_on_after(watch_s):
                 while not (self._away or self._since(prefix, after)):
                     await self._changed.wait()
             if self._away:
--- a/src/lentilspool/gateway/_gateway.py
+++ b/src/lentilspool/gateway/_gateway.py
@@ -16,6 +16,7 @@
     _http_server,
     _in_flight,
     _ingress,
+    _listing_check,
     _local_planning,
     _metrics,
     _peer_server,
@@ -30,6 +31,7 @@
     _status,
     _stop,
     _store,
+    _stream_records,
 )
 
 _logger: Final = logging.getLogger(__name__)
@@ -71,12 +73,19 @@
         quarantine = _content_quarantine.ContentQuarantine(
             gateway_settings.quarantine
         )
+        self._listing_check = _listing_check.ListingCheck(
+            gateway_settings.store, self._published
+        )
+        self._streams = _stream_records.StreamRecords(
+            self._published, self._listing_check
+        )
         cluster = _peers.ClusterState(
             self._roster,
             self._published,
             quarantine,
             gateway_settings.link,
             self._statements,
+            self._streams,
         )
         checks = _endpoint_checks.EndpointChecks(
             gateway_settings.send, self._metrics, quarantine, nursery
@@ -113,14 +122,13 @@
             self._metrics,
             self._planned_stop,
             self._repeat_callers,
-            cluster.streams,
+            self._streams,
             serving.RunTimes(),
             self._statements.known,
             _plain_placement.PlainPlacement(
                 self._published, self._loads, self._statements.known, planning
             ),
         )
-        self._streams = cluster.streams
         ingress = _ingress.Ingress(context)
         status = _status.Status(self._metrics, self._is_ready, self.dump)
         self._caller_server = _http_server.Server(
@@ -158,6 +166,7 @@
         nursery.start_soon(self._streams.share, self._links.up)
         for reader in self._store_readers:
             nursery.start_soon(reader.serve)
+        nursery.start_soon(self._listing_check.serve)
         nursery.start_soon(self._run_housekeeping)
         _events.STARTED.log(
             _logger, zone=self._settings.zone, callers=self._settings.callers
@@ -248,7 +257,6 @@
                     _logger, suspended_ms=round((now - last) * _MS_PER_S)
                 )
                 self._roster.release_planning()
-                self._published.versions.restart(now)
                 await self._pool.clear()
             last = now
             self._published.drop_expired(now)
--- a/src/lentilspool/gateway/_peers.py
+++ b/src/lentilspool/gateway/_peers.py
@@ -109,12 +109,13 @@
         quarantine: _content_quarantine.ContentQuarantine,
         peer_settings: settings.PeerSettings,
         statements: _statements.StatementRecorder,
+        streams: _stream_records.StreamRecords,
     ) -> None:
         self.quarantine = quarantine
         self.statements = statements
         self.roster = roster
         self.published = published
-        self.streams = _stream_records.StreamRecords(published)
+        self.streams = streams
         self._catch_ups = [
             serving.CatchUp(
                 peer_settings.catch_up_after_s, peer_settings.catch_up_limit_s
--- a/src/lentilspool/gateway/_store.py
+++ b/src/lentilspool/gateway/_store.py
@@ -158,7 +158,7 @@
         if self._prefix == platform.ENDPOINT_PREFIX:
             until = self._keep_missing_until()
             self._published.apply_listing(stored, position, until)
-            self._published.versions.confirm(now)
+            self._published.versions.begin(position, now)
         else:
             self._configure(stored)
 
@@ -170,7 +170,7 @@
             until = self._keep_missing_until()
             position = (era, page.revision)
             self._published.apply_changes(stored, position, until)
-            self._published.versions.confirm(_clock.now())
+            self._published.versions.follow(position)
         else:
             self._configure(stored)
 
--- a/src/lentilspool/gateway/_stream_records.py
+++ b/src/lentilspool/gateway/_stream_records.py
@@ -22,6 +22,8 @@
 NOTES_CALL: Final = 0
 _RECORDING_LINKS: Final = 3
 _ANSWER_S: Final = 0.15
+# Time for the store to confirm the listing.
+_CONFIRM_S: Final = 1.5
 # Records within this time are sent together.
 _GATHER_S: Final = 0.002
 _MAX_RECORDS_PER_NOTE: Final = 500
@@ -55,12 +57,30 @@
     # Versions that were listed, and whether the history is long enough.
     versions: list[str]
     covers: bool
+    # Position up to which it has no gap; gateways of an older release state
+    # none.
+    followed: tuple[int, int] = (0, 0)
 
 
 _Note = _Begun | _Asked | _Answered
 _DECODER: Final = msgspec.json.Decoder(_Note)
 
 
+class Listing(Protocol):
+    """The listing of endpoints, as the store has it."""
+
+    async def confirm(self) -> bool:
+        """Return whether all changes are known that precede this call."""
+
+
+class UnconfirmedListing:
+    """A listing without a store that could confirm it."""
+
+    async def confirm(self) -> bool:
+        """Return False."""
+        return False
+
+
 class Link(Protocol):
     """A connection to another gateway."""
 
@@ -77,7 +97,8 @@
 
     source: str
     """``own``, ``peer``, ``sole`` if only one version was listed for as long
-    as streams live, or ``unknown``."""
+    as streams live, ``unconfirmed`` if the store does not confirm what is
+    listed, or ``unknown``."""
 
 
 class _Question:
@@ -100,11 +121,17 @@
     """Streams that were begun here or at linked gateways.
 
     ``record`` a stream when its first event is passed on. It is sent to a few
-    gateways, so that it outlives this process.
+    gateways, so that it outlives this process. Where no record is left, the
+    only version that can have begun a stream is found by what was listed.
     """
 
-    def __init__(self, published: _published.PublishedState) -> None:
+    def __init__(
+        self,
+        published: _published.PublishedState,
+        listing: Listing | None = None,
+    ) -> None:
         self._published = published
+        self._listing = listing or UnconfirmedListing()
         self._history = published.versions
         self._streams = serving.StreamVersions()
         self._links: Callable[[], Sequence[Link]] = tuple
@@ -159,15 +186,22 @@
         if own:
             return Found(own, 'own')
         names = sorted(services)
-        answers = await self._ask(key, names)
+        confirmed, answers = await self._inquire(key, names)
         for answer in answers:
             if answer.begun:
                 begun = serving.StreamVersion(*answer.begun)
                 self._keep(key, begun)
                 return Found(begun, 'peer')
+        if not confirmed:
+            return Found(None, 'unconfirmed')
         answers.append(self._answer(0, key, names))
         versions = {one for reply in answers for one in reply.versions}
-        if len(versions) == 1 and any(one.covers for one in answers):
+        # What another gateway knows joins without a gap what is known here.
+        covered = any(
+            one.covers and one.followed >= self._history.began
+            for one in answers
+        )
+        if covered and len(versions) == 1:
             return Found(serving.StreamVersion('', versions.pop()), 'sole')
         return Found(None, 'unknown')
 
@@ -200,6 +234,29 @@
     def _keep(self, key: str, begun: serving.StreamVersion) -> None:
         self._streams.record(key, begun, self._keep_s, _clock.now())
 
+    async def _inquire(
+        self, key: str, services: list[str]
+    ) -> tuple[bool, list[_Answered]]:
+        """Ask the store and other gateways at once.
+
+        Returns whether the store has confirmed the listing. It need not if
+        another gateway knows the stream.
+        """
+        confirmed = False
+        answers: list[_Answered] = []
+        scope = trio.CancelScope(deadline=trio.current_time() + _CONFIRM_S)
+
+        async def ask() -> None:
+            answers.extend(await self._ask(key, services))
+            if any(one.begun for one in answers):
+                scope.cancel()
+
+        with scope:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(ask)
+                confirmed = await self._listing.confirm()
+        return confirmed, answers
+
     async def _ask(self, key: str, services: list[str]) -> list[_Answered]:
         links = self._links()
         if not links:
@@ -227,6 +284,7 @@
             (begun.service, begun.version) if begun else None,
             sorted(self._history.versions(services, seconds, now)),
             self._history.covers(seconds, now),
+            self._history.followed,
         )
 
     def _apply_published_state(self) -> None:
--- a/src/lentilspool/gateway/tests/stream_fleet.py
+++ b/src/lentilspool/gateway/tests/stream_fleet.py
@@ -1,6 +1,7 @@
 """Gateways, a store and engines of several versions, over loopback."""
 
 import contextlib
+import dataclasses
 import json
 import random
 import re
@@ -21,8 +22,10 @@
 _EVENT_S: Final = 0.02
 _WATCH_S: Final = 5.0
 _POLL_S: Final = 0.01
+_LAG_S: Final = 60.0
 _SLOTS: Final = 32
 _OK: Final = 200
+_GONE: Final = 410
 _MISDIRECTED: Final = 421
 _LIMITS: Final = serving.CallLimits(header_timeout_s=5, idle_timeout_s=60)
 _BEAT_S: Final = 0.02
@@ -67,46 +70,99 @@
         """Serve until cancelled."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Written:
+    """A write to the store."""
+
+    key: str
+    """Key."""
+
+    payload: bytes | None
+    """Content; None if the key was removed."""
+
+    revision: int
+    """Revision of the write."""
+
+    created: int
+    """Revision at which the key was created."""
+
+    def encode(self) -> dict[str, object]:
+        """Return it as the store does."""
+        return stand_ins.encode_item(
+            self.key, self.payload, self.revision, self.created
+        )
+
+
 class Store:
-    """A store with a configuration and the entries of engines."""
+    """A store with a configuration and the entries of engines.
+
+    It keeps the history since revision ``history_after``. While it is
+    ``away`` it answers nothing.
+    """
 
     def __init__(self, document: bytes) -> None:
-        self._items: dict[str, tuple[bytes | None, int]] = {
-            platform.CONFIGURATION_KEY: (document, 1)
-        }
+        self._items: dict[str, Written] = {}
+        self._history: list[Written] = []
         self._revision = 1
         self._changed = trio.Event()
+        self.history_after = 0
+        self.away = False
         self.server = _http_server.Server(
             '127.0.0.1:0', self._serve, lambda: _LIMITS
         )
+        self.write(platform.CONFIGURATION_KEY, document)
 
     def put(self, name: str, entry: bytes | None) -> None:
         """Write the entry of an engine; None removes it."""
+        self.write(f'{platform.ENDPOINT_PREFIX}{name}', entry)
+
+    def write(self, key: str, payload: bytes | None) -> None:
+        """Write an item; None removes it."""
         self._revision += 1
-        key = f'{platform.ENDPOINT_PREFIX}{name}'
-        self._items[key] = (entry, self._revision)
+        before = self._items.pop(key, None)
+        created = before.created if before else self._revision
+        written = Written(key, payload, self._revision, created)
+        if payload is not None:
+            self._items[key] = written
+        self._history.append(written)
         self._changed.set()
         self._changed = trio.Event()
 
+    def forget_history(self) -> None:
+        """Drop the history up to now."""
+        self.history_after = self._revision
+
     async def _serve(
         self, request: _http_server.Request, reply: _http_server.Reply
     ) -> None:
         watches, prefix, after = stand_ins.parse_store_query(request.target)
-        if watches:
-            with trio.move_on_after(_WATCH_S):
+        if watches and after >= self.history_after:
+            watch_s = stand_ins.parse_watch_s(request.target, _WATCH_S)
+            with trio.move_on_after(watch_s):
                 while not self._since(prefix, after):
                     await self._changed.wait()
-        items = self._since(prefix, after if watches else 0)
+        while self.away:
+            await trio.sleep(_POLL_S)
+        if watches and after < self.history_after:
+            await reply.write_complete(_GONE, [(b'content-length', b'0')], b'')
+            return
+        found = self._since(prefix, after) if watches else self._held(prefix)
         kind = 'events' if watches else 'items'
-        body = stand_ins.encode_page(kind, items, self._revision)
+        body = stand_ins.encode_page(
+            kind, [one.encode() for one in found], self._revision
+        )
         length = str(len(body)).encode()
         await reply.write_complete(_OK, [(b'content-length', length)], body)
 
-    def _since(self, prefix: str, after: int) -> list[dict[str, object]]:
+    def _held(self, prefix: str) -> list[Written]:
+        held = (self._items[key] for key in sorted(self._items))
+        return [one for one in held if one.key.startswith(prefix)]
+
+    def _since(self, prefix: str, after: int) -> list[Written]:
         return [
-            stand_ins.encode_item(key, payload, revision)
-            for key, (payload, revision) in self._items.items()
-            if key.startswith(prefix) and revision > after
+            one
+            for one in self._history
+            if one.key.startswith(prefix) and one.revision > after
         ]
 
 
@@ -172,7 +228,13 @@
 class Node:
     """A gateway that can be killed."""
 
-    def __init__(self, name: str, store_port: int, *seeds: str) -> None:
+    def __init__(
+        self,
+        name: str,
+        store_port: int,
+        *seeds: str,
+        gather_s: float = _POLL_S,
+    ) -> None:
         self.name = name
         self.peers = f'127.0.0.1:{free_port()}'
         self.callers = free_port()
@@ -185,7 +247,7 @@
             metrics='127.0.0.1:0',
             known_peers=seeds,
             store=settings.StoreSettings(
-                f'127.0.0.1:{store_port}', gather_s=_POLL_S
+                f'127.0.0.1:{store_port}', gather_s=gather_s
             ),
             link=settings.PeerSettings(beat_s=_BEAT_S, silent_s=_SILENT_S),
         )
@@ -216,13 +278,14 @@
         document: bytes = b'',
     ) -> None:
         self._nursery = nursery
-        self._store = Store(document or _document(timeout_ms))
+        self._document = document or _document(timeout_ms)
+        self.store = Store(self._document)
         self._engines: list[Listed] = []
         self.nodes: list[Node] = []
 
     async def start(self, gateways: int, *engines: Listed) -> None:
         """Start the store, engines and gateways; wait until they are linked."""
-        await self._nursery.start(self._store.server.serve)
+        await self._nursery.start(self.store.server.serve)
         for engine in engines:
             await self.add(engine)
         for index in range(gateways):
@@ -236,12 +299,21 @@
     async def add_node(self, name: str) -> Node:
         """Start a gateway and wait until all gateways know all others."""
         seeds = tuple(one.peers for one in self.nodes)
-        node = Node(name, self._store.server.port, *seeds)
+        node = Node(name, self.store.server.port, *seeds)
         self.nodes.append(node)
         self._nursery.start_soon(node.serve)
         await self.until_listed()
         return node
 
+    async def add_lagging_node(self, name: str) -> Node:
+        """Start a gateway that knows no other, and reads one change only."""
+        node = Node(name, self.store.server.port, gather_s=_LAG_S)
+        self._nursery.start_soon(node.serve)
+        with trio.fail_after(5):
+            while node.gateway is None or not node.state['endpoints']:
+                await trio.sleep(_POLL_S)
+        return node
+
     def kill(self, node: Node) -> None:
         """End a gateway without notice."""
         node.scope.cancel()
@@ -249,12 +321,12 @@
 
     def list_(self, engine: Listed) -> None:
         """Write the entry of an engine."""
-        self._store.put(engine.name, engine.entry)
+        self.store.put(engine.name, engine.entry)
         self._engines.append(engine)
 
     def delist(self, engine: Listed) -> None:
         """Remove the entry of an engine."""
-        self._store.put(engine.name, None)
+        self.store.put(engine.name, None)
         self._engines.remove(engine)
 
     async def until_listed(self) -> None:
--- a/src/lentilspool/gateway/tests/test_peers.py
+++ b/src/lentilspool/gateway/tests/test_peers.py
@@ -21,6 +21,7 @@
     _published,
     _sockets,
     _statements,
+    _stream_records,
 )
 from lentilspool.serving.tests import builders
 
@@ -82,6 +83,7 @@
             self.quarantine,
             self.gateway_settings.link,
             self.statements,
+            _stream_records.StreamRecords(self.published),
         )
         local = _local_planning.LocalPlanning(
             self.published,
--- a/src/lentilspool/gateway/tests/test_stream_records.py
+++ b/src/lentilspool/gateway/tests/test_stream_records.py
@@ -31,21 +31,53 @@
         )
         for index, version in enumerate(versions, 1)
     ]
-    state.apply_listing(items, (0, len(items)), 0)
-    now = _clock.now()
-    if followed_s:
-        passed_s = followed_s
-        while passed_s >= 0:
-            state.versions.confirm(now - passed_s)
-            passed_s -= 10
+    position = (0, len(items))
+    state.apply_listing(items, position, 0)
+    state.versions.begin(position, _clock.now() - followed_s)
     return state
 
 
+class StoredListing:
+    """A listing that the store confirms, with what it lists in addition."""
+
+    def __init__(
+        self, state: _published.PublishedState, *missed: str, answers: bool
+    ) -> None:
+        self._state = state
+        self._missed = missed
+        self._answers = answers
+
+    async def confirm(self) -> bool:
+        await trio.lowlevel.checkpoint()
+        for version in self._missed:
+            self._state.versions.add(
+                serving.Endpoint(
+                    'missed',
+                    'model',
+                    '127.0.0.1',
+                    9,
+                    'a',
+                    8,
+                    ready=True,
+                    born_ms=1,
+                    version=version,
+                )
+            )
+        return self._answers
+
+
 class Node:
     """Records of one gateway, linked to others without a network."""
 
-    def __init__(self, state: _published.PublishedState) -> None:
-        self.records = _stream_records.StreamRecords(state)
+    def __init__(
+        self,
+        state: _published.PublishedState,
+        *missed: str,
+        answers: bool = True,
+    ) -> None:
+        self.records = _stream_records.StreamRecords(
+            state, StoredListing(state, *missed, answers=answers)
+        )
         state.versions.update(state.endpoint_index.endpoints, _clock.now())
         self.links: list[_stream_records.Link] = []
 
@@ -168,6 +200,38 @@
         link(node, Node(published('v1.1', 'v1.2')))
         assert find(node).begun is None
 
+    def test_version_that_is_listed_meanwhile_counts(self) -> None:
+        """Guards against streams joined by a gateway that is out of step."""
+        node = Node(published('v1.2', followed_s=LONG_S), 'v1.3')
+        assert find(node) == _stream_records.Found(None, 'unknown')
+
+    def test_listing_that_the_store_does_not_confirm_shows_nothing(
+        self,
+    ) -> None:
+        node = Node(published('v1.2', followed_s=LONG_S), answers=False)
+        assert find(node) == _stream_records.Found(None, 'unconfirmed')
+
+    def test_record_needs_no_store(self) -> None:
+        node, knows = (
+            Node(published('v1.1', 'v1.2'), answers=False) for _ in range(2)
+        )
+        knows.records.record('s', BEGUN)
+        link(node, knows)
+        assert find(node) == _stream_records.Found(BEGUN, 'peer')
+
+    def test_history_of_a_gateway_that_stopped_following_leaves_a_gap(
+        self,
+    ) -> None:
+        """Its listing ends before the one here begins."""
+        behind = published('v1.2', followed_s=LONG_S)
+        state = published('v1.2')
+        state.versions.begin((0, 5), _clock.now())
+        node = Node(state)
+        link(node, Node(behind))
+        assert find(node).begun is None
+        behind.versions.follow((0, 5))
+        assert find(node).source == 'sole'
+
     def test_service_without_versions_has_a_single_one(self) -> None:
         node = Node(published('', followed_s=LONG_S))
         assert find(node).begun == serving.StreamVersion('', '')
--- a/src/lentilspool/gateway/tests/test_stream_records_machine.py
+++ b/src/lentilspool/gateway/tests/test_stream_records_machine.py
@@ -16,19 +16,64 @@
 VERSIONS: Final = ('v1.1', 'v1.2')
 # Longest time of an attempt without a configuration.
 TIMEOUT_S: Final = 30.0
-# Time after which a gateway notices that the store is out of reach.
-NOTICED_S: Final = 14.0
 _ENTRY: Final = stand_ins.encode_entry('m', '127.0.0.1:9', 8, 1, ready=True)
 node_numbers = st.integers(0, NODES - 1)
 
 
+class Store:
+    """Entries of one endpoint a version, with all their changes."""
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.listed: set[str] = set()
+        self.changes: list[_published.StoredItem] = []
+
+    @property
+    def items(self) -> list[_published.StoredItem]:
+        """Entries that are there now."""
+        last = {one.key: one for one in self.changes}
+        return [one for one in last.values() if one.payload is not None]
+
+    def list_only(self, versions: set[str]) -> None:
+        """Write and remove entries until just some versions are listed."""
+        for version in sorted(versions ^ self.listed):
+            self.revision += 1
+            payload = None
+            if version in versions:
+                payload = stand_ins.with_version(_ENTRY, version)
+            self.changes.append(
+                _published.StoredItem(
+                    f'servers/e{version}', payload, self.revision
+                )
+            )
+        self.listed = set(versions)
+
+
 class Node:
     """One start of a gateway."""
 
-    def __init__(self) -> None:
+    def __init__(self, store: Store, now: float) -> None:
         self.published = _published.PublishedState()
-        self.records = _stream_records.StreamRecords(self.published)
+        self.records = _stream_records.StreamRecords(self.published, self)
         self.cut = False
+        self._store = store
+        position = (0, store.revision)
+        self.published.apply_listing(store.items, position, 0)
+        self.published.versions.begin(position, now)
+
+    def follow(self) -> None:
+        """Apply the changes of the store, as a watch brings them."""
+        changes = self._store.changes[self.published.revision :]
+        position = (0, self._store.revision)
+        self.published.apply_changes(changes, position, 0)
+        self.published.versions.follow(position)
+
+    async def confirm(self) -> bool:
+        """Read the changes until now, if the store can be reached."""
+        await trio.lowlevel.checkpoint()
+        if not self.cut:
+            self.follow()
+        return not self.cut
 
 
 @dataclasses.dataclass(slots=True)
@@ -69,37 +114,20 @@
         self.now = 1000.0
         self.usual_now = _clock.now
         setattr(_clock, 'now', lambda: self.now)  # noqa: B010
-        self.revision = 0
-        self.listed = {VERSIONS[0]}
-        self.nodes = [Node() for _ in range(NODES)]
+        self.store = Store()
+        self.store.list_only({VERSIONS[0]})
+        # They have followed the listing for long.
+        self.nodes = [Node(self.store, 0) for _ in range(NODES)]
         self.streams: list[Stream] = []
-        self.publish()
 
     def teardown(self) -> None:
         setattr(_clock, 'now', self.usual_now)  # noqa: B010
 
     def publish(self) -> None:
-        """Let all gateways that reach the store read the listing."""
-        self.revision += 1
-        items = [
-            _published.StoredItem(
-                f'servers/e{version}',
-                stand_ins.with_version(_ENTRY, version),
-                self.revision,
-            )
-            for version in sorted(self.listed)
-        ]
+        """Let all gateways that reach the store read its changes."""
         for node in self.nodes:
             if not node.cut:
-                node.published.apply_listing(items, (0, self.revision), 0)
-                node.published.versions.confirm(self.now)
-
-    def pass_time(self, seconds: float) -> None:
-        """Let time pass while the store answers watches."""
-        end = self.now + seconds
-        while self.now < end:
-            self.now = min(self.now + 10, end)
-            self.publish()
+                node.follow()
 
     def links(self, number: int) -> list[_stream_records.Link]:
         own = self.nodes[number]
@@ -137,7 +165,7 @@
         """Whether an engine of a version lives and is known to a gateway."""
         endpoints = self.nodes[number].published.endpoint_index.endpoints
         known = {one.version for one in endpoints}
-        return version in known & self.listed
+        return version in known & self.store.listed
 
     @stateful.rule(
         number=node_numbers,
@@ -166,39 +194,39 @@
             stream = draws.draw(st.sampled_from(live))
             self.run(number, stream, find=True)
 
-    @stateful.rule(versions=st.sampled_from((VERSIONS[:1], VERSIONS[1:])))
-    def change(self, versions: tuple[str, ...]) -> None:
-        self.listed = set(versions)
-        self.publish()
-
-    @stateful.rule()
-    def list_all(self) -> None:
-        self.listed = set(VERSIONS)
-        self.publish()
+    @stateful.rule(
+        versions=st.sampled_from((VERSIONS[:1], VERSIONS[1:], VERSIONS)),
+        passed_on=st.booleans(),
+    )
+    def change(self, versions: tuple[str, ...], passed_on: bool) -> None:
+        """Change what is listed; gateways may not have read it yet."""
+        self.store.list_only(set(versions))
+        if passed_on:
+            self.publish()
 
     @stateful.rule(seconds=st.sampled_from((1.0, 20.0, 70.0, 200.0)))
     def wait(self, seconds: float) -> None:
-        self.pass_time(seconds)
+        """Let time pass while the store answers watches."""
+        self.now += seconds
+        self.publish()
 
     @stateful.rule(number=node_numbers)
     def restart(self, number: int) -> None:
-        self.nodes[number] = Node()
-        self.publish()
+        self.nodes[number] = Node(self.store, self.now)
 
     @stateful.rule()
     def restart_all(self) -> None:
-        self.nodes = [Node() for _ in range(NODES)]
-        self.publish()
+        for number in range(NODES):
+            self.restart(number)
 
     @stateful.rule(number=node_numbers)
     def cut(self, number: int) -> None:
+        """Cut a gateway off, which it does not notice."""
         self.nodes[number].cut = True
-        self.pass_time(NOTICED_S)
 
     @stateful.rule(number=node_numbers)
     def heal(self, number: int) -> None:
         self.nodes[number].cut = False
-        self.publish()
 
 
 TestMachine = Machine.TestCase
--- a/src/lentilspool/gateway/tests/test_stream_versions.py
+++ b/src/lentilspool/gateway/tests/test_stream_versions.py
@@ -18,18 +18,47 @@
 AT_ONCE_S = stream_fleet.TARGET_S
 # Turns of the event loop in which a new connection carries the first records.
 GREETING_TURNS = 5
+# Three times the time limit of the route and a second more are followed.
+SHORT_MS = 1000
+FOLLOWED_S = 4.5
 Check = Callable[[stream_fleet.Fleet], Awaitable[None]]
 
 
-def run(check: Check) -> None:
+def run(check: Check, timeout_ms: int = 5000) -> None:
     async def run_fleet() -> None:
         async with trio.open_nursery() as nursery:
-            await check(stream_fleet.Fleet(nursery))
+            await check(stream_fleet.Fleet(nursery, timeout_ms))
             nursery.cancel_scope.cancel()
 
     trio.run(run_fleet)
 
 
+async def take_up(
+    begun: list[stream_fleet.Caller], nodes: list[stream_fleet.Node]
+) -> list[stream_fleet.Caller]:
+    """Take up streams at other gateways; return the callers that do."""
+    again = [stream_fleet.Caller(f'{one.request_id}-2') for one in begun]
+    async with trio.open_nursery() as nursery:
+        for index, caller in enumerate(again):
+            node = nodes[index % len(nodes)]
+            nursery.start_soon(
+                caller.take_up, node, begun[index].request_id, BEGUN
+            )
+    return again
+
+
+async def begin(
+    count: int, nodes: list[stream_fleet.Node]
+) -> list[stream_fleet.Caller]:
+    """Begin streams and leave them after some events."""
+    begun = [stream_fleet.Caller(f'r{index}') for index in range(count)]
+    async with trio.open_nursery() as nursery:
+        for index, caller in enumerate(begun):
+            node = nodes[index % len(nodes)]
+            nursery.start_soon(caller.read_some, node, BEGUN)
+    return begun
+
+
 def engines(*versions: str) -> list[stream_fleet.Engine]:
     """Return engines that are chosen in this order, all else being equal."""
     return [
@@ -277,3 +306,31 @@
                 assert {one.status for one in again} == {503}
 
         run(check)
+
+
+class TestGatewayOutOfStep:
+    """One gateway does not learn of a version that the others use."""
+
+    def test_stream_of_a_version_unknown_to_it_is_not_joined(self) -> None:
+        """Guards against streams joined by a gateway that is cut off."""
+
+        async def check(fleet: stream_fleet.Fleet) -> None:
+            old, new, changed = engines('v1.1', 'v1.2', 'v1.1')
+            await fleet.start(1, old)
+            behind = await fleet.add_lagging_node('behind')
+            await fleet.add(changed)
+            # It has followed the listing for longer than streams live.
+            await trio.sleep(FOLLOWED_S)
+            await fleet.add(new)
+            # They go on serving, and only that gateway still lists them.
+            fleet.delist(old)
+            fleet.delist(changed)
+            await fleet.until_listed()
+            begun = await begin(1, fleet.nodes)
+            assert begun[0].versions == {'v1.2'}
+            fleet.kill(fleet.nodes[0])
+            (again,) = await take_up(begun, [behind])
+            assert again.status in {200, 503}
+            assert again.versions <= {'v1.2'}
+
+        run(check, timeout_ms=SHORT_MS)
--- a/src/lentilspool/platform/tests/stand_ins.py
+++ b/src/lentilspool/platform/tests/stand_ins.py
@@ -169,13 +169,17 @@
 
 
 def encode_item(
-    key: str, payload: bytes | None, revision: int
+    key: str, payload: bytes | None, revision: int, created: int = 0
 ) -> dict[str, Any]:
-    """Return an item of the store; payload None marks a deleted key."""
+    """Return an item of the store; payload None marks a deleted key.
+
+    ``created`` is left out if it is 0.
+    """
     if payload is None:
         return {'key': key, 'rev': revision, 'tombstone': True}
     content = base64.b64encode(payload).decode()
-    return {'key': key, 'value': content, 'rev': revision}
+    item: dict[str, Any] = {'key': key, 'value': content, 'rev': revision}
+    return {**item, 'created': created} if created else item
 
 
 def encode_page(
@@ -202,6 +206,13 @@
     )
 
 
+def parse_watch_s(target: bytes, longest_s: float) -> float:
+    """Return for how many seconds a watch waits, at most ``longest_s``."""
+    _, _, text = target.decode().partition('?')
+    wait_ms = dict(parse.parse_qsl(text)).get('wait_ms', '0')
+    return min(int(wait_ms) / _MS_PER_S, longest_s)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Piece:
     """One piece of a stage call."""
--- a/src/lentilspool/serving/_stream_versions.py
+++ b/src/lentilspool/serving/_stream_versions.py
@@ -7,16 +7,14 @@
 import collections
 import dataclasses
 import hashlib
+import math
 from collections.abc import Iterable
 from typing import Final
 
-from lentilspool.serving import _endpoints
+from lentilspool.serving import _endpoints, _entry_order
 
 _MAX_STREAMS: Final = 30_000
 _DIGEST_BYTES: Final = 12
-# Longest time between two confirmations of a listing that is followed. The
-# store answers a watch after 10 s at the latest.
-_MAX_GAP_S: Final = 13.0
 _MAX_HISTORY_S: Final = 3600.0
 
 
@@ -81,16 +79,29 @@
 class VersionHistory:
     """Versions that were listed lately, by service.
 
-    ``add`` records an endpoint that is listed, also for a moment, ``update``
-    applies all that are listed now, and ``confirm`` records that the store has
-    just confirmed the listing.
+    ``add`` records an endpoint that is listed, also for a moment, and
+    ``update`` applies all that are listed now. ``begin`` records that a listing
+    was read, before which changes may have been missed, and ``follow`` that
+    all changes up to a position have been applied. Positions are those of the
+    store, so time that passes between two reads leaves no gap.
     """
 
     def __init__(self) -> None:
         self._listed: set[tuple[str, str]] = set()
         self._listed_until: dict[tuple[str, str], float] = {}
-        self._followed_since = 0.0
-        self._confirmed_at: float | None = None
+        self._known_since = math.inf
+        self._began: _entry_order.Position = (0, 0)
+        self._followed: _entry_order.Position = (0, 0)
+
+    @property
+    def began(self) -> _entry_order.Position:
+        """Position of the listing from which on no change was missed."""
+        return self._began
+
+    @property
+    def followed(self) -> _entry_order.Position:
+        """Position up to which no change was missed; (0, 0) for none."""
+        return self._followed
 
     def add(self, endpoint: _endpoints.Endpoint) -> None:
         """Record an endpoint that may be gone again at the next update."""
@@ -110,26 +121,19 @@
             if now - until <= _MAX_HISTORY_S
         }
 
-    def confirm(self, now: float) -> None:
-        """Record that the store has confirmed the listing.
-
-        After a long gap the listing counts as followed from now on.
-        """
-        if self._confirmed_at is None or now - self._confirmed_at > _MAX_GAP_S:
-            self._followed_since = now
-        self._confirmed_at = now
+    def begin(self, position: _entry_order.Position, now: float) -> None:
+        """Record a new listing, complete at its position."""
+        self._known_since = now
+        self._began = position
+        self._followed = position
 
-    def restart(self, now: float) -> None:
-        """Follow the listing anew, as changes may have been missed."""
-        self._followed_since = now
+    def follow(self, position: _entry_order.Position) -> None:
+        """Record that all changes up to a position are known."""
+        self._followed = max(self._followed, position)
 
     def covers(self, seconds: float, now: float) -> bool:
-        """Whether the listing was followed for so long without a gap."""
-        return (
-            self._confirmed_at is not None
-            and now - self._confirmed_at <= _MAX_GAP_S
-            and now - self._followed_since > seconds
-        )
+        """Whether all versions are known that were listed in that time."""
+        return now - self._known_since > seconds
 
     def versions(
         self, services: Iterable[str], seconds: float, now: float
--- a/src/lentilspool/serving/tests/test_stream_versions.py
+++ b/src/lentilspool/serving/tests/test_stream_versions.py
@@ -78,11 +78,11 @@
 
 
 class TestVersionHistory:
-    def followed(self, until: int) -> serving.VersionHistory:
+    def followed(self) -> serving.VersionHistory:
+        """Return a history that began at time 0 and revision 3."""
         history = serving.VersionHistory()
         history.update([endpoint('v1')], 0)
-        for now in range(0, until + 1, 10):
-            history.confirm(now)
+        history.begin((0, 3), 0)
         return history
 
     def test_version_that_left_is_kept_for_a_time(self) -> None:
@@ -105,7 +105,7 @@
         assert history.versions(['model'], 5, 1) == {'v1'}
 
     def test_listing_counts_once_it_was_followed_for_long(self) -> None:
-        history = self.followed(until=30)
+        history = self.followed()
         assert history.covers(20, 30)
         assert not history.covers(30, 30)
 
@@ -114,18 +114,19 @@
         history.update([endpoint('v1')], 0)
         assert not history.covers(1, 1000)
 
-    def test_listing_does_not_count_while_the_store_is_away(self) -> None:
-        history = self.followed(until=100)
-        assert history.covers(50, 110)
-        assert not history.covers(50, 114)
-
-    def test_listing_is_followed_anew_after_a_gap(self) -> None:
-        history = self.followed(until=100)
-        history.confirm(120)
+    def test_history_has_no_gap_while_revisions_follow_each_other(
+        self,
+    ) -> None:
+        history = self.followed()
+        history.follow((0, 8))
+        history.follow((0, 5))
+        assert history.began == (0, 3)
+        assert history.followed == (0, 8)
+        assert history.covers(50, 114)
+
+    def test_history_begins_anew_with_a_new_listing(self) -> None:
+        history = self.followed()
+        history.begin((0, 9), 120)
         assert not history.covers(5, 121)
         assert history.covers(5, 126)
-
-    def test_listing_is_followed_anew_after_a_suspension(self) -> None:
-        history = self.followed(until=100)
-        history.restart(105)
-        assert not history.covers(5, 106)
+        assert history.began == (0, 9)
