Infer versions from all entries that the store accounts for

Cause: which version began a stream is known to gateways only; one that has just started trusts its listing after 37 s, longer than callers wait.

Ruled out: a shorter time, the endpoints' starts and the history that the store promises; none shows that no other version has left.

Change: a gateway looks whether the store accounts for every entry ever written: by the revisions of the items that are listed and, since the first one that they leave open, by its history. Then all versions are known, and the only one has begun the stream. If anything is missing the answer is 503 as before.

Conclusion: what is inferred is a proof from the store's revisions, not a guess from a short look.

--- a/src/lentilspool/gateway/_events.py
+++ b/src/lentilspool/gateway/_events.py
@@ -55,6 +55,11 @@
     logging.INFO,
     'The entry of an endpoint is older than what is known of it.',
 )
+HISTORY_EXAMINED: Final = _declare(
+    231,
+    logging.INFO,
+    'The history of the store was examined for all entries ever listed.',
+)
 PEER_LOST: Final = _declare(
     320, logging.WARNING, 'Another gateway does not answer.'
 )
--- a/src/lentilspool/gateway/_gateway.py
+++ b/src/lentilspool/gateway/_gateway.py
@@ -146,7 +146,12 @@
         )
         self._links = links
         self._store_readers = [
-            _store.StoreReader(prefix, gateway_settings.store, self._published)
+            _store.StoreReader(
+                prefix,
+                gateway_settings.store,
+                self._published,
+                self._listing_check.note_listing,
+            )
             for prefix in (
                 platform.CONFIGURATION_KEY,
                 platform.ENDPOINT_PREFIX,
--- a/src/lentilspool/gateway/_store.py
+++ b/src/lentilspool/gateway/_store.py
@@ -1,6 +1,7 @@
 """Reader of the platform's store, by listings and watches."""
 
 import logging
+from collections.abc import Callable, Sequence
 from typing import Final
 
 import trio
@@ -15,18 +16,25 @@
 # Memory that an item takes beside its key and content.
 _ITEM_BYTES: Final = 512
 _WATCH_MARGIN_S: Final = 1.0
+ListingListener = Callable[[str, int, Sequence[platform.Item]], None]
+"""Takes prefix, revision and items of a listing that was read anew."""
 
 
 class StoreReader:
-    """Keeps the published state of one store prefix up to date."""
+    """Keeps the published state of one store prefix up to date.
+
+    ``on_listing`` is called after each listing has been applied.
+    """
 
     def __init__(
         self,
         prefix: str,
         store_settings: settings.StoreSettings,
         published: _published.PublishedState,
+        on_listing: ListingListener | None = None,
     ) -> None:
         self._prefix = prefix
+        self._on_listing = on_listing
         self._settings = store_settings
         self._published = published
         self._connection = _store_connection.StoreConnection(
@@ -161,6 +169,8 @@
             self._published.versions.begin(position, now)
         else:
             self._configure(stored)
+        if self._on_listing:
+            self._on_listing(self._prefix, position[1], items)
 
     def _apply_changes(self, page: platform.Page) -> None:
         self._revision = page.revision
--- a/src/lentilspool/gateway/tests/stream_fleet.py
+++ b/src/lentilspool/gateway/tests/stream_fleet.py
@@ -314,6 +314,10 @@
                 await trio.sleep(_POLL_S)
         return node
 
+    def write_configuration(self) -> None:
+        """Write the configuration once more."""
+        self.store.write(platform.CONFIGURATION_KEY, self._document)
+
     def kill(self, node: Node) -> None:
         """End a gateway without notice."""
         node.scope.cancel()
--- a/src/lentilspool/gateway/tests/test_stream_versions.py
+++ b/src/lentilspool/gateway/tests/test_stream_versions.py
@@ -21,6 +21,8 @@
 # Three times the time limit of the route and a second more are followed.
 SHORT_MS = 1000
 FOLLOWED_S = 4.5
+# Time in which gateways have read the history after their start.
+HISTORY_READ_S = 0.3
 Check = Callable[[stream_fleet.Fleet], Awaitable[None]]
 
 
@@ -59,6 +61,15 @@
     return begun
 
 
+async def restart_all(fleet: stream_fleet.Fleet) -> None:
+    """Kill all gateways at once and start as many again."""
+    count = len(fleet.nodes)
+    for node in tuple(fleet.nodes):
+        fleet.kill(node)
+    for index in range(count):
+        await fleet.add_node(f'back{index}')
+
+
 def engines(*versions: str) -> list[stream_fleet.Engine]:
     """Return engines that are chosen in this order, all else being equal."""
     return [
@@ -308,6 +319,138 @@
         run(check)
 
 
+async def nothing(fleet: stream_fleet.Fleet) -> None:
+    """Write nothing more."""
+
+
+async def configure(fleet: stream_fleet.Fleet) -> None:
+    """Write the configuration twice more."""
+    for _ in range(2):
+        fleet.write_configuration()
+
+
+async def replace(fleet: stream_fleet.Fleet) -> None:
+    """Replace an engine by another one of its version."""
+    leaving, joining = engines('v1.2', 'v1.2')
+    leaving.name = 'leaving'
+    joining.name = 'joining'
+    await fleet.add(leaving)
+    fleet.delist(leaving)
+    await fleet.add(joining)
+
+
+async def visit(fleet: stream_fleet.Fleet) -> None:
+    """List an engine of another version for a moment."""
+    (other,) = engines('v1.1')
+    other.name = 'visitor'
+    await fleet.add(other)
+    fleet.delist(other)
+
+
+async def start_again(fleet: stream_fleet.Fleet) -> None:
+    """Let an engine of another version start again as the same version."""
+    first = stream_fleet.Engine('again', 'v1.1')
+    await fleet.add(first)
+    fleet.delist(first)
+    await fleet.add(stream_fleet.Engine('again', 'v1.2', 2))
+
+
+async def forget(fleet: stream_fleet.Fleet) -> None:
+    """Let the store drop its history."""
+    fleet.store.forget_history()
+
+
+class TestStreamsWithoutARecord:
+    """No gateway remembers the streams; only the store knows of before."""
+
+    @pytest.mark.parametrize(
+        'changes',
+        [
+            (nothing,),
+            (forget,),
+            (configure,),
+            (replace,),
+            (configure, replace, configure),
+            (forget, configure, replace),
+        ],
+    )
+    def test_streams_go_on_if_no_other_version_can_have_begun_them(
+        self, changes: tuple[Check, ...]
+    ) -> None:
+        """Guards against streams that are lost when all gateways are killed."""
+
+        async def check(fleet: stream_fleet.Fleet) -> None:
+            await fleet.start(2, *engines('v1.2', 'v1.2'))
+            for change in changes:
+                await change(fleet)
+            await fleet.until_listed()
+            begun = await begin(STREAMS, fleet.nodes)
+            await restart_all(fleet)
+            again = await take_up(begun, fleet.nodes)
+            assert {one.status for one in again} == {200}
+            assert all(one.complete for one in again)
+
+        run(check)
+
+    @pytest.mark.parametrize(
+        'changes',
+        [
+            (visit,),
+            (configure, visit, configure),
+            (start_again,),
+            (visit, forget),
+            (start_again, forget),
+            # What was written before is not known.
+            (configure, forget),
+            (replace, forget),
+        ],
+    )
+    def test_streams_are_refused_if_another_version_may_have(
+        self, changes: tuple[Check, ...]
+    ) -> None:
+        """Guards against streams that are joined from two versions."""
+
+        async def check(fleet: stream_fleet.Fleet) -> None:
+            await fleet.start(2, *engines('v1.2', 'v1.2'))
+            for change in changes:
+                await change(fleet)
+            await fleet.until_listed()
+            begun = await begin(STREAMS, fleet.nodes)
+            await restart_all(fleet)
+            again = await take_up(begun, fleet.nodes)
+            assert {one.status for one in again} == {503}
+
+        run(check)
+
+    def test_history_is_read_before_the_store_drops_it(self) -> None:
+        async def check(fleet: stream_fleet.Fleet) -> None:
+            await fleet.start(2, *engines('v1.2', 'v1.2'))
+            await replace(fleet)
+            await fleet.until_listed()
+            begun = await begin(STREAMS, fleet.nodes)
+            await restart_all(fleet)
+            await trio.sleep(HISTORY_READ_S)
+            fleet.store.forget_history()
+            again = await take_up(begun, fleet.nodes)
+            assert {one.status for one in again} == {200}
+
+        run(check)
+
+    def test_streams_are_refused_while_the_store_does_not_answer(self) -> None:
+        async def check(fleet: stream_fleet.Fleet) -> None:
+            await fleet.start(2, *engines('v1.2', 'v1.2'))
+            begun = await begin(2, fleet.nodes)
+            await restart_all(fleet)
+            fleet.store.away = True
+            again = await take_up(begun, fleet.nodes)
+            assert {one.status for one in again} == {503}
+            fleet.store.away = False
+            again = await take_up(begun, fleet.nodes)
+            assert {one.status for one in again} == {200}
+
+        run(check)
+
+
 class TestGatewayOutOfStep:
     """One gateway does not learn of a version that the others use."""
 
--- a/src/lentilspool/platform/_store.py
+++ b/src/lentilspool/platform/_store.py
@@ -30,6 +30,12 @@
     revision: int
     """Revision of the last change."""
 
+    created: int = 0
+    """Revision at which the key was created; 0 if it is not stated."""
+
+    removed: bool = False
+    """Whether the key was deleted."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Page:
@@ -49,6 +55,7 @@
     key: str
     value: str = ''
     rev: int = 0
+    created: int = 0
     tombstone: bool = False
 
 
@@ -115,7 +122,9 @@
 
 
 def _item(item: _Item) -> Item:
-    return Item(item.key, _payload(item), item.rev)
+    return Item(
+        item.key, _payload(item), item.rev, item.created, item.tombstone
+    )
 
 
 def _payload(item: _Item) -> bytes | None:
--- a/src/lentilspool/serving/__init__.py
+++ b/src/lentilspool/serving/__init__.py
@@ -45,6 +45,11 @@
 from lentilspool.serving._entry_order import is_outdated as is_outdated
 from lentilspool.serving._entry_order import order_of_era as order_of_era
 from lentilspool.serving._grants import Grants as Grants
+from lentilspool.serving._listing_history import Write as Write
+from lentilspool.serving._listing_history import ever_listed as ever_listed
+from lentilspool.serving._listing_history import (
+    first_unknown_revision as first_unknown_revision,
+)
 from lentilspool.serving._patience import StorePatience as StorePatience
 from lentilspool.serving._plan_types import Action as Action
 from lentilspool.serving._plan_types import Begun as Begun
--- a/src/lentilspool/serving/_stream_versions.py
+++ b/src/lentilspool/serving/_stream_versions.py
@@ -83,7 +83,8 @@
     ``update`` applies all that are listed now. ``begin`` records that a listing
     was read, before which changes may have been missed, and ``follow`` that
     all changes up to a position have been applied. Positions are those of the
-    store, so time that passes between two reads leaves no gap.
+    store, so time that passes between two reads leaves no gap. ``complete``
+    records that no other version was ever listed.
     """
 
     def __init__(self) -> None:
@@ -103,6 +104,11 @@
         """Position up to which no change was missed; (0, 0) for none."""
         return self._followed
 
+    @property
+    def is_complete(self) -> bool:
+        """Whether all versions are known that were ever listed."""
+        return self._known_since == -math.inf
+
     def add(self, endpoint: _endpoints.Endpoint) -> None:
         """Record an endpoint that may be gone again at the next update."""
         self._listed.add((endpoint.service, endpoint.version))
@@ -131,6 +137,17 @@
         """Record that all changes up to a position are known."""
         self._followed = max(self._followed, position)
 
+    def complete(
+        self, endpoints: Iterable[_endpoints.Endpoint], now: float
+    ) -> None:
+        """Record all endpoints that were listed at any time before."""
+        for one in endpoints:
+            pair = (one.service, one.version)
+            if pair not in self._listed:
+                # When it left is not known.
+                self._listed_until[pair] = now
+        self._known_since = -math.inf
+
     def covers(self, seconds: float, now: float) -> bool:
         """Whether all versions are known that were listed in that time."""
         return now - self._known_since > seconds
--- a/src/lentilspool/serving/tests/test_stream_versions.py
+++ b/src/lentilspool/serving/tests/test_stream_versions.py
@@ -130,3 +130,22 @@
         assert not history.covers(5, 121)
         assert history.covers(5, 126)
         assert history.began == (0, 9)
+
+    def test_complete_history_covers_any_time(self) -> None:
+        history = self.followed()
+        history.complete([endpoint('v1')], 1)
+        assert history.is_complete
+        assert history.covers(1000, 1)
+        assert history.versions(['model'], 5, 1) == {'v1'}
+
+    def test_version_of_a_complete_history_may_have_just_left(self) -> None:
+        history = self.followed()
+        history.complete([endpoint('v1'), endpoint('v2')], 10)
+        assert history.versions(['model'], 5, 15) == {'v1', 'v2'}
+        assert history.versions(['model'], 5, 16) == {'v1'}
+
+    def test_new_listing_ends_a_complete_history(self) -> None:
+        history = self.followed()
+        history.complete([endpoint('v1')], 1)
+        history.begin((0, 9), 2)
+        assert not history.is_complete
