Greet gateways with the streams that others began

Cause: a gateway that is back gets the records of streams that its peers began, not those that they hold for others, its own among them.

Before: TestGatewaysStoppedInTurn and the test of the greeting fail. After: both pass.

Conclusion: a record lives as long as one gateway that holds it meets another.

--- a/src/lentilspool/gateway/_stream_records.py
+++ b/src/lentilspool/gateway/_stream_records.py
@@ -160,11 +160,23 @@
         self._changed.set()
 
     def greet(self, link: Link) -> None:
-        """Send the latest streams to a gateway that may have just started."""
-        since = _clock.now() - self._keep_s
-        streams = [sent for at, sent in self._latest if at >= since]
-        if streams:
-            link.send_note(_encode(_Begun(streams)))
+        """Send the latest streams to a gateway that may have just started.
+
+        Those of other gateways go with them: the gateway that began them may
+        be the one that has started.
+        """
+        now = _clock.now()
+        since = now - self._keep_s
+        own = [sent for at, sent in self._latest if at >= since]
+        known = {sent[0] for sent in own}
+        others = [
+            (key, begun.service, begun.version)
+            for key, begun in self._streams.latest(_MAX_RECORDS_PER_NOTE, now)
+            if key not in known
+        ]
+        for streams in (others, own):
+            if streams:
+                link.send_note(_encode(_Begun(streams)))
 
     async def share(self, links: Callable[[], Sequence[Link]]) -> None:
         """Send records to the first of the connections, until cancelled."""
--- a/src/lentilspool/gateway/tests/test_stream_records.py
+++ b/src/lentilspool/gateway/tests/test_stream_records.py
@@ -274,6 +274,15 @@
         assert sum(counts) == 1200
         assert len(counts) == 3
 
+    def test_new_connection_gets_streams_of_other_gateways_too(self) -> None:
+        """Guards against records that are lost when gateways stop in turn."""
+        began, holds = (Node(published('v1.1', 'v1.2')) for _ in range(2))
+        link(began, holds)
+        find(began, lambda: began.records.record('s', BEGUN))
+        back = Node(published('v1.1', 'v1.2'))
+        holds.records.greet(NodeLink(holds, back))
+        assert find(back) == _stream_records.Found(BEGUN, 'own')
+
     def test_new_connection_gets_the_latest_streams_in_one_note(self) -> None:
         node = Node(published('v1.2'))
         silent = SilentLink()
--- a/src/lentilspool/gateway/tests/test_stream_versions.py
+++ b/src/lentilspool/gateway/tests/test_stream_versions.py
@@ -451,6 +451,29 @@
         run(check)
 
 
+class TestGatewaysStoppedInTurn:
+    def test_streams_go_on_when_their_gateway_is_back_before_the_others_stop(
+        self,
+    ) -> None:
+        """Guards against records that end with the gateway that began them."""
+
+        async def check(fleet: stream_fleet.Fleet) -> None:
+            await fleet.start(2, *engines('v1.2', 'v1.1', 'v1.2', 'v1.1'))
+            first, second = fleet.nodes
+            begun = await begin(STREAMS, [first])
+            for node in (first, second):
+                fleet.kill(node)
+                back = await fleet.add_node(node.name)
+                for _ in range(GREETING_TURNS):
+                    await trio.lowlevel.checkpoint()
+            again = await take_up(begun, [back])
+            assert {one.status for one in again} == {200}
+            for caller, other in zip(begun, again, strict=True):
+                assert other.versions <= caller.versions
+
+        run(check)
+
+
 class TestGatewayOutOfStep:
     """One gateway does not learn of a version that the others use."""
 
--- a/src/lentilspool/serving/_stream_versions.py
+++ b/src/lentilspool/serving/_stream_versions.py
@@ -7,6 +7,7 @@
 import collections
 import dataclasses
 import hashlib
+import itertools
 import math
 from collections.abc import Iterable
 from typing import Final
@@ -68,6 +69,15 @@
         begun, expires_at = self._streams.get(key, (None, 0.0))
         return begun if expires_at > now else None
 
+    def latest(self, most: int, now: float) -> list[tuple[str, StreamVersion]]:
+        """Return the streams that were recorded last, oldest first."""
+        last = itertools.islice(reversed(self._streams.items()), most)
+        return [
+            (key, begun)
+            for key, (begun, expires_at) in reversed(list(last))
+            if expires_at > now
+        ]
+
     def _drop_first(self, now: float) -> None:
         while self._streams:
             key, (_, expires_at) = next(iter(self._streams.items()))
