Take an entry for an endpoint only if all its fields are sound

Cause: types were checked, for some fields; whole numbers of any size reached messages that hold 64 bits, and any text reached the resolver.

Ruled out: nesting, long digits and bytes that are no text, which the decoder refuses one by one.

The numbers of the store's answers and of the configuration have ranges as well.

Stand-ins now write all fields.

Conclusion: what does not name an endpoint never reaches the code behind the adapter; the others hold.

--- a/src/lentilspool/gateway/tests/application.py
+++ b/src/lentilspool/gateway/tests/application.py
@@ -232,8 +232,11 @@
                     'service': service,
                     'address': f'127.0.0.1:{port}',
                     'zone': 'a',
+                    'version': 'v1',
                     'slots': 9,
                     'state': 'ready',
+                    'cold_left_ms': 0,
+                    'sequence': 1,
                     'born': 1,
                 },
             )
--- a/src/lentilspool/gateway/tests/test_peers.py
+++ b/src/lentilspool/gateway/tests/test_peers.py
@@ -36,8 +36,12 @@
     'service': 'model',
     'address': '127.0.0.1:9',
     'zone': 'a',
+    'version': 'v1',
     'slots': 8,
     'state': 'ready',
+    'cold_left_ms': 0,
+    'sequence': 1,
+    'born': 1,
 }
 
 
--- a/src/lentilspool/gateway/tests/test_published.py
+++ b/src/lentilspool/gateway/tests/test_published.py
@@ -14,8 +14,12 @@
         'service': 's',
         'address': '10.0.0.1:80',
         'zone': 'a',
+        'version': 'v1',
         'slots': 1,
         'state': state,
+        'cold_left_ms': 0,
+        'sequence': 1,
+        'born': 1,
     }
     return _published.StoredItem(
         f'servers/{name}', msgspec.json.encode(content), revision
--- a/src/lentilspool/gateway/tests/test_store.py
+++ b/src/lentilspool/gateway/tests/test_store.py
@@ -58,8 +58,12 @@
             'service': 's',
             'address': '10.0.0.1:80',
             'zone': 'a',
+            'version': 'v1',
             'slots': 1,
             'state': 'ready',
+            'cold_left_ms': 0,
+            'sequence': 1,
+            'born': 1,
         }
         content = base64.b64encode(msgspec.json.encode(entry)).decode()
         return {
--- a/src/lentilspool/gateway/tests/test_store_eras.py
+++ b/src/lentilspool/gateway/tests/test_store_eras.py
@@ -37,8 +37,10 @@
             'service': 's',
             'address': '10.0.0.1:80',
             'zone': 'a',
+            'version': 'v1',
             'slots': 1,
             'state': self.state,
+            'cold_left_ms': 0,
             'born': self.born,
             'sequence': self.sequence,
         }
--- a/src/lentilspool/platform/_configuration.py
+++ b/src/lentilspool/platform/_configuration.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from lentilspool import serving
-from lentilspool.platform import _errors
+from lentilspool.platform import _errors, _numbers
 
 _MS_PER_S: Final = 1000.0
 _BYTES_PER_MB: Final = 1_000_000.0
@@ -19,14 +19,14 @@
 
 class _Split(msgspec.Struct):
     service: str
-    weight: float = 1
+    weight: _numbers.Measure = 1
 
 
 class _Stage(msgspec.Struct):
     service: str
-    after: list[int] = []
+    after: list[_numbers.Count] = []
     # Size of one result, in bytes.
-    bytes: float = 0
+    bytes: _numbers.Measure = 0
 
 
 class _Route(msgspec.Struct):
@@ -34,39 +34,39 @@
     hostname: str
     prefix: str
     kind: str
-    timeout_ms: float
-    target_latency_ms: float = 0
-    priority: int = 0
+    timeout_ms: _numbers.Measure
+    target_latency_ms: _numbers.Measure = 0
+    priority: _numbers.Rank = 0
     service: str = ''
     traffic_split: list[_Split] = []
-    attempts: int = 1
+    attempts: _numbers.Count = 1
     stages: list[_Stage] = []
     public: bool = False
     resumable: bool = False
-    max_gap_ms: float = 0
+    max_gap_ms: _numbers.Measure = 0
 
 
 class _Engine(msgspec.Struct):
-    slots: int
+    slots: _numbers.Count
     # Counted in tokens.
-    kv_capacity: int
+    kv_capacity: _numbers.Count
     moves: bool = False
 
 
 class _Pieces(msgspec.Struct):
-    slots: int
-    queue: int
-    batch: int
-    call_ms: float
-    item_ms: float
+    slots: _numbers.Count
+    queue: _numbers.Count
+    batch: _numbers.Count
+    call_ms: _numbers.Measure
+    item_ms: _numbers.Measure
     # All memory for results at one runner, in MB.
-    headroom_mb: float
-    handle_s: float
+    headroom_mb: _numbers.Measure
+    handle_s: _numbers.Measure
 
 
 class _Service(msgspec.Struct):
     name: str
-    max_connections: int = 0
+    max_connections: _numbers.Count = 0
     engine: _Engine | None = None
     pieces: _Pieces | None = None
 
@@ -74,18 +74,22 @@
 class _Team(msgspec.Struct):
     name: str
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: _numbers.Rank | None = None
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: int = _DEFAULT_CALL_LIMITS.max_header_bytes
-    max_body_bytes: int = _DEFAULT_CALL_LIMITS.max_body_bytes
-    header_timeout_ms: float = _DEFAULT_CALL_LIMITS.header_timeout_s * _MS_PER_S
-    idle_timeout_ms: float = _DEFAULT_CALL_LIMITS.idle_timeout_s * _MS_PER_S
+    max_header_bytes: _numbers.Count = _DEFAULT_CALL_LIMITS.max_header_bytes
+    max_body_bytes: _numbers.Count = _DEFAULT_CALL_LIMITS.max_body_bytes
+    header_timeout_ms: _numbers.Measure = (
+        _DEFAULT_CALL_LIMITS.header_timeout_s * _MS_PER_S
+    )
+    idle_timeout_ms: _numbers.Measure = (
+        _DEFAULT_CALL_LIMITS.idle_timeout_s * _MS_PER_S
+    )
 
 
 class _Document(msgspec.Struct):
-    version: int
+    version: _numbers.Count
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
--- a/src/lentilspool/platform/_endpoints.py
+++ b/src/lentilspool/platform/_endpoints.py
@@ -1,30 +1,43 @@
 """Decoding of the endpoints' entries in service discovery."""
 
+import ipaddress
+import re
+from typing import Annotated, Final
+
 import msgspec
 
 from lentilspool import serving
-from lentilspool.platform import _digits, _errors
+from lentilspool.platform import _digits, _errors, _numbers
 
-_STATES = ('ready', 'draining')
+_STATES: Final = ('ready', 'draining')
+_MAX_PORT: Final = 65_535
+# Requests name their endpoint in a header.
+_NAME: Final = re.compile('[!-~]{1,200}')
+_MAX_CHARACTERS: Final = 200
+_MAX_SLOTS: Final = 1_000_000
+_Text = Annotated[str, msgspec.Meta(max_length=_MAX_CHARACTERS)]
+_Slots = Annotated[int, msgspec.Meta(ge=1, le=_MAX_SLOTS)]
 
 
 class _Entry(msgspec.Struct):
-    """Used fields of an endpoint's entry."""
+    """Fields of an endpoint's entry; endpoints write all of them."""
 
-    service: str
-    address: str
-    zone: str
-    slots: int
+    service: _Text
+    address: _Text
+    zone: _Text
+    version: _Text
+    slots: _Slots
     state: str
-    born: int = 0
-    version: str = ''
+    cold_left_ms: _numbers.Measure
+    sequence: _numbers.Count
+    born: _numbers.Count
 
 
 class _EntryState(msgspec.Struct):
     """Fields by which writes of one endpoint are ordered."""
 
-    born: int = 0
-    sequence: int = 0
+    born: _numbers.Count = 0
+    sequence: _numbers.Count = 0
     state: str = ''
 
 
@@ -38,17 +51,18 @@
         entry = msgspec.json.decode(payload, type=_Entry)
     except _errors.UNREADABLE as error:
         raise _errors.FormatError(f'endpoint {name}', str(error))
-    host, _, port = entry.address.rpartition(':')
-    number = _digits.decode_number(port)
-    if entry.state not in _STATES or not host or number is None:
+    address = _decode_address(entry.address)
+    is_named = _NAME.fullmatch(name)
+    if entry.state not in _STATES or address is None or not is_named:
         raise _errors.FormatError(
             f'endpoint {name}', 'not an entry of an endpoint'
         )
+    host, port = address
     return serving.Endpoint(
         name=name,
         service=entry.service,
         host=host,
-        port=number,
+        port=port,
         zone=entry.zone,
         slots=entry.slots,
         ready=entry.state == 'ready',
@@ -66,3 +80,17 @@
     return serving.EntryState(
         entry.born, entry.sequence, entry.state == 'ready'
     )
+
+
+def _decode_address(text: str) -> tuple[str, int] | None:
+    """Return IP address and port; None if the text is no address."""
+    host, _, digits = text.rpartition(':')
+    host = host.removeprefix('[').removesuffix(']')
+    port = _digits.decode_number(digits)
+    if port is None or not 0 < port <= _MAX_PORT:
+        return None
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return None
+    return host, port
--- a/src/lentilspool/platform/_store.py
+++ b/src/lentilspool/platform/_store.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from lentilspool.platform import _errors, _names
+from lentilspool.platform import _errors, _names, _numbers
 
 CONFIGURATION_KEY: Final = 'op/config'
 ENDPOINT_PREFIX: Final = 'servers/'
@@ -54,13 +54,13 @@
 class _Item(msgspec.Struct):
     key: str
     value: str = ''
-    rev: int = 0
-    created: int = 0
+    rev: _numbers.Count = 0
+    created: _numbers.Count = 0
     tombstone: bool = False
 
 
 class _Answer(msgspec.Struct):
-    current_rev: int
+    current_rev: _numbers.Count
     items: list[_Item] = []
     events: list[_Item] = []
     has_more: bool = False
--- a/src/lentilspool/platform/tests/stand_ins.py
+++ b/src/lentilspool/platform/tests/stand_ins.py
@@ -153,8 +153,10 @@
             'service': service,
             'address': address,
             'zone': 'a',
+            'version': '',
             'slots': slots,
             'state': state,
+            'cold_left_ms': 0,
             'born': born_ms,
             'sequence': sequence,
         }
